--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Everything runs inside .venv, which the first target that needs it sets up.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := packages/baobabmux-core packages/baobabmux-node \
+	packages/baobabmux-ctl standins bench
+
+.PHONY: setup check format test demo bench capacity
+
+setup: $(STAMP)
+
+$(STAMP): requirements/runtime.txt requirements/development.txt \
+		$(addsuffix /pyproject.toml,$(PACKAGES))
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements/development.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+		$(addprefix -e ,$(PACKAGES))
+	touch $(STAMP)
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: check
+	$(BIN)/python -m pytest
+
+demo: $(STAMP)
+	$(BIN)/python -m baobabmux_standins.demo
+
+bench: $(STAMP)
+	$(BIN)/python -m baobabmux_bench.main
+
+capacity: $(STAMP)
+	$(BIN)/python -m baobabmux_bench.capacity
--- /dev/null
+++ b/bench/src/baobabmux_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Virtual-time benchmark of the scheduling decisions."""
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions of baobabmux, free of input and output."""
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/errors.py
@@ -0,0 +1,197 @@
+"""Closed list of error kinds and the table from kind to answer."""
+
+import enum
+
+import msgspec
+
+from baobabmux_core import states
+
+
+class ErrorKind(enum.Enum):
+    """Every error that a caller or an operator can meet."""
+
+    BAD_REQUEST = "bad_request"
+    BAD_KEY = "bad_key"
+    KEY_REQUIRED = "key_required"
+    KEY_EXPIRED = "key_expired"
+    KEY_REUSED = "key_reused"
+    NO_ROUTE = "no_route"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    STILL_RUNNING = "still_running"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    OVERLOADED = "overloaded"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_PASSED = "deadline_passed"
+    NO_ENDPOINT = "no_endpoint"
+    LOG_UNAVAILABLE = "log_unavailable"
+    NOT_READY = "not_ready"
+    SHUTTING_DOWN = "shutting_down"
+    QUARANTINED = "quarantined"
+    ENDPOINT_BROKE = "endpoint_broke"
+    ENDPOINT_GARBAGE = "endpoint_garbage"
+    CALLER_GONE = "caller_gone"
+    INTERNAL = "internal"
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What a caller is told for one error kind.
+
+    Attributes:
+        status: HTTP status code.
+        run_status: Whether the request was run, as far as is known.
+        title: One line for a person.
+        retry_after: Whether the answer names a time to come back.
+    """
+
+    status: int
+    run_status: states.RunStatus
+    title: str
+    retry_after: bool = False
+
+
+_NOT_RUN = states.RunStatus.NOT_RUN
+_UNKNOWN = states.RunStatus.UNKNOWN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, _NOT_RUN, "The request is malformed."),
+    ErrorKind.BAD_KEY: Answer(
+        400, _NOT_RUN, "The idempotency key is not a UUID of version 7."
+    ),
+    ErrorKind.KEY_REQUIRED: Answer(
+        400, _NOT_RUN, "This route requires an idempotency key."
+    ),
+    # An expired key may have run: its records are no longer kept.
+    ErrorKind.KEY_EXPIRED: Answer(
+        410, _UNKNOWN, "The idempotency key is older than the claim window."
+    ),
+    ErrorKind.KEY_REUSED: Answer(
+        422, _NOT_RUN, "The idempotency key was used with another body."
+    ),
+    ErrorKind.NO_ROUTE: Answer(404, _NOT_RUN, "No route serves this path."),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(
+        405, _NOT_RUN, "The route does not allow this method."
+    ),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN, "The body is too large."),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(
+        431, _NOT_RUN, "The header section is too large."
+    ),
+    ErrorKind.REQUEST_TIMEOUT: Answer(
+        408, _NOT_RUN, "The request did not arrive in time."
+    ),
+    ErrorKind.STILL_RUNNING: Answer(
+        409,
+        states.RunStatus.RUNNING,
+        "The first request with this key is still running.",
+        retry_after=True,
+    ),
+    ErrorKind.ANSWER_NOT_KEPT: Answer(
+        409,
+        states.RunStatus.DONE,
+        "The request was run; its answer is no longer kept.",
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        409, _UNKNOWN, "The outcome of the request with this key is unknown."
+    ),
+    ErrorKind.OVERLOADED: Answer(
+        503, _NOT_RUN, "The service is overloaded.", retry_after=True
+    ),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(
+        503,
+        _NOT_RUN,
+        "The request cannot finish before its deadline.",
+        retry_after=True,
+    ),
+    ErrorKind.DEADLINE_PASSED: Answer(
+        504,
+        _NOT_RUN,
+        "The deadline passed before the request could start.",
+        retry_after=True,
+    ),
+    ErrorKind.NO_ENDPOINT: Answer(
+        503, _NOT_RUN, "No endpoint can take the request.", retry_after=True
+    ),
+    ErrorKind.LOG_UNAVAILABLE: Answer(
+        503,
+        _NOT_RUN,
+        "The log service is out of reach, so the key cannot be claimed.",
+        retry_after=True,
+    ),
+    ErrorKind.NOT_READY: Answer(
+        503, _NOT_RUN, "The node has no configuration yet.", retry_after=True
+    ),
+    ErrorKind.SHUTTING_DOWN: Answer(
+        503, _NOT_RUN, "The node is shutting down.", retry_after=True
+    ),
+    ErrorKind.QUARANTINED: Answer(
+        422, _NOT_RUN, "This content has crashed endpoints and is refused."
+    ),
+    ErrorKind.ENDPOINT_BROKE: Answer(
+        502, _UNKNOWN, "The endpoint's answer broke off."
+    ),
+    ErrorKind.ENDPOINT_GARBAGE: Answer(
+        502, _UNKNOWN, "The endpoint's answer violated its protocol."
+    ),
+    ErrorKind.CALLER_GONE: Answer(
+        499, _UNKNOWN, "The caller closed the connection."
+    ),
+    ErrorKind.INTERNAL: Answer(500, _UNKNOWN, "The node met a fault."),
+}
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Problem details of RFC 9457 with this project's members.
+
+    Attributes:
+        type: URI reference of the error kind.
+        title: One line for a person.
+        status: HTTP status code.
+        kind: Value of the error kind.
+        run_status: Value of the run status.
+        request_id: Identifier of the request.
+        detail: What exactly was wrong, or None.
+        retry_after: Seconds until a repeat may succeed, or None.
+    """
+
+    type: str
+    title: str
+    status: int
+    kind: str
+    run_status: str
+    request_id: str
+    detail: str | None = None
+    retry_after: float | None = None
+
+
+def problem(
+    kind: ErrorKind,
+    request_id: str,
+    detail: str | None = None,
+    retry_after: float | None = None,
+) -> Problem:
+    """Builds the problem details for an error kind.
+
+    Args:
+        kind: Kind of the error.
+        request_id: Identifier of the request.
+        detail: What exactly was wrong, or None.
+        retry_after: Seconds until a repeat may succeed, or None.
+
+    Returns:
+        The problem details; `retry_after` is dropped for kinds that a repeat
+        cannot mend.
+    """
+    answer = ANSWERS[kind]
+    return Problem(
+        type=f"urn:baobabmux:error:{kind.value}",
+        title=answer.title,
+        status=answer.status,
+        kind=kind.value,
+        run_status=answer.run_status.value,
+        request_id=request_id,
+        detail=detail,
+        retry_after=retry_after if answer.retry_after else None,
+    )
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -0,0 +1,406 @@
+"""Messages between nodes and their encoding.
+
+Messages are MessagePack arrays with integer tags, because 4 KB a second of
+control traffic for each node must carry about nine requests a second.
+Delivery is at most once and unordered, so every message is idempotent.
+"""
+
+import hashlib
+import hmac
+
+import msgspec
+
+from baobabmux_core import ids
+
+MAC_BYTES = 16
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base of all messages between nodes."""
+
+
+class PrefixPart(msgspec.Struct, frozen=True, array_like=True):
+    """One prefix of a prompt.
+
+    Attributes:
+        digest: 32-bit hash of the prefix.
+        tokens: Estimated length of the prefix.
+    """
+
+    digest: ids.PrefixDigest
+    tokens: int
+
+
+class Ask(Message, frozen=True, tag=1):
+    """Asks the owner of a group for a grant; repeated until answered.
+
+    Attributes:
+        group: Group of endpoints.
+        request: Request that waits at the sender.
+        tier: Rank of the tier, 0 is the highest.
+        workspace: 32-bit hash of the workspace.
+        deadline_ms: Milliseconds from the sending until the deadline, or -1
+            without a deadline.
+        prompt_tokens: Estimated length of the prompt.
+        output_tokens: Expected length of the answer.
+        prefixes: Prefixes of the prompt, the longest last.
+        content: Digest of route and body.
+        waited_ms: Milliseconds the request has waited at the sender, so that
+            a new owner restores the order of arrival.
+        spilled: Whether the sender is in another data centre.
+    """
+
+    group: ids.GroupId
+    request: ids.RequestId
+    tier: int
+    workspace: int
+    deadline_ms: int
+    prompt_tokens: int
+    output_tokens: int
+    prefixes: tuple[PrefixPart, ...]
+    content: ids.ContentDigest
+    waited_ms: int = 0
+    spilled: bool = False
+
+
+class Withdraw(Message, frozen=True, tag=2):
+    """Takes back an ask or an unused grant."""
+
+    group: ids.GroupId
+    request: ids.RequestId
+
+
+class Grant(Message, frozen=True, tag=3):
+    """Permits one dispatch.
+
+    Attributes:
+        request: Request that may be dispatched.
+        endpoint: Where to.
+        lease_ms: Milliseconds after its arrival during which the grant may be
+            used.
+    """
+
+    request: ids.RequestId
+    endpoint: ids.EndpointId
+    lease_ms: int
+
+
+class Refusal(Message, frozen=True, tag=4):
+    """Refuses an ask for good.
+
+    Attributes:
+        request: Request that is refused.
+        kind: Value of the error kind.
+        retry_after_ms: Milliseconds until a repeat may succeed.
+    """
+
+    request: ids.RequestId
+    kind: str
+    retry_after_ms: int
+
+
+class Progress(Message, frozen=True, tag=5):
+    """Reports the progress of a long answer.
+
+    Attributes:
+        group: Group of endpoints.
+        request: Request that is running.
+        tokens: Output tokens so far.
+        elapsed_ms: Milliseconds since the first token.
+    """
+
+    group: ids.GroupId
+    request: ids.RequestId
+    tokens: int
+    elapsed_ms: int
+
+
+class Release(Message, frozen=True, tag=6):
+    """Reports the end of a granted request.
+
+    Attributes:
+        group: Group of endpoints.
+        request: Request that has ended.
+        endpoint: Endpoint that ran it.
+        outcome: Value of `states.Outcome`.
+        computed_tokens: Prompt tokens that the endpoint computed rather than
+            took from its cache, or -1 if the endpoint did not say.
+        output_tokens: Output tokens produced.
+        prefill_ms: Milliseconds from dispatch to the first token.
+        decode_ms: Milliseconds from the first token to the last.
+    """
+
+    group: ids.GroupId
+    request: ids.RequestId
+    endpoint: ids.EndpointId
+    outcome: str
+    computed_tokens: int
+    output_tokens: int
+    prefill_ms: int
+    decode_ms: int
+
+
+class InFlight(msgspec.Struct, frozen=True, array_like=True):
+    """One dispatched request, as registered with a new owner."""
+
+    request: ids.RequestId
+    endpoint: ids.EndpointId
+    tier: int
+    prompt_tokens: int
+    output_tokens: int
+    content: ids.ContentDigest
+    elapsed_ms: int
+
+
+class Register(Message, frozen=True, tag=7):
+    """Tells a new owner what the sender has in flight in a group."""
+
+    group: ids.GroupId
+    in_flight: tuple[InFlight, ...]
+
+
+class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Predicted wait of a group, as told by its owner."""
+
+    group: ids.GroupId
+    wait_ms: int
+
+
+class Heartbeat(Message, frozen=True, tag=8):
+    """Tells that the sender lives.
+
+    Attributes:
+        leaving: Whether the sender is shutting down.
+        config_version: Offset of the configuration in force, or -1.
+        loads: Waits of the groups that the sender owns.
+    """
+
+    leaving: bool
+    config_version: int
+    loads: tuple[ServiceLoad, ...] = ()
+
+
+class Suspect(Message, frozen=True, tag=9):
+    """Tells that an endpoint crashed while it ran some contents.
+
+    Attributes:
+        endpoint: Endpoint that crashed.
+        contents: Digests of all contents in flight there.
+        alone: Whether the only content ran apart, which proves its guilt.
+    """
+
+    endpoint: ids.EndpointId
+    contents: tuple[ids.ContentDigest, ...]
+    alone: bool
+
+
+class Cleared(Message, frozen=True, tag=10):
+    """Tells that a suspect content completed when it ran apart."""
+
+    content: ids.ContentDigest
+
+
+class ClaimEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One claim on a key.
+
+    Attributes:
+        key: Hash of the key.
+        attempt: Attempt that wants to run.
+        holder: Node that holds the request.
+        body: Digest of the body.
+        key_time_ms: Time in the key, in Unix milliseconds.
+    """
+
+    key: ids.KeyHash
+    attempt: ids.AttemptId
+    holder: ids.NodeId
+    body: ids.ContentDigest
+    key_time_ms: int
+
+
+class ClaimAsk(Message, frozen=True, tag=11):
+    """Asks a batching node to append a claim."""
+
+    entry: ClaimEntry
+
+
+class ClaimAnswer(Message, frozen=True, tag=12):
+    """Tells how a claim was decided.
+
+    Attributes:
+        key: Hash of the key.
+        attempt: Attempt that asked.
+        winner: Attempt that holds the key.
+        holder: Node of the winner.
+        status: Value of `states.RunStatus` of the winner.
+        body: Digest of the winner's body.
+    """
+
+    key: ids.KeyHash
+    attempt: ids.AttemptId
+    winner: ids.AttemptId
+    holder: ids.NodeId
+    status: str
+    body: ids.ContentDigest
+
+
+class KeyAsk(Message, frozen=True, tag=13):
+    """Registers a key of an idempotent route at its home node."""
+
+    key: ids.KeyHash
+    attempt: ids.AttemptId
+    body: ids.ContentDigest
+
+
+class KeyAnswer(Message, frozen=True, tag=14):
+    """Names the first attempt with a key of an idempotent route."""
+
+    key: ids.KeyHash
+    attempt: ids.AttemptId
+    winner: ids.AttemptId
+    holder: ids.NodeId
+    body: ids.ContentDigest
+
+
+class AnswerAsk(Message, frozen=True, tag=15):
+    """Asks the holder of a key's first request for its kept answer."""
+
+    key: ids.KeyHash
+    winner: ids.AttemptId
+    part: int
+
+
+class AnswerPart(Message, frozen=True, tag=16):
+    """One part of a kept answer.
+
+    Attributes:
+        key: Hash of the key.
+        winner: Attempt whose answer this is.
+        status: Value of `states.RunStatus`.
+        part: Number of this part, from 0.
+        parts: Number of parts, 0 if no answer is kept.
+        http_status: HTTP status of the answer.
+        content_type: Media type of the answer.
+        data: Bytes of this part.
+    """
+
+    key: ids.KeyHash
+    winner: ids.AttemptId
+    status: str
+    part: int
+    parts: int
+    http_status: int
+    content_type: str
+    data: bytes
+
+
+class ConfigAsk(Message, frozen=True, tag=17):
+    """Asks a peer for its configuration if it is newer than `through`."""
+
+    through: int
+
+
+class ConfigState(Message, frozen=True, tag=18):
+    """A peer's folded configuration, as JSON of a snapshot record."""
+
+    through: int
+    snapshot: bytes
+
+
+class DrainEndpoint(Message, frozen=True, tag=19):
+    """Keeps new work from an endpoint, or ends that with `drain` False."""
+
+    endpoint: ids.EndpointId
+    drain: bool
+
+
+AnyMessage = (
+    Ask
+    | Withdraw
+    | Grant
+    | Refusal
+    | Progress
+    | Release
+    | Register
+    | Heartbeat
+    | Suspect
+    | Cleared
+    | ClaimAsk
+    | ClaimAnswer
+    | KeyAsk
+    | KeyAnswer
+    | AnswerAsk
+    | AnswerPart
+    | ConfigAsk
+    | ConfigState
+    | DrainEndpoint
+)
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True):
+    """Messages of one loop turn from one node to another.
+
+    Attributes:
+        sender: Node that sent the frame.
+        incarnation: Start time of the sender in Unix milliseconds; a restart
+            under the same name has a larger one.
+        sequence: Number of the frame at its sender, to count losses.
+        hlc: Packed hybrid logical clock of the sender.
+        messages: Messages in order of sending.
+    """
+
+    sender: ids.NodeId
+    incarnation: int
+    sequence: int
+    hlc: int
+    messages: tuple[AnyMessage, ...]
+
+
+class FrameError(ValueError):
+    """A frame could not be decoded or its code did not match."""
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Frame)
+
+
+def encode_frame(frame: Frame, secret: bytes = b"") -> bytes:
+    """Encodes a frame.
+
+    Args:
+        frame: Frame to encode.
+        secret: Key of the authentication code; empty means no code.
+
+    Returns:
+        The code, if any, followed by the MessagePack bytes.
+    """
+    body = _ENCODER.encode(frame)
+    return _mac(body, secret) + body if secret else body
+
+
+def decode_frame(data: bytes, secret: bytes = b"") -> Frame:
+    """Decodes a frame.
+
+    Args:
+        data: Bytes as received.
+        secret: Key of the authentication code; empty means no code.
+
+    Returns:
+        The frame.
+
+    Raises:
+        FrameError: The bytes are no frame or their code does not match.
+    """
+    body = data
+    if secret:
+        body = data[MAC_BYTES:]
+        if not hmac.compare_digest(data[:MAC_BYTES], _mac(body, secret)):
+            raise FrameError("the authentication code does not match")
+    try:
+        return _DECODER.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise FrameError(str(error)) from error
+
+
+def _mac(body: bytes, secret: bytes) -> bytes:
+    return hashlib.blake2b(body, key=secret, digest_size=MAC_BYTES).digest()
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/timers.py
@@ -0,0 +1,79 @@
+"""Timer service that the parts of a node subscribe to."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+Callback = Callable[[float], None]
+
+
+class Timer:
+    """One subscription; `cancel` ends it.
+
+    Attributes:
+        due: Time of the next call in seconds.
+        interval: Seconds between calls, or None for a single call.
+    """
+
+    def __init__(self, due: float, interval: float | None, call: Callback):
+        self.due = due
+        self.interval = interval
+        self.call = call
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Ends the subscription; a cancelled timer is never called."""
+        self.cancelled = True
+
+
+class TimerService:
+    """Calls subscribers when their time has come.
+
+    The service has no clock: its driver passes the time to `run_due` and
+    sleeps until `next_due`.
+    """
+
+    def __init__(self):
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._order = itertools.count()
+
+    def once(self, due: float, call: Callback) -> Timer:
+        """Subscribes a single call at the time `due` in seconds."""
+        return self._push(Timer(due, None, call))
+
+    def every(self, interval: float, now: float, call: Callback) -> Timer:
+        """Subscribes a call each `interval` seconds, first after one."""
+        return self._push(Timer(now + interval, interval, call))
+
+    def next_due(self) -> float | None:
+        """Returns the time of the next call, or None without subscribers."""
+        while self._heap and self._heap[0][2].cancelled:
+            heapq.heappop(self._heap)
+        return self._heap[0][0] if self._heap else None
+
+    def run_due(self, now: float) -> int:
+        """Calls all subscribers whose time has come.
+
+        A periodic timer that was missed several times, for instance while the
+        process was paused, is called once.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            The number of calls made.
+        """
+        calls = 0
+        while (due := self.next_due()) is not None and due <= now:
+            timer = heapq.heappop(self._heap)[2]
+            if timer.interval is not None:
+                missed = due + timer.interval <= now
+                timer.due = (now if missed else due) + timer.interval
+                self._push(timer)
+            timer.call(now)
+            calls += 1
+        return calls
+
+    def _push(self, timer: Timer) -> Timer:
+        heapq.heappush(self._heap, (timer.due, next(self._order), timer))
+        return timer
--- /dev/null
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operator tool of baobabmux."""
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/__init__.py
@@ -0,0 +1,1 @@
+"""The baobabmux node."""
--- /dev/null
+++ b/standins/src/baobabmux_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, services and the platform, for tests."""
