--- /dev/null
+++ b/packages/baobabmux-core/tests/membership_test.py
@@ -0,0 +1,300 @@
+"""Tests of membership: liveness, ownership and heartbeats."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from baobabmux_core import membership, states
+
+_STEP = 0.25
+_LIVE = states.MemberState.LIVE
+_SUSPECT = states.MemberState.SUSPECT
+_GONE = states.MemberState.GONE
+
+
+def _entry(name, kind="node", state="live", data_centre=None):
+    return membership.VmEntry(
+        name, kind, data_centre or name[0], state, f"{name}:1", f"{name}:2"
+    )
+
+
+def _view(node="a1", peers=("a2", "a3"), now=0.0):
+    view = membership.Membership(node, node[0], now)
+    view.vm_list([_entry(name) for name in (node, *peers)], now, now)
+    return view
+
+
+def _run(view, start, end, speakers=()):
+    """Ticks through a time in which the speakers are heard at each tick."""
+    changes = []
+    for step in range(1, round((end - start) / _STEP) + 1):
+        now = start + step * _STEP
+        for node in speakers:
+            view.heard(node, 1, False, now)
+        changes += view.tick(now)
+    return changes
+
+
+def test_silent_peer_is_suspected_within_the_stated_time():
+    """Guards against a dead owner that keeps its groups."""
+    view = _view()
+    _run(view, 0.0, 5.0, ["a2", "a3"])
+    assert view.live("a") == ["a1", "a2", "a3"]
+    limit = view.detection_seconds("a") + _STEP
+    changes = _run(view, 5.0, 5.0 + limit, ["a2"])
+    assert view.live("a") == ["a1", "a2"]
+    assert [(c.node, c.state) for c in changes] == [("a3", _SUSPECT)]
+
+
+def test_suspected_peer_is_reinstated_by_its_next_frame():
+    """Guards against a node that stays shut out after a pause."""
+    view = _view()
+    _run(view, 0.0, 5.0, ["a2"])
+    assert view.state("a3") is _SUSPECT
+    view.heard("a3", 1, False, 5.1)
+    assert "a3" in view.live("a")
+
+
+def test_listed_but_never_started_node_owns_nothing():
+    """Guards against groups given to a VM whose process does not run."""
+    view = _view()
+    _run(view, 0.0, 5.0, ["a2", "a3"])
+    nodes = ["a1", "a2", "a3", "a4"]
+    view.vm_list([_entry(name) for name in nodes], 5.0, 5.0)
+    assert "a4" not in view.live("a")
+    view.heard("a4", 1, False, 5.1)
+    assert "a4" in view.live("a")
+
+
+def test_unlisted_node_counts_for_a_bounded_time():
+    """Guards against a new node without work, and an unlisted one for ever."""
+    view = _view()
+    view.heard("a9", 1, False, 1.0, "a")
+    assert "a9" in view.live("a")
+    listed = [_entry(name) for name in ("a1", "a2", "a3")]
+    for now in range(2, 40):
+        view.heard("a9", 1, False, now, "a")
+        view.vm_list(listed, now, now)
+        view.tick(now)
+        assert ("a9" in view.live("a")) == (now < 31)
+
+
+def test_leaving_is_final_for_an_incarnation():
+    """Guards against late frames that bring a leaving owner back."""
+    view = _view()
+    view.heard("a2", 5, True, 1.0)
+    view.heard("a2", 5, False, 1.1)
+    assert "a2" not in view.live("a")
+    assert "a2" in view.reachable()
+    view.heard("a2", 6, False, 1.2)
+    assert "a2" in view.live("a")
+    change = view.tick(1.25)[-1]
+    assert change.restarted
+    view.heard("a2", 5, True, 1.3)
+    assert "a2" in view.live("a")
+
+
+def test_own_long_pause_suspects_nobody():
+    """Guards against a resumed node that takes every group for itself."""
+    view = _view()
+    _run(view, 0.0, 5.0, ["a2", "a3"])
+    view.tick(60.0)
+    assert view.live("a") == ["a1", "a2", "a3"]
+    _run(view, 60.0, 63.0, ["a2"])
+    assert view.live("a") == ["a1", "a2"]
+
+
+def test_list_outage_keeps_the_last_list_and_old_lists_are_ignored():
+    """Guards against members lost with the list service."""
+    view = _view()
+    _run(view, 0.0, 500.0, ["a2", "a3"])
+    assert view.live("a") == ["a1", "a2", "a3"]
+    view.vm_list([], -1.0, 500.0)
+    assert view.live("a") == ["a1", "a2", "a3"]
+
+
+def test_cut_data_centre_has_no_owner_and_returns():
+    """Guards against requests sent over into a data centre out of reach."""
+    view = _view("a1", ("b1", "b2", "b3"))
+    _run(view, 0.0, 5.0, ["b1", "b2"])
+    assert view.live("b") == ["b1", "b2", "b3"]
+    _run(view, 5.0, 8.0)
+    assert view.owner("s@b") is None
+    assert view.owner("s@a") == "a1"
+    _run(view, 8.0, 8.5, ["b2"])
+    assert "b2" in view.live("b")
+    assert "b3" in view.live("b")
+
+
+def test_dead_remote_delegate_stays_suspected():
+    """Guards against a state that changes with each tick."""
+    view = _view("a1", ("b1", "b2", "b3"))
+    dead, *others = view.delegates("b")
+    _run(view, 0.0, 5.0, ["b1", "b2", "b3"])
+    changes = _run(view, 5.0, 30.0, others)
+    assert [c.state for c in changes if c.node == dead] == [_SUSPECT]
+
+
+def test_heartbeats_stay_within_their_rate():
+    """Guards against control traffic that grows with the square of nodes."""
+    peers = [f"a{i}" for i in range(2, 43)]
+    peers += [f"{dc}{i}" for dc in "bcdefgh" for i in range(42)]
+    view = _view("a1", peers)
+    sent = 0
+    for step in range(1, 401):
+        now = step * _STEP
+        for node in peers:
+            view.heard(node, 1, False, now)
+        view.tick(now)
+        sent += len(view.heartbeat_targets(now))
+    first = 41 + 14
+    assert sent <= 20 * 100 + first
+    assert view.heartbeat_interval("a") == 41 / 20
+
+
+def test_endpoint_vm_follows_the_list():
+    """Guards against work for an endpoint whose VM is leaving or gone."""
+    view = membership.Membership("a1", "a", 0.0)
+    assert view.endpoint_vm_state("e1") is states.EndpointState.LIVE
+    seen = []
+    for state in ("live", "leaving"):
+        view.vm_list([_entry("e1", "endpoint", state, "a")], 1.0, 1.0)
+        seen.append(view.endpoint_vm_state("e1"))
+    view.vm_list([], 2.0, 2.0)
+    seen.append(view.endpoint_vm_state("e1"))
+    assert [state.value for state in seen] == ["live", "leaving", "gone"]
+
+
+def test_last_leaving_node_still_owns():
+    """Guards against queued requests that nobody grants at the end."""
+    view = _view("a1", ())
+    view.leave(1.0)
+    assert view.live("a") == []
+    assert view.owner("s@a") == "a1"
+
+
+class _Node:
+    """One node of the state machine, with its own view."""
+
+    def __init__(self, name, incarnation, now):
+        self.view = membership.Membership(name, name[0], now)
+        self.incarnation = incarnation
+        self.paused = False
+
+
+class MembershipMachine(stateful.RuleBasedStateMachine):
+    """A cluster of two data centres whose links and nodes fail."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.nodes = {}
+        self.listed = {}
+        self.list_down = False
+        self.sides = {}
+        self.incarnations = 0
+        for name in ("a1", "a2", "a3", "b1", "b2", "b3"):
+            self._start(name)
+        self._settle()
+
+    def _start(self, name):
+        self.incarnations += 1
+        self.nodes[name] = _Node(name, self.incarnations, self.now)
+        self.listed[name] = _entry(name)
+        self.list_down = False
+
+    def _list(self, node):
+        node.view.vm_list(list(self.listed.values()), self.now, self.now)
+
+    def _step(self):
+        self.now += _STEP
+        awake = {n: v for n, v in self.nodes.items() if not v.paused}
+        for name, node in awake.items():
+            if not self.list_down:
+                self._list(node)
+            node.view.tick(self.now)
+            for to in node.view.heartbeat_targets(self.now):
+                if to in awake and self._side(to) == self._side(name):
+                    awake[to].view.heard(
+                        name, node.incarnation, node.view.leaving, self.now
+                    )
+
+    def _side(self, name):
+        return self.sides.get(name, 0)
+
+    def _settle(self):
+        # Detection, then an interval for the next heartbeat.
+        for _ in range(round(4.0 / _STEP)):
+            self._step()
+
+    @stateful.rule(name=st.sampled_from(["a1", "a2", "a4", "b1", "b4"]))
+    def start(self, name):
+        if name not in self.nodes:
+            self._start(name)
+
+    @stateful.rule(data=st.data(), reap=st.booleans())
+    def crash(self, data, reap):
+        if not self.nodes:
+            return
+        name = data.draw(st.sampled_from(sorted(self.nodes)))
+        del self.nodes[name]
+        if reap:
+            del self.listed[name]
+
+    @stateful.rule(data=st.data())
+    def leave(self, data):
+        if self.nodes:
+            name = data.draw(st.sampled_from(sorted(self.nodes)))
+            self.nodes[name].view.leave(self.now)
+
+    @stateful.rule(data=st.data())
+    def pause_or_resume(self, data):
+        if self.nodes:
+            name = data.draw(st.sampled_from(sorted(self.nodes)))
+            self.nodes[name].paused = not self.nodes[name].paused
+
+    @stateful.rule(
+        cut=st.sets(st.sampled_from(["a1", "a2", "a3", "b1", "b2", "b3"]))
+    )
+    def cut(self, cut):
+        self.sides = dict.fromkeys(cut, 1)
+
+    @stateful.rule()
+    def cut_data_centre(self):
+        self.sides = {name: 1 for name in self.nodes if name[0] == "a"}
+
+    @stateful.rule()
+    def heal(self):
+        self.sides = {}
+
+    @stateful.rule(down=st.booleans())
+    def list_outage(self, down):
+        self.list_down = down
+
+    @stateful.rule(steps=st.integers(1, 30))
+    def run_on(self, steps):
+        for _ in range(steps):
+            self._step()
+
+    @stateful.rule()
+    def members_agree_after_quiet_time(self):
+        """Guards against two lasting owners, or one that is dead."""
+        self._settle()
+        by_side = {}
+        for name, node in self.nodes.items():
+            if not node.paused:
+                by_side.setdefault((self._side(name), name[0]), []).append(name)
+        for (_, data_centre), names in by_side.items():
+            for group in (f"{s}@{data_centre}" for s in ("s", "t", "u")):
+                owners = {self.nodes[n].view.owner(group) for n in names}
+                assert len(owners) == 1
+                assert owners <= set(names)
+
+
+MembershipTest = MembershipMachine.TestCase
+MembershipTest.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=40,
+    stateful_step_count=25,
+)
