Check declarations and report every error at once

Operators publish whole sets of tables, so one error at a time would cost them a publication each. parse reports all errors, each one line with place, problem and remedy; load_files merges TOML files and names the file of each entry.

--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -1,9 +1,24 @@
-"""Declarations that operators publish: what each section may say."""
+"""Declarations that operators publish: what each section may say.
 
+Tables are nested dicts `section -> name -> key -> value`, as TOML files and
+publications carry them. `parse` checks them all and reports every error.
+"""
+
+import ipaddress
+import pathlib
+import re
+import tomllib
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import expression
 import msgspec
 
 from baobabmux_core import ids
 
+Tables = dict[str, dict[str, dict[str, Any]]]
+"""Tables by section and name."""
+
 
 class Tier(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How much a kind of request matters.
@@ -176,3 +191,458 @@
             for name, endpoint in self.endpoints.items()
             if ids.group_id(endpoint.service, endpoint.data_centre) == group
         }
+
+
+class ConfigError(msgspec.Struct, frozen=True):
+    """One error in the declarations.
+
+    Attributes:
+        where: File and entry, for instance `routes.toml: route "drafting"`.
+        problem: What is wrong.
+        remedy: What to do or what is allowed.
+    """
+
+    where: str
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        """Returns the error as one line."""
+        return f"{self.where}: {self.problem} ({self.remedy})"
+
+
+class ActivePreset(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The preset in force.
+
+    Attributes:
+        name: Name of a declared preset.
+    """
+
+    name: ids.PresetName
+
+
+class LoadedTables(dict):
+    """Tables merged from files.
+
+    Attributes:
+        sources: File name by entry address, so that errors name the file.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.sources: dict[str, str] = {}
+
+
+_SECTIONS: dict[str, type[msgspec.Struct]] = {
+    "tier": Tier,
+    "workspace": WorkspaceShare,
+    "service": Service,
+    "endpoint": Endpoint,
+    "route": Route,
+    "preset": Preset,
+    "active": ActivePreset,
+    "limit": KeyLimits,
+}
+
+# Sections whose entries have fixed names.
+_FIXED_NAMES = {"active": "preset", "limit": "keys"}
+
+# Lowest and highest value by key. The upper bounds only catch slips such as
+# milliseconds given as seconds.
+_RANGES: dict[str, tuple[float, float]] = {
+    "rank": (0, 1000),
+    "weight": (0.001, 1_000_000),
+    "max_queue_requests": (1, 1_000_000),
+    "max_queue_tokens": (1, 10_000_000_000),
+    "short_tokens": (0, 10_000_000),
+    "max_requests": (1, 100_000),
+    "max_tokens": (1, 1_000_000_000),
+    "cache_tokens": (0, 1_000_000_000),
+    "prefill_tokens_per_second": (0.001, 100_000_000),
+    "decode_tokens_per_second": (0.001, 1_000_000),
+    "timeout_seconds": (0.001, 86_400),
+    "output_tokens": (0, 10_000_000),
+    "max_body_bytes": (0, 1_000_000_000),
+    "affinity_wait_seconds": (0, 3600),
+    "short_share": (0, 1),
+    "high_tier_share": (0, 1),
+    "window_seconds": (1, 31_536_000),
+    "kept_answers": (0, 10_000_000),
+    "kept_answer_bytes": (0, 16_000_000_000),
+}
+
+_KINDS = ("engine", "plain")
+_METHODS = ("DELETE", "GET", "PATCH", "POST", "PUT")
+
+# "/" separates section and name in publications, "@" service and data centre
+# in groups, so names contain neither.
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+_NAME_RULE = "use 1 to 64 letters, digits, dots, hyphens or underscores"
+_PATH = re.compile(r"/[A-Za-z0-9._~/-]{0,255}")
+
+# Deep nesting and integers beyond any float raise errors of their own.
+_CONVERSION_ERRORS = (msgspec.ValidationError, RecursionError, OverflowError)
+
+# Longest part of a faulty value that an error line repeats.
+_SHOWN_CHARACTERS = 60
+
+
+def load_files(
+    paths: Iterable[str | pathlib.Path],
+) -> expression.Result[Tables, list[ConfigError]]:
+    """Reads TOML files and merges their tables.
+
+    Args:
+        paths: Files; their order does not matter.
+
+    Returns:
+        The merged tables, or all errors: unreadable files, bad TOML, values
+        outside tables, and entries that two files declare.
+    """
+    tables = LoadedTables()
+    errors: list[ConfigError] = []
+    for path in map(pathlib.Path, paths):
+        try:
+            content = tomllib.loads(path.read_text(encoding="utf-8"))
+        except OSError as error:
+            reason = error.strerror or str(error)
+            errors.append(
+                ConfigError(str(path), f"cannot be read: {reason}", "check it")
+            )
+        except ValueError as error:  # Bad TOML or bad UTF-8.
+            errors.append(
+                ConfigError(
+                    path.name, f"is not TOML: {_show(error)}", "correct it"
+                )
+            )
+        else:
+            errors.extend(_merge(tables, path.name, content))
+    return expression.Error(errors) if errors else expression.Ok(tables)
+
+
+def _merge(
+    tables: LoadedTables, source: str, content: dict[str, Any]
+) -> Iterator[ConfigError]:
+    for section, entries in content.items():
+        if not isinstance(entries, dict):
+            yield ConfigError(
+                source,
+                f"{_quote(section)} is not a table",
+                "write [section.name] headers",
+            )
+            continue
+        for name, table in entries.items():
+            address = f"{section}/{name}"
+            other = tables.sources.get(address)
+            if other is not None:
+                yield ConfigError(
+                    _where(source, section, name),
+                    f"is also declared in {other}",
+                    "keep one of them",
+                )
+                continue
+            tables.sources[address] = source
+            tables.setdefault(section, {})[name] = table
+
+
+def parse(
+    tables: Tables, source: str = ""
+) -> expression.Result[Configuration, list[ConfigError]]:
+    """Checks tables against the schema and against each other.
+
+    Args:
+        tables: Tables by section and name; any decoded TOML or JSON value is
+            safe to pass.
+        source: Where they came from, for error lines; tables from
+            `load_files` know the file of each entry themselves.
+
+    Returns:
+        The configuration, or all errors in the order of the tables.
+    """
+    return _Parser(tables, source).parse()
+
+
+class _Parser:
+    """One pass over tables that collects errors.
+
+    Attributes:
+        parsed: Entries that follow their schema, by section and name.
+        errors: Errors found so far.
+    """
+
+    def __init__(self, tables: Tables, source: str):
+        self.tables = tables
+        self.source = source
+        self.sources = getattr(tables, "sources", {})
+        self.parsed: dict[str, dict[str, Any]] = {
+            section: {} for section in _SECTIONS
+        }
+        self.errors: list[ConfigError] = []
+
+    def parse(self) -> expression.Result[Configuration, list[ConfigError]]:
+        """Checks everything and returns the configuration or the errors."""
+        if not isinstance(self.tables, dict):
+            return expression.Error(
+                [
+                    ConfigError(
+                        self.source or "declarations",
+                        "the declarations are not a table",
+                        "write [section.name] headers",
+                    )
+                ]
+            )
+        for section, entries in self.tables.items():
+            self._parse_section(section, entries)
+        self._check_references()
+        self._check_unique()
+        self._check_active()
+        if self.errors:
+            return expression.Error(self.errors)
+        return expression.Ok(self._build())
+
+    def _build(self) -> Configuration:
+        parsed = self.parsed
+        return Configuration(
+            tiers=parsed["tier"],
+            workspaces=parsed["workspace"],
+            services=parsed["service"],
+            endpoints=parsed["endpoint"],
+            routes=parsed["route"],
+            presets=parsed["preset"],
+            active=parsed["active"]["preset"].name,
+            keys=parsed["limit"].get("keys", KeyLimits()),
+        )
+
+    def _fail(self, section: str, name: str, problem: str, remedy: str) -> None:
+        source = self.sources.get(f"{section}/{name}", self.source)
+        where = _where(source, section, name)
+        self.errors.append(ConfigError(where, problem, remedy))
+
+    def _parse_section(self, section: str, entries: Any) -> None:
+        if section not in _SECTIONS:
+            self.errors.append(
+                ConfigError(
+                    self._section_source(section, entries),
+                    f"section {_quote(section)} is unknown",
+                    f"known: {_names(_SECTIONS)}",
+                )
+            )
+            return
+        if not isinstance(entries, dict):
+            self.errors.append(
+                ConfigError(
+                    self.source or "declarations",
+                    f"section {_quote(section)} is not a table",
+                    f"write [{section}.name] headers",
+                )
+            )
+            return
+        for name, table in entries.items():
+            self._parse_entry(section, name, table)
+
+    def _section_source(self, section: str, entries: Any) -> str:
+        for name in entries if isinstance(entries, dict) else ():
+            if f"{section}/{name}" in self.sources:
+                return self.sources[f"{section}/{name}"]
+        return self.source or "declarations"
+
+    def _parse_entry(self, section: str, name: str, table: Any) -> None:
+        fixed = _FIXED_NAMES.get(section)
+        if fixed is not None and name != fixed:
+            self._fail(section, name, "is unknown", f"known: {fixed}")
+            return
+        if not isinstance(name, str) or not _NAME.fullmatch(name):
+            self._fail(section, name, "the name is not allowed", _NAME_RULE)
+        if not isinstance(table, dict):
+            remedy = f"write a [{section}.{_show(name)}] header"
+            self._fail(section, name, "is not a table", remedy)
+            return
+        schema = _SECTIONS[section]
+        fields = {item.name: item for item in msgspec.structs.fields(schema)}
+        for key in table:
+            if key not in fields:
+                self._fail(
+                    section,
+                    name,
+                    f"key {_quote(key)} is unknown",
+                    f"known: {_names(fields)}",
+                )
+        values = {}
+        complete = True
+        for key, field in fields.items():
+            if key in table:
+                try:
+                    values[key] = msgspec.convert(table[key], field.type)
+                except _CONVERSION_ERRORS as error:
+                    self._fail(
+                        section,
+                        name,
+                        f"key {_quote(key)} has the wrong type",
+                        _type_rule(error),
+                    )
+                    complete = False
+                    continue
+                self._check_value(section, name, key, values[key])
+            elif field.required:
+                self._fail(
+                    section,
+                    name,
+                    f"key {_quote(key)} is missing",
+                    f"add {key} = ...",
+                )
+                complete = False
+        if complete:
+            self.parsed[section][name] = schema(**values)
+
+    def _check_value(
+        self, section: str, name: str, key: str, value: Any
+    ) -> None:
+        error = _value_error(key, value)
+        if error is not None:
+            problem, remedy = error
+            self._fail(section, name, f"{key} {problem}", remedy)
+
+    def _declared(self, section: str) -> dict[str, Any]:
+        # Entries with errors of their own count as declared, so that one slip
+        # is not reported again by each reference to it.
+        entries = self.tables.get(section)
+        return entries if isinstance(entries, dict) else {}
+
+    def _check_references(self) -> None:
+        for name, endpoint in self.parsed["endpoint"].items():
+            self._refer("endpoint", name, "service", endpoint.service)
+        for name, route in self.parsed["route"].items():
+            self._refer("route", name, "service", route.service)
+            self._refer("route", name, "tier", route.tier)
+        for name, preset in self.parsed["preset"].items():
+            for tier in preset.refused_tiers:
+                self._refer("preset", name, "tier", tier)
+        for name, active in self.parsed["active"].items():
+            self._refer("active", name, "preset", active.name)
+
+    def _refer(self, section: str, name: str, kind: str, target: str) -> None:
+        declared = self._declared(kind)
+        if target not in declared:
+            self._fail(
+                section,
+                name,
+                f"{kind} {_quote(target)} is not declared",
+                f"declared: {_names(declared)}",
+            )
+
+    def _check_unique(self) -> None:
+        self._unique("tier", "rank", lambda tier: tier.rank)
+        self._unique("endpoint", "address", lambda item: item.address)
+        self._unique("route", "path", lambda route: route.path.rstrip("/"))
+
+    def _unique(
+        self, section: str, key: str, value: Callable[[Any], Any]
+    ) -> None:
+        first: dict[Any, str] = {}
+        for name, entry in self.parsed[section].items():
+            other = first.setdefault(value(entry), name)
+            if other != name:
+                self._fail(
+                    section,
+                    name,
+                    f"{key} {_quote(getattr(entry, key))} is also that of "
+                    f"{section} {_quote(other)}",
+                    f"give each {section} its own {key}",
+                )
+
+    def _check_active(self) -> None:
+        if "preset" not in self._declared("active"):
+            self.errors.append(
+                ConfigError(
+                    self.source or "declarations",
+                    "no preset is active",
+                    "add [active.preset] with name = "
+                    f"one of: {_names(self._declared('preset'))}",
+                )
+            )
+
+
+def _value_error(key: str, value: Any) -> tuple[str, str] | None:
+    if key in _RANGES:
+        low, high = _RANGES[key]
+        # NaN fails this comparison too.
+        if low <= value <= high:
+            return None
+        return f"is {_show_number(value)}", f"allowed: {low} to {high}"
+    if key == "address" and not _is_address(value):
+        return (
+            f"{_quote(value)} is not an IP number and port",
+            'write "10.0.0.1:9001" or "[fd00::1]:9001"',
+        )
+    if key == "path" and (not _PATH.fullmatch(value) or "//" in value):
+        return (
+            f"{_quote(value)} is not a path",
+            'begin with "/" and use letters, digits and . _ ~ - /',
+        )
+    if key == "kind" and value not in _KINDS:
+        return f"{_quote(value)} is unknown", f"known: {_names(_KINDS)}"
+    if key == "methods":
+        unknown = [method for method in value if method not in _METHODS]
+        if unknown or not value:
+            return (
+                f"{_quote(', '.join(unknown))} is not allowed",
+                f"allowed: {_names(_METHODS)}",
+            )
+    if key in ("data_centre", "vm") and not _NAME.fullmatch(value):
+        return f"{_quote(value)} is not a name", _NAME_RULE
+    return None
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host, version = host[1:-1], 6
+    else:
+        version = 4
+    try:
+        if ipaddress.ip_address(host).version != version:
+            return False
+    except ValueError:
+        return False
+    # One spelling for each address, so that doubled ones are found.
+    if not re.fullmatch(r"[1-9][0-9]{0,4}", port) or int(port) > 65_535:
+        return False
+    return version == 4 or str(ipaddress.ip_address(host)) == host
+
+
+def _where(source: str, section: str, name: Any) -> str:
+    entry = f"{section} {_quote(name)}"
+    return f"{source}: {entry}" if source else entry
+
+
+def _quote(value: Any) -> str:
+    return f'"{_show(value)}"'
+
+
+def _show(value: Any) -> str:
+    text = "".join(
+        character if character.isprintable() else "?"
+        for character in str(value)[: _SHOWN_CHARACTERS + 1]
+    )
+    if len(text) > _SHOWN_CHARACTERS:
+        return text[:_SHOWN_CHARACTERS] + "..."
+    return text
+
+
+def _show_number(value: float) -> str:
+    # Python refuses to print integers of more than 4300 digits.
+    if isinstance(value, int) and abs(value) > 10**30:
+        return "too large" if value > 0 else "too small"
+    return str(value)
+
+
+def _names(names: Iterable[str]) -> str:
+    shown = sorted(_show(name) for name in names)
+    if len(shown) > 12:
+        return ", ".join(shown[:12]) + f" and {len(shown) - 12} more"
+    return ", ".join(shown) or "none"
+
+
+def _type_rule(error: Exception) -> str:
+    text = re.sub(r" - at `.*", "", str(error)).replace("`", "")
+    return _show(text[:1].lower() + text[1:])
