--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -244,6 +244,12 @@
     "limit": KeyLimits,
 }
 
+# Looked up once, because msgspec resolves type hints anew at each call.
+_FIELDS = {
+    section: {item.name: item for item in msgspec.structs.fields(schema)}
+    for section, schema in _SECTIONS.items()
+}
+
 # Sections whose entries have fixed names.
 _FIXED_NAMES = {"active": "preset", "limit": "keys"}
 
@@ -457,8 +463,22 @@
             remedy = f"write a [{section}.{_show(name)}] header"
             self._fail(section, name, "is not a table", remedy)
             return
-        schema = _SECTIONS[section]
-        fields = {item.name: item for item in msgspec.structs.fields(schema)}
+        try:
+            entry = msgspec.convert(table, _SECTIONS[section])
+        except _CONVERSION_ERRORS:
+            entry = self._parse_fields(section, name, table)
+        if entry is None:
+            return
+        self.parsed[section][name] = entry
+        for key in table:
+            if key in _FIELDS[section]:
+                self._check_value(section, name, key, getattr(entry, key))
+
+    def _parse_fields(
+        self, section: str, name: str, table: dict[str, Any]
+    ) -> Any | None:
+        """Converts field by field, so that each error is reported."""
+        fields = _FIELDS[section]
         for key in table:
             if key not in fields:
                 self._fail(
@@ -481,8 +501,6 @@
                         _type_rule(error),
                     )
                     complete = False
-                    continue
-                self._check_value(section, name, key, values[key])
             elif field.required:
                 self._fail(
                     section,
@@ -492,7 +510,10 @@
                 )
                 complete = False
         if complete:
-            self.parsed[section][name] = schema(**values)
+            return _SECTIONS[section](**values)
+        for key, value in values.items():
+            self._check_value(section, name, key, value)
+        return None
 
     def _check_value(
         self, section: str, name: str, key: str, value: Any
