--- /dev/null
+++ b/standins/src/baobabmux_standins/engine.py
@@ -0,0 +1,373 @@
+"""Model engine with continuous batching, streams and a prefix cache."""
+
+import collections
+import json
+import time
+from typing import Any
+
+import curio
+import msgspec
+
+from baobabmux_standins import cache, orders, prompts, server, standin
+
+# A stream sends at most about this many events a second, so that many fast
+# streams fit into one process.
+_EVENTS_PER_SECOND = 40.0
+_KEPT_STREAMS = 2000
+
+
+class EngineFaults(
+    standin.EndpointFaults, frozen=True, forbid_unknown_fields=True
+):
+    """Faults of an engine.
+
+    Attributes:
+        slowdown: Factor on the time of prefill and decode.
+        crash_marker: A prompt that contains this crashes the engine, "" for
+            none.
+        crash_after: Events of that stream before the crash.
+        crash_seconds: Time for which connections are refused after a crash.
+        lose_streams: Whether a stream cannot be resumed.
+    """
+
+    slowdown: float = 1.0
+    crash_marker: str = ""
+    crash_after: int = 1
+    crash_seconds: float = 1.0
+    lose_streams: bool = False
+
+
+class Job(msgspec.Struct, frozen=True):
+    """The body of POST /v1/completions; other members are ignored."""
+
+    prompt: str
+    max_tokens: int
+    stream: bool = True
+
+
+class Stream:
+    """One run and the events that it has produced.
+
+    Attributes:
+        name: Identifier of the stream.
+        job: What was asked.
+        marker: Marker in the body, or "".
+        echo: Header fields that the answer repeats from the request.
+        events: Data of the events; the first has the id 1.
+        text: Text of all events.
+        usage: Token counts, when the run is done.
+        running: Whether it has a place in the batch.
+        end: How it ended, or "" before that.
+        tokens: Prompt and output tokens held by it.
+        grown: Notified at each change.
+        task: The task that runs it.
+    """
+
+    def __init__(self, name: str, job: Job, marker: str, echo: server.Headers):
+        self.name = name
+        self.job = job
+        self.marker = marker
+        self.echo = echo
+        self.events: list[str] = []
+        self.text = ""
+        self.usage: dict[str, int] = {}
+        self.running = False
+        self.end = ""
+        self.tokens = prompts.count_tokens(job.prompt)
+        self.grown = curio.Condition()
+        self.task: curio.Task | None = None
+
+    async def append(self, value: Any) -> None:
+        """Adds an event."""
+        self.events.append(value if value == "[DONE]" else json.dumps(value))
+        await self.notify()
+
+    async def notify(self) -> None:
+        """Wakes all that wait for a change."""
+        async with self.grown:
+            await self.grown.notify_all()
+
+    async def wait_for(self, count: int) -> bool:
+        """Waits for more than `count` events; False if there won't be any."""
+        async with self.grown:
+            while len(self.events) <= count and not self.end:
+                await self.grown.wait()
+        return len(self.events) > count
+
+
+class _CrashedError(Exception):
+    """The run has crashed its engine."""
+
+
+class Engine(standin.StandIn):
+    """A model engine.
+
+    Args:
+        prefill_tokens_per_second: Rate of one prefill; prefills run one at a
+            time.
+        decode_tokens_per_second: Rate of each running request.
+        max_requests: Requests that run at a time; others wait.
+        cache_tokens: Size of the prefix cache.
+        load_lag_seconds: Age of a load report.
+        event_lag_seconds: Age at which a cache event is published.
+        event_gap_every: See `cache.PrefixCache`.
+        checks_fencing: Whether orders with an older token are refused.
+    """
+
+    faults_type = EngineFaults
+
+    def __init__(
+        self,
+        prefill_tokens_per_second: float = 4000.0,
+        decode_tokens_per_second: float = 60.0,
+        max_requests: int = 8,
+        cache_tokens: int = 60_000,
+        load_lag_seconds: float = 0.5,
+        event_lag_seconds: float = 0.5,
+        event_gap_every: int = 0,
+        checks_fencing: bool = True,
+    ):
+        super().__init__()
+        self._prefill_rate = prefill_tokens_per_second
+        self._decode_rate = decode_tokens_per_second
+        self._slots = curio.Semaphore(max_requests)
+        self._prefill = curio.Lock()
+        self._new_cache = lambda: cache.PrefixCache(
+            cache_tokens, event_lag_seconds, event_gap_every
+        )
+        self._cache = self._new_cache()
+        self._streams: dict[str, Stream] = {}
+        self._load_lag_seconds = load_lag_seconds
+        self._loads = collections.deque([(0.0, self._load())])
+        self._orders = orders.OrderBook(checks_fencing)
+        self._budget = standin.FaultBudget()
+        self._runs = standin.RunCounter()
+        self._totals: collections.Counter[str] = collections.Counter()
+
+    async def faults_set(self) -> None:
+        """Starts the number of faulty answers anew."""
+        self._budget.set(self.faults)
+
+    def counts(self) -> dict[str, Any]:
+        """Returns the counts of runs, resumptions and prompt tokens."""
+        return {**self._runs.counts(), "engine": dict(self._totals)}
+
+    async def handle(
+        self, request: server.Request, reply: server.Reply
+    ) -> None:
+        """Answers the engine protocol."""
+        resource = (request.method, request.path)
+        now = time.monotonic()
+        if resource == ("POST", "/v1/completions"):
+            await self._complete(request, reply)
+        elif request.path.startswith("/v1/streams/"):
+            await self._stream(request, reply)
+        elif resource == ("GET", "/v1/load"):
+            await reply.json(self._lagging_load(now))
+        elif resource == ("GET", "/v1/cache-events"):
+            start = int(request.query.get("from", "0"))
+            await reply.json(self._cache.read_events(start, now))
+        elif resource == ("POST", "/v1/orders"):
+            status, answer = self._orders.take(request.body)
+            await reply.json(answer, status)
+        elif resource == ("GET", "/v1/orders"):
+            await reply.json(self._orders.state())
+        else:
+            await reply.json({"error": "no such resource"}, 404)
+
+    async def crash(self) -> None:
+        """Ends all runs, forgets everything, refuses connections a while."""
+        self._totals["crashes"] += 1
+        await self.server.listener.refuse()
+        await self.server.listener.drop()
+        streams, self._streams = self._streams, {}
+        current = await curio.current_task()
+        for stream in streams.values():
+            if stream.end:
+                continue
+            stream.end = "crashed"
+            self._runs.end(stream.marker, "crashed")
+            if stream.task is not None and stream.task is not current:
+                await stream.task.cancel(blocking=False)
+        self._cache = self._new_cache()
+        await curio.spawn(self._restart, self.faults.crash_seconds, daemon=True)
+
+    async def _restart(self, seconds: float) -> None:
+        await curio.sleep(seconds)
+        if not self.faults.refuse:
+            await self.server.listener.admit()
+
+    async def _complete(
+        self, request: server.Request, reply: server.Reply
+    ) -> None:
+        try:
+            job = msgspec.json.decode(request.body, type=Job)
+        except msgspec.DecodeError as error:
+            await reply.json({"error": str(error)}, 400)
+            return
+        faults = self._budget.take(self.faults, request.body)
+        marker = self._runs.start(request)
+        echo = {
+            name: request.headers[name]
+            for name in standin.ECHOED
+            if name in request.headers
+        }
+        self._totals["streams"] += 1
+        name = f"s{self._totals['streams']}"
+        stream = Stream(name, job, marker, echo)
+        self._keep(stream)
+        stream.task = await curio.spawn(self._run, stream, daemon=True)
+        if job.stream:
+            await self._send(stream, 0, faults, reply)
+        else:
+            await self._send_whole(stream, faults, reply)
+
+    def _keep(self, stream: Stream) -> None:
+        self._streams[stream.name] = stream
+        if len(self._streams) <= _KEPT_STREAMS:
+            return
+        ended = (name for name, kept in self._streams.items() if kept.end)
+        if (oldest := next(ended, None)) is not None:
+            del self._streams[oldest]
+
+    async def _stream(
+        self, request: server.Request, reply: server.Reply
+    ) -> None:
+        name = request.path.rpartition("/")[2]
+        stream = self._streams.get(name)
+        if stream is None or self.faults.lose_streams:
+            await reply.json({"error": "no such stream"}, 404)
+        elif request.method == "DELETE":
+            self._totals["cancels"] += 1
+            if not stream.end and stream.task is not None:
+                await stream.task.cancel()
+            await reply.json({"end": stream.end})
+        elif request.method == "GET":
+            self._totals["resumes"] += 1
+            last = int(request.headers.get("last-event-id", "0") or "0")
+            faults = self._budget.take(self.faults, stream.marker.encode())
+            await self._send(stream, last, faults, reply)
+        else:
+            await reply.json({"error": "no such method"}, 405)
+
+    async def _run(self, stream: Stream) -> None:
+        end = "cancelled"
+        try:
+            self._note_load()
+            async with self._slots:
+                stream.running = True
+                self._note_load()
+                await self._compute(stream)
+            end = "finished"
+        except _CrashedError:
+            pass  # `crash` has ended all streams.
+        finally:
+            if not stream.end:
+                stream.end = end
+                self._runs.end(stream.marker, end)
+            self._note_load()
+            await stream.notify()
+
+    async def _compute(self, stream: Stream) -> None:
+        job = stream.job
+        prefixes = prompts.digest_prefixes(job.prompt)
+        prompt_tokens = prompts.count_tokens(job.prompt)
+        async with self._prefill:
+            cached = self._cache.cached_tokens(prefixes)
+            seconds = (prompt_tokens - cached) / self._prefill_rate
+            await curio.sleep(seconds * self.faults.slowdown)
+            self._cache.store(prefixes, time.monotonic())
+        self._totals["prompt_tokens"] += prompt_tokens
+        self._totals["cached_tokens"] += cached
+        step = max(1, round(self._decode_rate / _EVENTS_PER_SECOND))
+        for start in range(0, job.max_tokens, step):
+            end = min(start + step, job.max_tokens)
+            seconds = (end - start) / self._decode_rate
+            await curio.sleep(seconds * self.faults.slowdown)
+            text = prompts.answer_text(job.prompt, start, end)
+            stream.text += text
+            stream.tokens += end - start
+            await stream.append({"text": text, "tokens": end - start})
+            await self._crash_if_due(stream)
+        stream.usage = {
+            "prompt_tokens": prompt_tokens,
+            "cached_tokens": cached,
+            "completion_tokens": job.max_tokens,
+        }
+        await stream.append({"usage": stream.usage})
+        await stream.append("[DONE]")
+
+    async def _crash_if_due(self, stream: Stream) -> None:
+        faults = self.faults
+        if not faults.crash_marker:
+            return
+        due = len(stream.events) >= faults.crash_after
+        if due and faults.crash_marker in stream.job.prompt:
+            await self.crash()
+            raise _CrashedError
+
+    async def _send_whole(
+        self,
+        stream: Stream,
+        faults: standin.EndpointFaults,
+        reply: server.Reply,
+    ) -> None:
+        while await stream.wait_for(len(stream.events)):
+            pass
+        if not stream.usage:
+            raise server.HangUp(reset=True)
+        body = json.dumps({"text": stream.text, "usage": stream.usage})
+        await standin.send_faulty(reply, body.encode(), stream.echo, faults)
+
+    async def _send(
+        self,
+        stream: Stream,
+        sent: int,
+        faults: standin.EndpointFaults,
+        reply: server.Reply,
+    ) -> None:
+        if faults.garbage == "http":
+            await reply.raw(standin.GARBAGE)
+        fields = {
+            "Content-Type": "text/event-stream",
+            "Stream-Id": stream.name,
+            **standin.echo_fields(stream.echo, faults),
+        }
+        if faults.garbage == "length":
+            fields["Content-Length"] = "1000000"
+        await reply.start(200, fields)
+        parts = 0
+        while await stream.wait_for(sent):
+            if parts == faults.break_after:
+                raise server.HangUp(reset=True)
+            if parts == faults.stall_after:
+                await standin.wait_forever()
+            data = stream.events[sent]
+            if faults.garbage == "body":
+                data = "{" + data
+            sent += 1
+            parts += 1
+            await reply.write(f"id: {sent}\ndata: {data}\n\n".encode())
+        if stream.end != "finished" or faults.garbage == "length":
+            raise server.HangUp(reset=stream.end != "finished")
+        await reply.end()
+
+    def _load(self) -> dict[str, int]:
+        active = [s for s in self._streams.values() if not s.end]
+        running = sum(1 for stream in active if stream.running)
+        return {
+            "running": running,
+            "waiting": len(active) - running,
+            "tokens": sum(stream.tokens for stream in active),
+        }
+
+    def _note_load(self) -> None:
+        self._loads.append((time.monotonic(), self._load()))
+
+    def _lagging_load(self, now: float) -> dict[str, int]:
+        as_of = now - self._load_lag_seconds
+        while len(self._loads) > 1 and self._loads[1][0] <= as_of:
+            self._loads.popleft()
+        age_ms = int(self._load_lag_seconds * 1000)
+        as_of_ms = time.time_ns() // 10**6 - age_ms
+        return {**self._loads[0][1], "as_of_ms": as_of_ms}
--- /dev/null
+++ b/standins/src/baobabmux_standins/listener.py
@@ -0,0 +1,99 @@
+"""TCP listener that can refuse, drop and admit connections again."""
+
+import contextlib
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import curio
+import curio.io
+
+ConnectionHandler = Callable[[curio.io.Socket], Awaitable[None]]
+
+_HOST = "127.0.0.1"
+_BACKLOG = 512
+# A zero linger time makes close() send a reset, as a killed process's host
+# does for data that arrives later.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Listener:
+    """Accepts connections at a port that the system chooses.
+
+    A second socket stays bound to the port without listening, so that no
+    other process is given the port while connections are refused.
+
+    Attributes:
+        address: IP number and port.
+    """
+
+    def __init__(self, handle: ConnectionHandler):
+        self._handle = handle
+        self._guard = _bound_socket(0)
+        self._port = self._guard.getsockname()[1]
+        self.address = f"{_HOST}:{self._port}"
+        self._accepting: curio.Task | None = None
+        self._connections: dict[curio.Task, curio.io.Socket] = {}
+
+    async def admit(self) -> None:
+        """Starts to accept connections; does nothing if it already does."""
+        if self._accepting is not None:
+            return
+        listening = _bound_socket(self._port)
+        listening.listen(_BACKLOG)
+        listening.setblocking(False)
+        self._accepting = await curio.spawn(
+            self._accept, curio.io.Socket(listening), daemon=True
+        )
+
+    async def refuse(self) -> None:
+        """Refuses new connections; those that exist continue."""
+        if self._accepting is not None:
+            await self._accepting.cancel()
+            self._accepting = None
+
+    async def drop(self) -> None:
+        """Resets all connections."""
+        current = await curio.current_task()
+        for task, connection in list(self._connections.items()):
+            reset(connection)
+            if task is not current:
+                await task.cancel(blocking=False)
+
+    async def close(self) -> None:
+        """Refuses new connections, drops the others, frees the port."""
+        await self.refuse()
+        await self.drop()
+        self._guard.close()
+
+    async def _accept(self, listening: curio.io.Socket) -> None:
+        async with listening:
+            while True:
+                connection, _ = await listening.accept()
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                task = await curio.spawn(self._serve, connection, daemon=True)
+                self._connections[task] = connection
+
+    async def _serve(self, connection: curio.io.Socket) -> None:
+        try:
+            async with connection:
+                await self._handle(connection)
+        except OSError:
+            pass  # The peer is gone, which the handler cannot mend.
+        finally:
+            self._connections.pop(await curio.current_task(), None)
+
+
+def reset(connection: curio.io.Socket) -> None:
+    """Makes the coming close of a connection a reset."""
+    with contextlib.suppress(OSError):  # It may be closed already.
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+
+
+def _bound_socket(port: int) -> socket.socket:
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((_HOST, port))
+    return bound
--- /dev/null
+++ b/standins/src/baobabmux_standins/plain.py
@@ -0,0 +1,82 @@
+"""Plain HTTP service that counts its runs."""
+
+import hashlib
+import json
+from typing import Any
+
+import curio
+
+from baobabmux_standins import server, standin
+
+
+class Plain(standin.StandIn):
+    """A plain service; each request that is not refused is one run.
+
+    The answer names the run and the digest of the body, so that a test can
+    tell an answer to another request. A JSON body may set the answer's
+    status with the member `answer_status`, its length with `answer_bytes`
+    and the time that the run takes with `run_seconds`.
+
+    Args:
+        run_seconds: Time that a run takes.
+        max_requests: Runs at a time; others wait.
+    """
+
+    faults_type = standin.EndpointFaults
+
+    def __init__(self, run_seconds: float = 0.02, max_requests: int = 16):
+        super().__init__()
+        self._run_seconds = run_seconds
+        self._slots = curio.Semaphore(max_requests)
+        self._budget = standin.FaultBudget()
+        self._runs = standin.RunCounter()
+        self._last_run = 0
+
+    async def faults_set(self) -> None:
+        """Starts the number of faulty answers anew."""
+        self._budget.set(self.faults)
+
+    def counts(self) -> dict[str, Any]:
+        """Returns the counts of runs."""
+        return self._runs.counts()
+
+    async def handle(
+        self, request: server.Request, reply: server.Reply
+    ) -> None:
+        """Runs a request, whatever its method and path."""
+        faults = self._budget.take(self.faults, request.body)
+        options = _options(request.body)
+        marker = self._runs.start(request)
+        async with self._slots:
+            self._last_run += 1
+            run = self._last_run
+            await curio.sleep(options.get("run_seconds", self._run_seconds))
+        self._runs.end(marker, "finished")
+        answer = {
+            "run": run,
+            "method": request.method,
+            "path": request.path,
+            "marker": marker,
+            "digest": hashlib.sha256(request.body).hexdigest(),
+            "padding": "x" * options.get("answer_bytes", 0),
+        }
+        echo = {
+            name: value
+            for name, value in request.headers.items()
+            if name in standin.ECHOED
+        }
+        await standin.send_faulty(
+            reply,
+            json.dumps(answer).encode(),
+            echo,
+            faults,
+            options.get("answer_status", 200),
+        )
+
+
+def _options(body: bytes) -> dict[str, Any]:
+    try:
+        options = json.loads(body)
+    except ValueError:
+        return {}
+    return options if isinstance(options, dict) else {}
