--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -172,12 +172,15 @@
     Attributes:
         leaving: Whether the sender is shutting down.
         config_version: Offset of the configuration in force, or -1.
-        loads: Waits of the groups that the sender owns.
+        loads: Waits of groups that the sender owns or, as a delegate, of
+            the groups of its data centre.
+        data_centre: Where the sender stands.
     """
 
     leaving: bool
     config_version: int
     loads: tuple[ServiceLoad, ...] = ()
+    data_centre: ids.DataCentre = ids.DataCentre("")
 
 
 class Suspect(Message, frozen=True, tag=9):
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/admin.py
@@ -0,0 +1,156 @@
+"""Admin listener: health, metrics, status, time line and drain."""
+
+import time
+import urllib.parse
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from baobabmux_core import catalogue, errors, ids, messages
+from baobabmux_node import responses, server
+
+if TYPE_CHECKING:
+    from baobabmux_node import node
+
+_MAX_BODY_BYTES = 10_000
+
+
+class DrainOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of POST /drain.
+
+    Attributes:
+        endpoint: Endpoint that gets no new work.
+        drain: False ends the drain.
+    """
+
+    endpoint: ids.EndpointId
+    drain: bool = True
+
+
+class Admin:
+    """Answers operators and metrics collectors."""
+
+    def __init__(self, host: "node.Node"):
+        self._host = host
+        self._queries = {
+            "/healthz": self._health,
+            "/readyz": self._ready,
+            "/metrics": self._metrics,
+            "/status": self._status,
+            "/timeline": self._timeline,
+        }
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answers one request."""
+        await exchange.read_body(_MAX_BODY_BYTES)
+        if exchange.method == "POST" and exchange.path == "/drain":
+            await exchange.respond(*await self._drain(exchange.body))
+            return
+        query = self._queries.get(exchange.path)
+        if query is None:
+            kind = errors.ErrorKind.NO_ROUTE
+            await exchange.respond(*responses.problem(kind, ""))
+            return
+        if exchange.method not in ("GET", "HEAD"):
+            kind = errors.ErrorKind.METHOD_NOT_ALLOWED
+            await exchange.respond(*responses.problem(kind, ""))
+            return
+        await exchange.respond(*query(exchange))
+
+    def _health(self, exchange: server.Exchange) -> responses.Response:
+        del exchange
+        return responses.text("ok\n")
+
+    def _ready(self, exchange: server.Exchange) -> responses.Response:
+        del exchange
+        if self._host.ready():
+            return responses.text("ready\n")
+        if self._host.draining:
+            return responses.text("shutting down\n", 503)
+        return responses.text("no configuration from log or peers\n", 503)
+
+    def _metrics(self, exchange: server.Exchange) -> responses.Response:
+        del exchange
+        headers = {"content-type": "text/plain; version=0.0.4; charset=utf-8"}
+        return 200, headers, self._host.metrics.render()
+
+    def _status(self, exchange: server.Exchange) -> responses.Response:
+        del exchange
+        host = self._host
+        now = time.monotonic()
+        state = host.config.state
+        active = state.configuration and state.configuration.active
+        return responses.json(
+            {
+                "node": host.settings.node,
+                "data_centre": host.settings.data_centre,
+                "state": "leaving" if host.draining else "live",
+                "ready": host.ready(),
+                "config_version": state.version,
+                "config_through": state.through,
+                "preset": active,
+                "log_reachable": host.log.reachable,
+                "members": {
+                    name: host.membership.state(name).value
+                    for name in host.membership.reachable()
+                },
+                "groups": host.scheduler.group_states(now),
+                "held": len(host.held),
+                "timeline_events": len(host.events.timeline),
+                "addresses": host.addresses(),
+            }
+        )
+
+    def _timeline(self, exchange: server.Exchange) -> responses.Response:
+        query = urllib.parse.parse_qs(exchange.target.partition("?")[2])
+        events = self._host.events.timeline.select(
+            request=query.get("request", [""])[0],
+            endpoint=query.get("endpoint", [""])[0],
+            since_ms=_number(query.get("since", ["0"])[0]),
+        )
+        return responses.json(
+            {"node": self._host.settings.node, "events": events}
+        )
+
+    async def _drain(self, body: bytes) -> responses.Response:
+        try:
+            order = msgspec.json.decode(body, type=DrainOrder)
+        except msgspec.DecodeError as error:
+            return responses.problem(
+                errors.ErrorKind.BAD_REQUEST, "", str(error)
+            )
+        host = self._host
+        configuration = host.config.state.configuration
+        if configuration is None or (
+            order.endpoint not in configuration.endpoints
+        ):
+            return responses.problem(
+                errors.ErrorKind.BAD_REQUEST,
+                "",
+                f'endpoint "{order.endpoint}" is not declared',
+            )
+        await self._spread(order)
+        return responses.json(
+            {"endpoint": order.endpoint, "drain": order.drain}
+        )
+
+    async def _spread(self, order: DrainOrder) -> None:
+        host = self._host
+        message = messages.DrainEndpoint(order.endpoint, order.drain)
+        for name in host.membership.reachable():
+            if name != host.settings.node:
+                host.peers.enqueue(name, message)
+        host.events.record(
+            catalogue.EventKind.ENDPOINT_DRAINED,
+            endpoint=order.endpoint,
+            drain=order.drain,
+        )
+        await host.apply(
+            host.scheduler.drain_endpoint(
+                order.endpoint, order.drain, time.monotonic()
+            )
+        )
+
+
+def _number(text: str) -> int:
+    return int(text) if text.isdigit() else 0
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -0,0 +1,298 @@
+"""Serves one caller's request from its arrival to its final answer."""
+
+import abc
+import contextlib
+import time
+
+import curio
+import msgspec
+
+from baobabmux_core import effects, errors, ids, states
+from baobabmux_node import (
+    adapters,
+    engines,
+    held,
+    responses,
+    server,
+    sinks,
+)
+
+_ADAPTERS: dict[str, adapters.EndpointAdapter] = {
+    "engine": engines.ModelEngineAdapter(),
+    "plain": adapters.PlainServiceAdapter(),
+}
+
+_FAILURES = {
+    states.Outcome.GARBAGE: errors.ErrorKind.ENDPOINT_GARBAGE,
+    states.Outcome.REJECTED: errors.ErrorKind.OVERLOADED,
+}
+
+
+class Host(abc.ABC):
+    """What serving a caller needs from the node."""
+
+    @abc.abstractmethod
+    async def admit(self, request: held.HeldRequest) -> None:
+        """Submits a request to the scheduler."""
+
+    @abc.abstractmethod
+    def endpoint(self, endpoint: ids.EndpointId) -> tuple[str, str]:
+        """Returns the kind of service and the address of an endpoint."""
+
+    @abc.abstractmethod
+    def permit(self, request: held.HeldRequest) -> bool:
+        """Takes the one-way step before the first byte."""
+
+    @abc.abstractmethod
+    def progress(self, request: held.HeldRequest, tokens: int) -> None:
+        """Tells the scheduler of output tokens."""
+
+    @abc.abstractmethod
+    async def attempt_ended(
+        self,
+        request: held.HeldRequest,
+        result: adapters.Result,
+        answer: sinks.Answer | None,
+    ) -> None:
+        """Tells the scheduler and the key store how an attempt ended."""
+
+    @abc.abstractmethod
+    async def cancel(self, request: held.HeldRequest) -> None:
+        """Takes a request back that was not dispatched."""
+
+    @abc.abstractmethod
+    async def first_answer(
+        self, repeat: held.Repeat, request: held.HeldRequest
+    ) -> sinks.Answer | errors.ErrorKind:
+        """Fetches the answer of the first request with a key."""
+
+    @abc.abstractmethod
+    def refused(
+        self,
+        request: held.HeldRequest,
+        kind: errors.ErrorKind,
+    ) -> None:
+        """Counts and records a refusal."""
+
+
+class Conversation:
+    """One caller's request while it is served.
+
+    Attributes:
+        host: The node.
+        exchange: The caller's connection.
+        request: The request.
+    """
+
+    def __init__(
+        self,
+        host: Host,
+        exchange: server.Exchange,
+        request: held.HeldRequest,
+    ):
+        self.host = host
+        self.exchange = exchange
+        self.request = request
+        self._sink: sinks.CallerSink | None = None
+        self._attempt: curio.Task | None = None
+
+    async def run(self) -> None:
+        """Serves the request until its final answer."""
+        watcher = await curio.spawn(self._watch, daemon=True)
+        timer = await curio.spawn(self._time_out, daemon=True)
+        try:
+            await self.host.admit(self.request)
+            while not self.request.finished:
+                await self._act(await self.request.next_decision())
+        finally:
+            await timer.cancel(blocking=False)
+            await watcher.cancel(blocking=False)
+
+    async def _act(self, decision: held.Decision) -> None:
+        match decision:
+            case effects.Refuse():
+                await self._refuse(
+                    decision.kind, decision.retry_after, decision.detail
+                )
+            case held.Repeat():
+                await self._repeat(decision)
+            case effects.Dispatch():
+                await self._dispatch(decision)
+            case held.Ended():
+                await self._end(decision.result)
+            case held.CallerGone():
+                await self._caller_gone()
+            case held.TimedOut():
+                await self._timed_out()
+
+    async def _dispatch(self, decision: effects.Dispatch) -> None:
+        if self._attempt is not None:
+            return
+        self.request.endpoint = decision.endpoint
+        self._attempt = await curio.spawn(
+            self._run_attempt, decision, daemon=True
+        )
+
+    async def _run_attempt(self, decision: effects.Dispatch) -> None:
+        caller = self.request.caller
+        kind, address = self.host.endpoint(decision.endpoint)
+        self._sink = self._make_sink(kind)
+        left = caller.arrived + caller.route.timeout_seconds - time.monotonic()
+        call = adapters.Call(
+            address=address,
+            method=caller.method,
+            target=caller.target,
+            headers=caller.headers,
+            body=caller.body,
+            timeout=max(left, 0.1),
+            permit=self._permit,
+        )
+        try:
+            result = await _ADAPTERS[kind].run(call, self._sink)
+            if result.outcome is states.Outcome.COMPLETED:
+                await self._sink.end()
+        except sinks.AnswerTooLargeError as error:
+            result = adapters.Result(states.Outcome.GARBAGE, str(error))
+        await self.request.decide(held.Ended(result))
+
+    def _permit(self) -> bool:
+        self.request.dispatched = self.host.permit(self.request)
+        return self.request.dispatched
+
+    def _make_sink(self, kind: str) -> sinks.CallerSink:
+        caller = self.request.caller
+        if kind == "plain":
+            sink = sinks.WholeSink
+        elif caller.streaming:
+            sink = sinks.StreamSink
+        else:
+            sink = sinks.CompletionSink
+        return sink(
+            self.request,
+            self.exchange,
+            lambda tokens: self.host.progress(self.request, tokens),
+        )
+
+    async def _end(self, result: adapters.Result) -> None:
+        self._attempt = None
+        if result.outcome is states.Outcome.NOT_SENT:
+            # Nothing reached the endpoint, so the scheduler decides anew.
+            self.request.dispatched = False
+            await self.host.attempt_ended(self.request, result, None)
+            return
+        self.request.finished = True
+        sink = self._sink
+        await self.host.attempt_ended(self.request, result, sink.answer)
+        if result.outcome is states.Outcome.COMPLETED:
+            return
+        kind = _FAILURES.get(result.outcome, errors.ErrorKind.ENDPOINT_BROKE)
+        self.host.refused(self.request, kind)
+        if not sink.caller_gone:
+            await self._send_failure(kind, result.detail, sink)
+
+    async def _send_failure(self, kind, detail, sink) -> None:
+        """Tells the caller of a failure after the dispatch."""
+        public_id = self.request.caller.public_id
+        retry_after = 1.0 if kind is errors.ErrorKind.OVERLOADED else None
+        if not sink.started:
+            await self._answer(
+                responses.problem(kind, public_id, detail, retry_after)
+            )
+            return
+        # The status line has gone out; the stream ends with an error event
+        # and without its last event, so the answer cannot be taken for whole.
+        problem = errors.problem(kind, public_id, detail)
+        data = b"event: error\ndata: " + msgspec.json.encode(problem) + b"\n\n"
+        try:
+            await self.exchange.send(data)
+            await self.exchange.finish()
+        except server.PeerGoneError:
+            return
+
+    async def _refuse(self, kind, retry_after, detail) -> None:
+        if self.request.dispatched:
+            return
+        self.request.finished = True
+        self.host.refused(self.request, kind)
+        await self._answer(
+            responses.problem(
+                kind, self.request.caller.public_id, detail, retry_after
+            )
+        )
+
+    async def _repeat(self, decision: held.Repeat) -> None:
+        """Answers a repeated send with what the first request led to."""
+        self.request.finished = True
+        await self.host.cancel(self.request)
+        first = await self.host.first_answer(decision, self.request)
+        public_id = self.request.caller.public_id
+        if isinstance(first, errors.ErrorKind):
+            self.host.refused(self.request, first)
+            await self._answer(
+                responses.problem(first, public_id, None, retry_after=1.0)
+            )
+            return
+        headers = {
+            responses.RUN_STATUS_HEADER: states.RunStatus.DONE.value,
+            responses.REQUEST_ID_HEADER: public_id,
+        }
+        if first.content_type:
+            headers["content-type"] = first.content_type
+        await self._answer((first.status, headers, first.body))
+
+    async def _caller_gone(self) -> None:
+        if self._sink is not None:
+            self._sink.caller_gone = True
+        if self.request.dispatched and not self.request.caller.route.idempotent:
+            return
+        await self._stop(errors.ErrorKind.CALLER_GONE)
+
+    async def _timed_out(self) -> None:
+        dispatched = self.request.dispatched
+        kind = (
+            errors.ErrorKind.ENDPOINT_BROKE
+            if dispatched
+            else errors.ErrorKind.DEADLINE_PASSED
+        )
+        await self._stop(kind)
+        sink = self._sink
+        if sink is not None and sink.caller_gone:
+            return
+        if dispatched:
+            await self._send_failure(kind, "the route's timeout passed", sink)
+        else:
+            await self._answer(
+                responses.problem(
+                    kind, self.request.caller.public_id, retry_after=1.0
+                )
+            )
+
+    async def _stop(self, kind: errors.ErrorKind) -> None:
+        """Ends the request without an answer of an endpoint."""
+        self.request.finished = True
+        if self._attempt is not None:
+            await self._attempt.cancel()
+            self._attempt = None
+        if self.request.dispatched:
+            cancelled = adapters.Result(
+                states.Outcome.CANCELLED, output_tokens=self._sink.tokens
+            )
+            await self.host.attempt_ended(self.request, cancelled, None)
+        else:
+            await self.host.cancel(self.request)
+        self.host.refused(self.request, kind)
+
+    async def _answer(self, response: responses.Response) -> None:
+        try:
+            await self.exchange.respond(*response)
+        except server.PeerGoneError:
+            return
+
+    async def _watch(self) -> None:
+        with contextlib.suppress(OSError):
+            await self.exchange.watch()
+        await self.request.decide(held.CallerGone())
+
+    async def _time_out(self) -> None:
+        await curio.sleep(self.request.caller.route.timeout_seconds)
+        await self.request.decide(held.TimedOut())
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -0,0 +1,217 @@
+"""HTTP/1.1 client connections on curio and h11."""
+
+from collections.abc import AsyncIterator
+
+import curio
+import h11
+import msgspec
+
+_READ_BYTES = 65_536
+_MAX_HEADER_BYTES = 65_536
+
+
+class ClientError(Exception):
+    """Base of failures of a client connection."""
+
+
+class ConnectError(ClientError):
+    """No connection was made, so no byte was sent."""
+
+
+class BrokenError(ClientError):
+    """The connection broke off after bytes may have been sent."""
+
+
+class ProtocolError(ClientError):
+    """The other side violated HTTP."""
+
+
+class StalledError(ClientError):
+    """The other side sent nothing for too long."""
+
+
+class Head(msgspec.Struct, frozen=True):
+    """Status and headers of an answer.
+
+    Attributes:
+        status: HTTP status code.
+        headers: Header fields by lower-case name; the last one wins.
+    """
+
+    status: int
+    headers: dict[str, str]
+
+
+class ClientConnection:
+    """One connection for one request.
+
+    Attributes:
+        address: IP number and port, as `IP:PORT`.
+        stall_seconds: Longest time without a byte from the other side.
+    """
+
+    def __init__(self, address: str, stall_seconds: float = 30.0):
+        self.address = address
+        self.stall_seconds = stall_seconds
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
+        )
+        self._socket = None
+
+    async def connect(self, timeout: float) -> None:
+        """Opens the connection.
+
+        Args:
+            timeout: Seconds to wait.
+
+        Raises:
+            ConnectError: No connection was made.
+        """
+        host, _, port = self.address.rpartition(":")
+        try:
+            async with curio.timeout_after(timeout):
+                self._socket = await curio.open_connection(
+                    host.strip("[]"), int(port)
+                )
+        except (curio.TaskTimeout, OSError) as error:
+            raise ConnectError(f"{self.address}: {error}") from error
+
+    async def request(
+        self, method: str, target: str, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Writes a whole request.
+
+        Raises:
+            BrokenError: The connection broke; bytes may have been sent.
+        """
+        fields = {
+            "host": self.address,
+            "connection": "close",
+            **headers,
+            "content-length": str(len(body)),
+        }
+        head = h11.Request(
+            method=method, target=target, headers=list(fields.items())
+        )
+        data = self._http.send(head)
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage()) or b""
+        try:
+            async with curio.timeout_after(self.stall_seconds):
+                await self._socket.sendall(data)
+        except curio.TaskTimeout as error:
+            raise StalledError(self.address) from error
+        except OSError as error:
+            raise BrokenError(f"{self.address}: {error}") from error
+
+    async def head(self) -> Head:
+        """Reads the status and the headers of the answer."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                headers = {
+                    name.decode("ascii"): value.decode("latin-1")
+                    for name, value in event.headers
+                }
+                return Head(event.status_code, headers)
+            if not isinstance(event, h11.InformationalResponse):
+                raise BrokenError(f"{self.address}: no answer")
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yields the body of the answer in parts, to its end.
+
+        Raises:
+            BrokenError: The body broke off.
+            ProtocolError: The other side violated HTTP.
+            StalledError: The other side sent nothing for too long.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise BrokenError(f"{self.address}: the answer broke off")
+
+    async def read(self, max_bytes: int) -> bytes:
+        """Reads the whole body of the answer.
+
+        Raises:
+            ProtocolError: The body is longer than `max_bytes`.
+        """
+        body = bytearray()
+        async for part in self.body():
+            body += part
+            if len(body) > max_bytes:
+                raise ProtocolError(f"{self.address}: body over {max_bytes}")
+        return bytes(body)
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        if self._socket is not None:
+            await self._socket.close()
+            self._socket = None
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                # h11 reports a body that ends early as a protocol error.
+                if self._http.trailing_data[1]:
+                    raise BrokenError(f"{self.address}: {error}") from error
+                raise ProtocolError(f"{self.address}: {error}") from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        try:
+            async with curio.timeout_after(self.stall_seconds):
+                return await self._socket.recv(_READ_BYTES)
+        except curio.TaskTimeout as error:
+            raise StalledError(self.address) from error
+        except OSError as error:
+            raise BrokenError(f"{self.address}: {error}") from error
+
+
+async def fetch(
+    address: str,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    *,
+    timeout: float = 5.0,
+    max_bytes: int = 8_000_000,
+) -> tuple[int, bytes]:
+    """Makes one request and reads its whole answer.
+
+    Args:
+        address: IP number and port, as `IP:PORT`.
+        method: HTTP method.
+        target: Path and query.
+        body: JSON body, or empty.
+        timeout: Seconds for the whole exchange.
+        max_bytes: Longest answer to take.
+
+    Returns:
+        Status and body of the answer.
+
+    Raises:
+        ConnectError: No byte was sent.
+        ClientError: Any other failure; the request may have taken effect.
+    """
+    connection = ClientConnection(address, stall_seconds=timeout)
+    try:
+        await connection.connect(min(timeout, 2.0))
+        headers = {"content-type": "application/json"} if body else {}
+        async with curio.timeout_after(timeout):
+            await connection.request(method, target, headers, body)
+            head = await connection.head()
+            return head.status, await connection.read(max_bytes)
+    except curio.TaskTimeout as error:
+        raise StalledError(address) from error
+    finally:
+        await connection.close()
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/config_follower.py
@@ -0,0 +1,103 @@
+"""Follows the configuration on the log and among peers."""
+
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import curio
+import msgspec
+
+from baobabmux_core import configuration, messages, retries
+from baobabmux_node import log_service
+
+STREAM = "config"
+_LONG_POLL_SECONDS = 8.0
+
+
+class ConfigFollower:
+    """Keeps the configuration up to date.
+
+    Attributes:
+        state: Fold of the stream.
+        log_reached_at: Time of the last answer of the log service in seconds,
+            or None.
+    """
+
+    def __init__(
+        self,
+        log: log_service.LogService,
+        retention_seconds: float,
+        on_change: Callable[[], Awaitable[None]],
+        seed: int,
+    ):
+        self.state = configuration.ConfigurationLog()
+        self.log_reached_at: float | None = None
+        self._log = log
+        self._retention_seconds = retention_seconds
+        self._on_change = on_change
+        self._random = random.Random(seed)
+
+    async def follow(self) -> None:
+        """Reads the stream until cancelled."""
+        failures = 0
+        while True:
+            try:
+                page = await self._log.read(
+                    STREAM, self.state.through + 1, wait=_LONG_POLL_SECONDS
+                )
+            except log_service.LogError:
+                failures += 1
+                delay = retries.backoff(failures, self._random, 0.5, 3.0)
+                await curio.sleep(delay)
+                continue
+            failures = 0
+            self.log_reached_at = time.monotonic()
+            await self._fold(page)
+
+    async def adopt(self, message: messages.ConfigState) -> bool:
+        """Takes over a peer's configuration if it is newer.
+
+        Returns:
+            Whether it was taken over.
+        """
+        if message.through <= self.state.through:
+            return False
+        try:
+            snapshot = msgspec.json.decode(message.snapshot)
+        except msgspec.DecodeError:
+            return False
+        before = self.state.version
+        adopted = self.state.adopt(snapshot)
+        if self.state.version != before:
+            await self._on_change()
+        return adopted
+
+    def answer(self, ask: messages.ConfigAsk) -> messages.ConfigState | None:
+        """Returns the own configuration if it is newer than a peer's."""
+        if self.state.version < 0 or self.state.through <= ask.through:
+            return None
+        return messages.ConfigState(
+            self.state.through, msgspec.json.encode(self.state.snapshot())
+        )
+
+    async def append_snapshot(self) -> bool:
+        """Appends a snapshot if the newest one would expire soon.
+
+        Returns:
+            Whether one was appended.
+        """
+        now_ms = time.time_ns() // 1_000_000
+        if not self.state.snapshot_due(now_ms, self._retention_seconds):
+            return False
+        try:
+            offset = await self._log.append(STREAM, self.state.snapshot())
+        except log_service.LogError:
+            return False
+        return offset is not None
+
+    async def _fold(self, page: log_service.Page) -> None:
+        before = self.state.version
+        for record in page.records:
+            self.state.apply(record.offset, record.data, record.time_ms)
+        if self.state.version != before:
+            await self._on_change()
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/held.py
@@ -0,0 +1,109 @@
+"""Requests that this node holds for connected callers."""
+
+import curio
+import msgspec
+
+from baobabmux_core import declarations, effects, errors, ids
+from baobabmux_node import adapters
+
+
+class Caller(msgspec.Struct, frozen=True):
+    """What a caller sent, after it was checked.
+
+    Attributes:
+        request: Identifier inside the system.
+        public_id: Identifier that the caller sees.
+        route_name: Name of the route.
+        route: The route.
+        workspace: Workspace of the caller.
+        method: HTTP method.
+        target: Path and query for the endpoint.
+        headers: Header fields for the endpoint.
+        body: Body for the endpoint.
+        streaming: Whether the answer is sent as events.
+        key: Hash of the idempotency key, or None.
+        key_time_ms: Time in the key, 0 without a key.
+        work: The request as scheduling knows it.
+        arrived: Time of arrival on the node's clock in seconds.
+    """
+
+    request: ids.RequestId
+    public_id: str
+    route_name: ids.RouteName
+    route: declarations.Route
+    workspace: ids.Workspace
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    streaming: bool
+    key: ids.KeyHash | None
+    key_time_ms: int
+    work: effects.Work
+    arrived: float
+
+
+class CallerGone(effects.Effect, frozen=True):
+    """The caller closed its connection."""
+
+
+class Repeat(effects.Effect, frozen=True):
+    """The key belongs to another attempt, which decides the answer.
+
+    Attributes:
+        winner: Attempt that holds the key.
+        holder: Node of that attempt.
+        kind: Refusal if the holder does not tell more.
+    """
+
+    request: ids.RequestId
+    winner: ids.AttemptId
+    holder: ids.NodeId
+    kind: errors.ErrorKind
+
+
+class TimedOut(effects.Effect, frozen=True):
+    """The route's timeout has passed."""
+
+
+class Ended(effects.Effect, frozen=True):
+    """The attempt at the endpoint has ended.
+
+    Attributes:
+        result: How it ended.
+    """
+
+    result: adapters.Result
+
+
+Decision = (
+    effects.Dispatch | effects.Refuse | CallerGone | TimedOut | Ended | Repeat
+)
+
+
+class HeldRequest:
+    """One request and the queue of decisions about it.
+
+    Attributes:
+        caller: What the caller sent.
+        dispatched: Whether a byte may have reached an endpoint.
+        finished: Whether the final answer is decided.
+        endpoint: Endpoint of the dispatch, or None.
+        first_token_seen: Whether the answer has begun.
+    """
+
+    def __init__(self, caller: Caller):
+        self.caller = caller
+        self.dispatched = False
+        self.finished = False
+        self.endpoint: ids.EndpointId | None = None
+        self.first_token_seen = False
+        self._decisions = curio.Queue()
+
+    async def decide(self, decision: Decision) -> None:
+        """Passes a decision to the task that serves the caller."""
+        await self._decisions.put(decision)
+
+    async def next_decision(self) -> Decision:
+        """Waits for the next decision."""
+        return await self._decisions.get()
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/intake.py
@@ -0,0 +1,245 @@
+"""Checks of a caller's request before it is scheduled."""
+
+import itertools
+from typing import Any
+
+import msgspec
+import xxhash
+
+from baobabmux_core import (
+    declarations,
+    effects,
+    errors,
+    ids,
+    keys,
+    prefixes,
+)
+from baobabmux_node import adapters, held, server
+
+REQUEST_ID = "baobabmux-request-id"
+IDEMPOTENCY_KEY = "idempotency-key"
+DEADLINE = "baobabmux-deadline"
+WORKSPACE = "baobabmux-workspace"
+ATTEMPT = "baobabmux-attempt"
+
+_MAX_ID_CHARACTERS = 128
+_MAX_OUTPUT_TOKENS = 100_000
+_DEFAULT_WORKSPACE = "default"
+_OWN_HEADERS = frozenset({REQUEST_ID, IDEMPOTENCY_KEY, DEADLINE, WORKSPACE})
+
+
+class _Completion(msgspec.Struct):
+    """The members of a completion request that the node reads."""
+
+    prompt: str
+    max_tokens: int | None = None
+    stream: bool = True
+
+
+class Intake:
+    """Turns callers' requests into work.
+
+    Attributes:
+        node: Name of this node.
+        incarnation: Start time of this node in Unix milliseconds.
+    """
+
+    def __init__(self, node: ids.NodeId, incarnation: int):
+        self.node = node
+        self.incarnation = incarnation
+        self._numbers = itertools.count(1)
+
+    def next_request(self) -> ids.RequestId:
+        """Returns a new identifier, unique over restarts of the node."""
+        return ids.RequestId(
+            f"{self.node}-{self.incarnation:x}-{next(self._numbers):x}"
+        )
+
+    async def accept(
+        self,
+        exchange: server.Exchange,
+        configuration: declarations.Configuration,
+        now: float,
+        now_ms: int,
+    ) -> held.Caller:
+        """Reads and checks a request.
+
+        Args:
+            exchange: The request.
+            configuration: Configuration in force.
+            now: Time on the node's clock in seconds.
+            now_ms: Unix time in milliseconds.
+
+        Returns:
+            The checked request.
+
+        Raises:
+            RequestError: The request is refused.
+            PeerGoneError: The caller went away.
+        """
+        matched = configuration.match_route(exchange.path)
+        if matched is None:
+            raise server.RequestError(
+                errors.ErrorKind.NO_ROUTE, f"no route matches {exchange.path}"
+            )
+        name, route = matched
+        if exchange.method not in route.methods:
+            raise server.RequestError(
+                errors.ErrorKind.METHOD_NOT_ALLOWED,
+                f"{exchange.method} is not in {', '.join(route.methods)}",
+            )
+        public_id = _identifier(exchange, REQUEST_ID)
+        workspace = ids.Workspace(
+            _identifier(exchange, WORKSPACE) or _DEFAULT_WORKSPACE
+        )
+        deadline = now + _deadline_seconds(exchange, route)
+        await exchange.read_body(route.max_body_bytes)
+        request = self.next_request()
+        key, key_time_ms = _key(
+            exchange, configuration, name, workspace, now_ms
+        )
+        service = configuration.services[route.service]
+        completion = (
+            _completion(exchange.body) if service.kind == "engine" else None
+        )
+        work = effects.Work(
+            request=request,
+            route=name,
+            service=route.service,
+            tier=configuration.tier_rank(route),
+            workspace=workspace,
+            deadline=deadline,
+            prompt_tokens=_prompt_tokens(exchange.body, completion),
+            output_tokens=_output_tokens(route, completion),
+            prefixes=(
+                prefixes.digest_prompt(completion.prompt.encode())
+                if completion
+                else ()
+            ),
+            content=content_digest(name, exchange),
+            needs_claim=not route.idempotent,
+            idempotent=route.idempotent,
+        )
+        return held.Caller(
+            request=request,
+            public_id=public_id or request,
+            route_name=name,
+            route=route,
+            workspace=workspace,
+            method=exchange.method,
+            target=exchange.target,
+            headers=_endpoint_headers(exchange, request, public_id),
+            body=_engine_body(exchange.body) if completion else exchange.body,
+            streaming=completion is not None and completion.stream,
+            key=key,
+            key_time_ms=key_time_ms,
+            work=work,
+            arrived=now,
+        )
+
+
+def content_digest(
+    route: ids.RouteName, exchange: server.Exchange
+) -> ids.ContentDigest:
+    """Returns the digest of a request's route, target and body."""
+    digest = xxhash.xxh3_64(f"{route}\x00{exchange.target}\x00".encode())
+    digest.update(exchange.body)
+    return ids.ContentDigest(digest.intdigest())
+
+
+def _identifier(exchange: server.Exchange, name: str) -> str:
+    value = exchange.headers.get(name, "")
+    if len(value) > _MAX_ID_CHARACTERS or not value.isprintable():
+        raise server.RequestError(
+            errors.ErrorKind.BAD_REQUEST,
+            f"{name}: expected up to {_MAX_ID_CHARACTERS} printable characters",
+        )
+    return value
+
+
+def _deadline_seconds(
+    exchange: server.Exchange, route: declarations.Route
+) -> float:
+    text = exchange.headers.get(DEADLINE)
+    if text is None:
+        return route.timeout_seconds
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0 < seconds < float("inf"):
+        raise server.RequestError(
+            errors.ErrorKind.BAD_REQUEST,
+            f"{DEADLINE}: expected seconds above 0, got {text!r}",
+        )
+    return min(seconds, route.timeout_seconds)
+
+
+def _key(
+    exchange: server.Exchange,
+    configuration: declarations.Configuration,
+    route_name: ids.RouteName,
+    workspace: ids.Workspace,
+    now_ms: int,
+) -> tuple[ids.KeyHash | None, int]:
+    text = exchange.headers.get(IDEMPOTENCY_KEY)
+    if text is None:
+        if not configuration.routes[route_name].idempotent:
+            raise server.RequestError(
+                errors.ErrorKind.KEY_REQUIRED,
+                f"send the header {IDEMPOTENCY_KEY}",
+            )
+        return None, 0
+    parsed = keys.parse_key(text, now_ms, configuration.keys.window_seconds)
+    if parsed.is_error():
+        kind = parsed.error
+        raise server.RequestError(kind, f"{IDEMPOTENCY_KEY}: {text!r}")
+    hashed = xxhash.xxh3_64_intdigest(
+        f"{workspace}\x00{route_name}\x00{text.lower()}".encode()
+    )
+    return ids.KeyHash(hashed), parsed.ok
+
+
+def _completion(body: bytes) -> _Completion:
+    try:
+        completion = msgspec.json.decode(body, type=_Completion)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise server.RequestError(
+            errors.ErrorKind.BAD_REQUEST, f"body: {error}"
+        ) from error
+    tokens = completion.max_tokens
+    if tokens is not None and not 0 < tokens <= _MAX_OUTPUT_TOKENS:
+        raise server.RequestError(
+            errors.ErrorKind.BAD_REQUEST,
+            f"body: max_tokens is not in 1..{_MAX_OUTPUT_TOKENS}",
+        )
+    return completion
+
+
+def _prompt_tokens(body: bytes, completion: _Completion | None) -> int:
+    text = body if completion is None else completion.prompt.encode()
+    return prefixes.estimate_tokens(text)
+
+
+def _output_tokens(
+    route: declarations.Route, completion: _Completion | None
+) -> int:
+    if completion is None or completion.max_tokens is None:
+        return route.output_tokens
+    return min(route.output_tokens, completion.max_tokens)
+
+
+def _engine_body(body: bytes) -> bytes:
+    members: dict[str, Any] = msgspec.json.decode(body)
+    return msgspec.json.encode({**members, "stream": True})
+
+
+def _endpoint_headers(
+    exchange: server.Exchange, request: ids.RequestId, public_id: str
+) -> dict[str, str]:
+    passed = {
+        name: value
+        for name, value in adapters.end_to_end(exchange.headers).items()
+        if name not in _OWN_HEADERS
+    }
+    return {**passed, ATTEMPT: request, REQUEST_ID: public_id or request}
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -0,0 +1,137 @@
+"""Metrics of a node, in the format of Prometheus.
+
+Label values come from the configuration or from closed lists, so their
+number is bounded; workspaces and requests are never labels.
+"""
+
+import prometheus_client
+
+
+class Metrics:
+    """All metrics; docs/metrics.md describes them for operators.
+
+    Attributes:
+        registry: Registry that the admin listener shows.
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.submitted = self._counter(
+            "requests", "Requests accepted for scheduling", ["tier", "route"]
+        )
+        self.answered = self._counter(
+            "answers", "Answers delivered whole", ["tier", "route", "in_time"]
+        )
+        self.refused = self._counter(
+            "refusals",
+            "Final answers other than an endpoint's",
+            ["tier", "kind"],
+        )
+        self.first_token = prometheus_client.Histogram(
+            "baobabmux_first_token_seconds",
+            "Time from arrival to the first token",
+            ["tier"],
+            registry=self.registry,
+            buckets=(0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10, 30, 60),
+        )
+        self.prompt_tokens = self._counter(
+            "prompt_tokens", "Prompt tokens of finished requests", ["service"]
+        )
+        self.computed_tokens = self._counter(
+            "computed_prompt_tokens",
+            "Prompt tokens that endpoints computed",
+            ["service"],
+        )
+        self.wasted_prefill = self._counter(
+            "wasted_prefill_tokens",
+            "Prompt tokens computed for answers that were not delivered whole"
+            " and in time",
+            ["service"],
+        )
+        self.output_tokens = self._counter(
+            "output_tokens", "Output tokens of finished requests", ["service"]
+        )
+        self.held = self._gauge("held_requests", "Requests held for callers")
+        self.queue_requests = self._gauge(
+            "queue_requests", "Requests waiting in an owned group", ["group"]
+        )
+        self.queue_tokens = self._gauge(
+            "queue_tokens", "Tokens waiting in an owned group", ["group"]
+        )
+        self.outstanding_tokens = self._gauge(
+            "outstanding_tokens",
+            "Tokens granted and not released at an endpoint of an owned group",
+            ["endpoint"],
+        )
+        self.config_version = self._gauge(
+            "config_version", "Log offset of the configuration in force"
+        )
+        self.members = self._gauge("members", "Nodes reachable, this included")
+        self.control_bytes = self._counter(
+            "control_bytes", "Bytes between nodes", ["direction"]
+        )
+        self.control_cpu = self._counter(
+            "control_cpu_seconds", "Time spent in scheduling decisions"
+        )
+        self.dropped_frames = self._counter(
+            "dropped_frames", "Frames to nodes out of reach"
+        )
+        self.log_appends = self._counter(
+            "log_appends", "Appends to the log service"
+        )
+        self.stray_answers = self._counter(
+            "stray_answers", "Answers that matched no request"
+        )
+
+    def render(self) -> bytes:
+        """Returns all metrics in the text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def update_control(self, transport, log) -> None:
+        """Takes the counts of the transport and of the log service.
+
+        Args:
+            transport: The `peers.PeerTransport`.
+            log: The `log_service.LogService`.
+        """
+        self._raise(self.control_bytes.labels("sent"), transport.sent_bytes)
+        self._raise(
+            self.control_bytes.labels("received"), transport.received_bytes
+        )
+        self._raise(self.dropped_frames, transport.dropped_frames)
+        self._raise(self.log_appends, log.appends)
+
+    def update_groups(self, groups) -> None:
+        """Takes the states of the groups that this node owns.
+
+        Args:
+            groups: States from `scheduler.NodeScheduler.group_states`.
+        """
+        # Groups and endpoints that moved to another owner disappear here.
+        for gauge in (
+            self.queue_requests,
+            self.queue_tokens,
+            self.outstanding_tokens,
+        ):
+            gauge.clear()
+        for group in groups:
+            self.queue_requests.labels(group.group).set(group.queue_requests)
+            self.queue_tokens.labels(group.group).set(group.queue_tokens)
+            for endpoint in group.endpoints:
+                self.outstanding_tokens.labels(endpoint.endpoint).set(
+                    endpoint.outstanding_tokens
+                )
+
+    @staticmethod
+    def _raise(counter, total: float) -> None:
+        counter.inc(max(0, total - counter._value.get()))
+
+    def _counter(self, name, text, labels=()):
+        return prometheus_client.Counter(
+            f"baobabmux_{name}", text, labels, registry=self.registry
+        )
+
+    def _gauge(self, name, text, labels=()):
+        return prometheus_client.Gauge(
+            f"baobabmux_{name}", text, labels, registry=self.registry
+        )
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -0,0 +1,166 @@
+"""Frames between nodes over pynng, driven by curio's loop."""
+
+import time
+from collections.abc import Awaitable, Callable
+
+import curio
+import pynng
+from curio.traps import _read_wait
+from pynng import _nng
+
+from baobabmux_core import ids, messages
+
+_SEND_BUFFER_FRAMES = 64
+_RECEIVE_BUFFER_FRAMES = 1024
+_MAX_FRAME_BYTES = 4_000_000
+
+# Parameter numbers of nng_init_set_parameter and their values: with the
+# defaults one socket starts 30 threads on 12 cores, with these 6.
+_THREAD_LIMITS = ((1, 2), (2, 1), (3, 1), (4, 1), (5, 2), (6, 1), (7, 1))
+
+Receiver = Callable[[messages.Frame], Awaitable[None]]
+
+
+def limit_threads() -> None:
+    """Limits the threads of the library; call before the first socket."""
+    for parameter, value in _THREAD_LIMITS:
+        _nng.lib.nng_init_set_parameter(parameter, value)
+
+
+class PeerTransport:
+    """Sends and receives frames; delivery is at most once.
+
+    Messages of one loop turn to one node travel in one frame.
+
+    Attributes:
+        node: Name of this node.
+        incarnation: Start time in Unix milliseconds.
+        address: Where this node listens, after `start`.
+        sent_bytes: Bytes sent.
+        received_bytes: Bytes received.
+        dropped_frames: Frames that a full buffer or an unknown address lost.
+        rejected_frames: Frames that could not be decoded.
+    """
+
+    def __init__(
+        self,
+        node: ids.NodeId,
+        secret: bytes,
+        address_of: Callable[[ids.NodeId], str | None],
+        stamp: Callable[[], int],
+    ):
+        self.node = node
+        self.incarnation = time.time_ns() // 1_000_000
+        self.address = ""
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.dropped_frames = 0
+        self.rejected_frames = 0
+        self._secret = secret
+        self._address_of = address_of
+        self._stamp = stamp
+        self._sequence = 0
+        self._pull = None
+        self._push: dict[ids.NodeId, tuple[str, pynng.Push0]] = {}
+        self._outbox: dict[ids.NodeId, list[messages.AnyMessage]] = {}
+        self._ready = curio.Event()
+
+    def start(self, host: str, port: int) -> None:
+        """Listens for other nodes."""
+        self._pull = pynng.Pull0(
+            recv_buffer_size=_RECEIVE_BUFFER_FRAMES,
+            recv_max_size=_MAX_FRAME_BYTES,
+        )
+        self._pull.listen(f"tcp://{host}:{port}")
+        self.address = str(self._pull.listeners[0].local_address)
+
+    def enqueue(self, to: ids.NodeId, message: messages.AnyMessage) -> None:
+        """Queues a message for the frame of this loop turn."""
+        self._outbox.setdefault(to, []).append(message)
+
+    async def notify(self) -> None:
+        """Wakes the sending task if messages are queued."""
+        if self._outbox:
+            await self._ready.set()
+
+    async def send_frames(self) -> None:
+        """Sends queued messages once each loop turn until cancelled."""
+        while True:
+            await self._ready.wait()
+            self._ready.clear()
+            # Other tasks of this turn may still queue messages.
+            await curio.sleep(0)
+            self.flush()
+
+    def flush(self) -> None:
+        """Sends all queued messages now."""
+        outbox, self._outbox = self._outbox, {}
+        for to, queued in outbox.items():
+            self._send(to, tuple(queued))
+
+    async def receive_frames(self, receiver: Receiver) -> None:
+        """Passes frames to a receiver until cancelled."""
+        while True:
+            await _read_wait(self._pull.recv_fd)
+            while (data := self._receive()) is not None:
+                self.received_bytes += len(data)
+                try:
+                    frame = messages.decode_frame(data, self._secret)
+                except messages.FrameError:
+                    self.rejected_frames += 1
+                    continue
+                await receiver(frame)
+            await curio.sleep(0)
+
+    def forget(self, node: ids.NodeId) -> None:
+        """Closes the socket to a node that is gone."""
+        entry = self._push.pop(node, None)
+        if entry is not None:
+            entry[1].close()
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        for node in list(self._push):
+            self.forget(node)
+        if self._pull is not None:
+            self._pull.close()
+
+    def _receive(self) -> bytes | None:
+        try:
+            return self._pull.recv(block=False)
+        except pynng.TryAgain:
+            return None
+
+    def _send(
+        self, to: ids.NodeId, queued: tuple[messages.AnyMessage, ...]
+    ) -> None:
+        socket = self._socket(to)
+        self._sequence += 1
+        frame = messages.Frame(
+            self.node, self.incarnation, self._sequence, self._stamp(), queued
+        )
+        data = messages.encode_frame(frame, self._secret)
+        if socket is None:
+            self.dropped_frames += 1
+            return
+        try:
+            socket.send(data, block=False)
+            self.sent_bytes += len(data)
+        except pynng.exceptions.NNGException:
+            # A full buffer means that the peer is out of reach; the parts
+            # repeat what they need answered.
+            self.dropped_frames += 1
+
+    def _socket(self, to: ids.NodeId) -> pynng.Push0 | None:
+        address = self._address_of(to)
+        known = self._push.get(to)
+        if known is not None and (address is None or known[0] == address):
+            return known[1]
+        self.forget(to)
+        if address is None:
+            return None
+        socket = pynng.Push0(send_buffer_size=_SEND_BUFFER_FRAMES)
+        # A blocking dial would log a traceback when the peer is not up.
+        socket.dial(f"tcp://{address}", block=False)
+        self._push[to] = (address, socket)
+        return socket
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -0,0 +1,352 @@
+"""HTTP/1.1 server on curio and h11, for callers and for operators."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+import h11
+import msgspec
+
+from baobabmux_core import errors
+from baobabmux_node import responses
+
+_READ_BYTES = 65_536
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """Limits of one listener.
+
+    Attributes:
+        max_header_bytes: Longest header section.
+        max_body_bytes: Longest body that any handler takes.
+        receive_timeout_seconds: Longest time for a request to arrive whole.
+        send_timeout_seconds: Longest time a peer may stop reading.
+        idle_timeout_seconds: Longest time between requests.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_000_000
+    receive_timeout_seconds: float = 10.0
+    send_timeout_seconds: float = 20.0
+    idle_timeout_seconds: float = 60.0
+
+
+class PeerGoneError(Exception):
+    """The peer closed the connection or stopped reading."""
+
+
+class RequestError(Exception):
+    """A request that cannot be handled.
+
+    Attributes:
+        kind: Kind of the error.
+        detail: What exactly was wrong.
+    """
+
+    def __init__(self, kind: errors.ErrorKind, detail: str):
+        super().__init__(detail)
+        self.kind = kind
+        self.detail = detail
+
+
+class Exchange:
+    """One request and its answer on a connection.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Header fields by lower-case name; the last one wins.
+        body: Whole body, after `read_body`.
+    """
+
+    def __init__(self, connection: "_Connection", request: h11.Request):
+        self._connection = connection
+        self.method = request.method.decode("ascii")
+        self.target = request.target.decode("ascii", "replace")
+        self.headers = {
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in request.headers
+        }
+        self.body = b""
+        self.answered = False
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+    async def read_body(self, max_bytes: int) -> None:
+        """Reads the whole body.
+
+        Args:
+            max_bytes: Longest body to take.
+
+        Raises:
+            RequestError: The body is too long, malformed or too slow.
+            PeerGoneError: The peer closed the connection.
+        """
+        self.body = await self._connection.read_body(self, max_bytes)
+
+    async def watch(self) -> None:
+        """Returns when the peer closes the connection."""
+        await self._connection.watch()
+
+    async def respond(
+        self, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Sends a whole answer.
+
+        Args:
+            status: HTTP status code.
+            headers: Header fields; the length is added.
+            body: Body of the answer.
+
+        Raises:
+            PeerGoneError: The peer went away or stopped reading.
+        """
+        await self.start(status, {**headers, "content-length": str(len(body))})
+        if self.method != "HEAD":
+            await self.send(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Sends the status line and the headers of an answer."""
+        self.answered = True
+        await self._connection.send(
+            h11.Response(status_code=status, headers=list(headers.items()))
+        )
+
+    async def send(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        await self._connection.send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """Ends the answer."""
+        await self._connection.send(h11.EndOfMessage())
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class Server:
+    """Accepts connections and calls a handler for each request.
+
+    Attributes:
+        port: Port that it listens on, after `start`.
+        connections: Number of open connections.
+        busy: Number of requests that are being handled.
+    """
+
+    def __init__(self, host: str, port: int, handler: Handler, limits: Limits):
+        self.host = host
+        self.port = port
+        self.connections = 0
+        self.busy = 0
+        self.limits = limits
+        self._handler = handler
+        self._socket = None
+
+    def start(self) -> None:
+        """Binds the listener; the port is known afterwards."""
+        self._socket = curio.tcp_server_socket(
+            self.host, self.port, backlog=512
+        )
+        self.port = self._socket.getsockname()[1]
+
+    async def serve(self) -> None:
+        """Accepts connections until cancelled."""
+        async with self._socket:
+            while True:
+                client, _ = await self._socket.accept()
+                await curio.spawn(self._serve_connection, client, daemon=True)
+
+    async def _serve_connection(self, client) -> None:
+        self.connections += 1
+        connection = _Connection(client, self.limits)
+        try:
+            async with client:
+                await connection.run(self._handle)
+        except (OSError, PeerGoneError):
+            pass
+        finally:
+            self.connections -= 1
+
+    async def _handle(self, exchange: Exchange) -> None:
+        self.busy += 1
+        try:
+            await self._handler(exchange)
+        finally:
+            self.busy -= 1
+
+
+class _Connection:
+    """State of one connection."""
+
+    def __init__(self, client, limits: Limits):
+        self.client = client
+        self.limits = limits
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+
+    async def run(self, handler: Handler) -> None:
+        while True:
+            exchange = await self._next_exchange()
+            if exchange is None:
+                return
+            try:
+                await handler(exchange)
+            except RequestError as error:
+                if not exchange.answered:
+                    await self._refuse(error.kind, error.detail)
+            if not await self._reusable():
+                return
+
+    async def _next_exchange(self) -> Exchange | None:
+        try:
+            request = await self._next_request()
+        except RequestError as error:
+            await self._refuse(error.kind, error.detail)
+            return None
+        if request is None:
+            return None
+        return Exchange(self, request)
+
+    async def _next_request(self) -> h11.Request | None:
+        first = True
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                kind = (
+                    errors.ErrorKind.HEADERS_TOO_LARGE
+                    if error.error_status_hint == 431
+                    else errors.ErrorKind.BAD_REQUEST
+                )
+                raise RequestError(kind, str(error)) from error
+            if isinstance(event, h11.Request):
+                return event
+            if isinstance(event, h11.ConnectionClosed):
+                return None
+            timeout = (
+                self.limits.idle_timeout_seconds
+                if first
+                else self.limits.receive_timeout_seconds
+            )
+            data = await self._receive(timeout)
+            if data is None:
+                if first:
+                    return None
+                raise RequestError(
+                    errors.ErrorKind.REQUEST_TIMEOUT,
+                    "the header section did not arrive in time",
+                )
+            first = first and not data
+            self.http.receive_data(data)
+
+    async def read_body(self, exchange: Exchange, max_bytes: int) -> bytes:
+        declared = exchange.headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > max_bytes:
+            raise _too_large(max_bytes)
+        if self.http.they_are_waiting_for_100_continue:
+            await self.send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        body = bytearray()
+        deadline = await curio.clock() + self.limits.receive_timeout_seconds
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise RequestError(
+                    errors.ErrorKind.BAD_REQUEST, str(error)
+                ) from error
+            if event is h11.NEED_DATA:
+                left = deadline - await curio.clock()
+                data = await self._receive(max(left, 0.001))
+                if data is None:
+                    raise RequestError(
+                        errors.ErrorKind.REQUEST_TIMEOUT,
+                        "the body did not arrive in time",
+                    )
+                self.http.receive_data(data)
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > max_bytes:
+                    raise _too_large(max_bytes)
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            else:
+                raise PeerGoneError
+
+    async def watch(self) -> None:
+        while True:
+            data = await self.client.recv(_READ_BYTES)
+            self.http.receive_data(data)
+            if not data:
+                return
+
+    async def send(self, event: h11.Event) -> None:
+        try:
+            data = self.http.send(event)
+        except h11.LocalProtocolError as error:
+            raise PeerGoneError from error
+        if not data:
+            return
+        try:
+            async with curio.timeout_after(self.limits.send_timeout_seconds):
+                await self.client.sendall(data)
+        except (curio.TaskTimeout, OSError) as error:
+            raise PeerGoneError from error
+
+    async def _receive(self, timeout: float) -> bytes | None:
+        """Returns the next bytes, or None after `timeout` seconds."""
+        try:
+            async with curio.timeout_after(timeout):
+                return await self.client.recv(_READ_BYTES)
+        except curio.TaskTimeout:
+            return None
+        except OSError as error:
+            raise PeerGoneError from error
+
+    async def _refuse(self, kind: errors.ErrorKind, detail: str) -> None:
+        """Answers a request that cannot be read and ends the connection."""
+        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        status, headers, body = responses.problem(kind, "", detail)
+        headers["connection"] = "close"
+        headers["content-length"] = str(len(body))
+        await self.send(
+            h11.Response(status_code=status, headers=list(headers.items()))
+        )
+        await self.send(h11.Data(data=body))
+        await self.send(h11.EndOfMessage())
+        await self._drain()
+
+    async def _drain(self) -> None:
+        # Closing with unread input would reset the connection and could
+        # destroy the answer before the peer reads it.
+        try:
+            async with curio.timeout_after(1.0):
+                await self.client.shutdown(1)
+                while await self.client.recv(_READ_BYTES):
+                    pass
+        except (curio.TaskTimeout, OSError):
+            pass
+
+    async def _reusable(self) -> bool:
+        if self.http.our_state is h11.MUST_CLOSE:
+            return False
+        if self.http.our_state is not h11.DONE:
+            return False
+        if self.http.their_state is not h11.DONE:
+            await self._drain()
+            return False
+        self.http.start_next_cycle()
+        return True
+
+
+def _too_large(max_bytes: int) -> RequestError:
+    return RequestError(
+        errors.ErrorKind.BODY_TOO_LARGE,
+        f"the body exceeds {max_bytes} bytes",
+    )
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/settings.py
@@ -0,0 +1,270 @@
+"""Settings of a node: one TOML file, checked as a whole at start."""
+
+import ipaddress
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import expression
+import msgspec
+from expression import Error, Ok
+
+from baobabmux_core import ids
+
+
+class Address(msgspec.Struct, frozen=True):
+    """An IP number and a port.
+
+    Attributes:
+        host: IP number.
+        port: Port; 0 lets the system choose when listening.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        if ":" in self.host:
+            return f"[{self.host}]:{self.port}"
+        return f"{self.host}:{self.port}"
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """All settings of a node.
+
+    Attributes:
+        node: Name of the node, unique among all nodes.
+        data_centre: Where the node runs.
+        callers: Where callers connect.
+        admin: Where operators and metrics collectors connect.
+        peers: Where other nodes connect.
+        log: Address of the log service.
+        vms: Address of the VM list.
+        secret: Key of the authentication code between nodes, may be empty.
+        announce_seconds: Time between announcing the shutdown and closing the
+            callers' listener, so that the balancer can follow.
+        max_header_bytes: Longest header section of a caller.
+        max_held_requests: Requests that the node holds at a time.
+        receive_timeout_seconds: Longest time for a request to arrive whole.
+        send_timeout_seconds: Longest time a caller may stop reading.
+        idle_timeout_seconds: Longest time between requests of a connection.
+        log_retention_seconds: How long the log service keeps records.
+        timeline_events: Events that the time line holds.
+    """
+
+    node: ids.NodeId
+    data_centre: ids.DataCentre
+    callers: Address
+    admin: Address
+    peers: Address
+    log: Address
+    vms: Address
+    secret: bytes = b""
+    announce_seconds: float = 1.0
+    max_header_bytes: int = 16_384
+    max_held_requests: int = 2_000
+    receive_timeout_seconds: float = 10.0
+    send_timeout_seconds: float = 20.0
+    idle_timeout_seconds: float = 60.0
+    log_retention_seconds: float = 86_400.0
+    timeline_events: int = 5_000
+
+
+class SettingsError(msgspec.Struct, frozen=True):
+    """One error in a settings file.
+
+    Attributes:
+        file: File name.
+        key: Section and key, or the empty string for the whole file.
+        text: What is wrong and what is expected.
+    """
+
+    file: str
+    key: str
+    text: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}: {self.key}" if self.key else self.file
+        return f"{place}: {self.text}"
+
+
+_SECTIONS: dict[str, dict[str, str]] = {
+    "node": {"id": "name", "data_centre": "name"},
+    "listen": {
+        "callers": "listen_address",
+        "admin": "listen_address",
+        "peers": "listen_address",
+    },
+    "platform": {
+        "log": "address",
+        "vms": "address",
+        "log_retention_seconds": "seconds",
+    },
+    "peers": {"secret_file": "file"},
+    "shutdown": {"announce_seconds": "seconds_or_zero"},
+    "limits": {
+        "max_header_bytes": "count",
+        "max_held_requests": "count",
+        "receive_timeout_seconds": "seconds",
+        "send_timeout_seconds": "seconds",
+        "idle_timeout_seconds": "seconds",
+        "timeline_events": "count",
+    },
+}
+_REQUIRED = (
+    ("node", "id"),
+    ("node", "data_centre"),
+    ("listen", "callers"),
+    ("listen", "admin"),
+    ("listen", "peers"),
+    ("platform", "log"),
+    ("platform", "vms"),
+)
+_RENAMED = {"id": "node", "secret_file": "secret"}
+
+
+def load(path: Path) -> expression.Result[Settings, list[SettingsError]]:
+    """Reads and checks a settings file.
+
+    Args:
+        path: The TOML file.
+
+    Returns:
+        The settings, or every error in the file.
+    """
+    try:
+        tables = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        return Error([SettingsError(path.name, "", error.strerror or "")])
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Error([SettingsError(path.name, "", f"not TOML: {error}")])
+    return parse(tables, path.name)
+
+
+def parse(
+    tables: dict[str, Any], file: str
+) -> expression.Result[Settings, list[SettingsError]]:
+    """Checks the tables of a settings file.
+
+    Args:
+        tables: Parsed TOML.
+        file: File name for the messages.
+
+    Returns:
+        The settings, or every error in the tables.
+    """
+    errors: list[SettingsError] = []
+    values: dict[str, Any] = {}
+    for section, table in tables.items():
+        known = _SECTIONS.get(section)
+        if known is None or not isinstance(table, dict):
+            expected = ", ".join(_SECTIONS)
+            errors.append(
+                SettingsError(
+                    file, section, f"unknown section (known: {expected})"
+                )
+            )
+            continue
+        for key, value in table.items():
+            name = f"{section}.{key}"
+            if key not in known:
+                expected = ", ".join(known)
+                errors.append(
+                    SettingsError(
+                        file, name, f"unknown key (known: {expected})"
+                    )
+                )
+                continue
+            checked = _check(known[key], value)
+            if isinstance(checked, _Wrong):
+                errors.append(SettingsError(file, name, checked.text))
+                continue
+            values[_RENAMED.get(key, key)] = checked
+    errors += [
+        SettingsError(file, f"{section}.{key}", "is required")
+        for section, key in _REQUIRED
+        if not isinstance(tables.get(section), dict)
+        or key not in tables[section]
+    ]
+    errors += _doubled_listeners(values, file)
+    return Error(errors) if errors else Ok(Settings(**values))
+
+
+class _Wrong(msgspec.Struct, frozen=True):
+    text: str
+
+
+def _check(kind: str, value: Any) -> Any:
+    if kind == "name":
+        return _check_name(value)
+    if kind in ("address", "listen_address"):
+        return _check_address(value, lowest_port=int(kind == "address"))
+    if kind == "file":
+        return _check_secret_file(value)
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if kind == "count":
+        if number and isinstance(value, int) and value > 0:
+            return value
+        return _Wrong(f"expected a whole number above 0, got {value!r}")
+    lowest_text = "0 or more" if kind == "seconds_or_zero" else "above 0"
+    if number and (value > 0 or (value == 0 and kind == "seconds_or_zero")):
+        return float(value)
+    return _Wrong(f"expected a number of seconds {lowest_text}, got {value!r}")
+
+
+def _check_name(value: Any) -> Any:
+    if not isinstance(value, str) or not value or len(value) > 64:
+        return _Wrong(f"expected a name of 1 to 64 characters, got {value!r}")
+    if not all(c.isalnum() or c in "-_." for c in value):
+        return _Wrong(f"expected letters, digits, '-', '_', '.', got {value!r}")
+    return value
+
+
+def _check_address(value: Any, lowest_port: int) -> Any:
+    wrong = _Wrong(f"expected IP:PORT, got {value!r}")
+    if not isinstance(value, str):
+        return wrong
+    host, _, port = value.rpartition(":")
+    try:
+        address = ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return wrong
+    if not port.isdigit() or not lowest_port <= int(port) <= 65_535:
+        return wrong
+    return Address(str(address), int(port))
+
+
+def _check_secret_file(value: Any) -> Any:
+    if not isinstance(value, str):
+        return _Wrong(f"expected a file name, got {value!r}")
+    if not value:
+        return b""
+    try:
+        secret = Path(value).read_bytes().strip()
+    except OSError as error:
+        return _Wrong(f"cannot read {value!r}: {error.strerror}")
+    # BLAKE2b takes keys of up to 64 bytes.
+    if not 16 <= len(secret) <= 64:
+        return _Wrong("expected a secret of 16 to 64 bytes in the file")
+    return secret
+
+
+def _doubled_listeners(
+    values: dict[str, Any], file: str
+) -> list[SettingsError]:
+    seen: dict[str, str] = {}
+    errors = []
+    for key in ("callers", "admin", "peers"):
+        address = values.get(key)
+        if address is None or address.port == 0:
+            continue
+        first = seen.setdefault(str(address), key)
+        if first != key:
+            errors.append(
+                SettingsError(
+                    file,
+                    f"listen.{key}",
+                    f"{address} is already used by listen.{first}",
+                )
+            )
+    return errors
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/sinks.py
@@ -0,0 +1,182 @@
+"""Where an endpoint's answer goes: to the caller, as a stream or whole."""
+
+import msgspec
+
+from baobabmux_core import states
+from baobabmux_node import adapters, held, responses, server
+
+MAX_KEPT_BYTES = 1_000_000
+_MAX_WHOLE_BYTES = 8_000_000
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer of an endpoint.
+
+    Attributes:
+        status: HTTP status code.
+        content_type: Media type.
+        body: Body.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class AnswerTooLargeError(Exception):
+    """An answer that must be held whole exceeds the limit."""
+
+
+class CallerSink(adapters.Sink):
+    """Base of sinks for one held request.
+
+    Attributes:
+        request: The request.
+        exchange: The caller's connection.
+        caller_gone: Whether the caller went away.
+        tokens: Output tokens so far.
+        answer: The whole answer once it has ended, or None.
+        started: Whether the answer's status was sent to the caller.
+    """
+
+    def __init__(
+        self,
+        request: held.HeldRequest,
+        exchange: server.Exchange,
+        on_progress,
+    ):
+        self.request = request
+        self.exchange = exchange
+        self.caller_gone = False
+        self.tokens = 0
+        self.started = False
+        self.answer: Answer | None = None
+        self._on_progress = on_progress
+
+    def progress(self, tokens: int) -> None:
+        """Takes the number of output tokens so far."""
+        self.tokens = tokens
+        self._on_progress(tokens)
+
+    async def end(self) -> None:
+        """Ends the answer after the endpoint completed it."""
+        raise NotImplementedError
+
+    def _headers(self, run_status: states.RunStatus) -> dict[str, str]:
+        return {
+            responses.RUN_STATUS_HEADER: run_status.value,
+            responses.REQUEST_ID_HEADER: self.request.caller.public_id,
+        }
+
+    async def _to_caller(self, sending) -> None:
+        """Awaits a send; a caller that went away stops hearing only."""
+        if self.caller_gone:
+            sending.close()
+            return
+        try:
+            await sending
+        except server.PeerGoneError:
+            self.caller_gone = True
+            await self.request.decide(held.CallerGone())
+
+
+class StreamSink(CallerSink):
+    """Passes an event stream to the caller as it arrives.
+
+    A copy is kept for a repeated send if the request has a key and the
+    answer is small enough.
+    """
+
+    def __init__(self, request, exchange, on_progress):
+        super().__init__(request, exchange, on_progress)
+        self._status = 0
+        self._content_type = ""
+        self._copy: bytearray | None = (
+            bytearray() if request.caller.key is not None else None
+        )
+
+    async def head(self, status: int, headers: dict[str, str]) -> None:
+        """Starts the answer."""
+        self._status = status
+        self._content_type = headers.get("content-type", "")
+        self.started = True
+        await self._to_caller(
+            self.exchange.start(
+                status, {**headers, **self._headers(states.RunStatus.RUNNING)}
+            )
+        )
+
+    async def data(self, data: bytes) -> None:
+        """Passes a part on."""
+        if self._copy is not None:
+            self._copy += data
+            if len(self._copy) > MAX_KEPT_BYTES:
+                self._copy = None
+        await self._to_caller(self.exchange.send(data))
+
+    async def end(self) -> None:
+        """Ends the answer."""
+        if self._copy is not None:
+            self.answer = Answer(
+                self._status, self._content_type, bytes(self._copy)
+            )
+        await self._to_caller(self.exchange.finish())
+
+
+class WholeSink(CallerSink):
+    """Sends an answer when it is whole, so that a broken one is never shown."""
+
+    def __init__(self, request, exchange, on_progress):
+        super().__init__(request, exchange, on_progress)
+        self._status = 0
+        self._sent_headers: dict[str, str] = {}
+        self._body = bytearray()
+
+    async def head(self, status: int, headers: dict[str, str]) -> None:
+        """Notes the status and the headers."""
+        self._status = status
+        self._sent_headers = headers
+
+    async def data(self, data: bytes) -> None:
+        """Collects a part."""
+        self._body += data
+        if len(self._body) > _MAX_WHOLE_BYTES:
+            raise AnswerTooLargeError(f"over {_MAX_WHOLE_BYTES} bytes")
+
+    async def end(self) -> None:
+        """Sends the answer."""
+        content_type, body = self._final_body()
+        headers = {**self._sent_headers}
+        if content_type:
+            headers["content-type"] = content_type
+        self.answer = Answer(self._status, content_type, body)
+        self.started = True
+        await self._to_caller(
+            self.exchange.respond(
+                self._status,
+                {**headers, **self._headers(states.RunStatus.DONE)},
+                body,
+            )
+        )
+
+    def _final_body(self) -> tuple[str, bytes]:
+        return self._sent_headers.get("content-type", ""), bytes(self._body)
+
+
+class CompletionSink(WholeSink):
+    """Collects an event stream into one JSON document."""
+
+    def _final_body(self) -> tuple[str, bytes]:
+        if self._sent_headers.get("content-type") != "text/event-stream":
+            return super()._final_body()
+        texts: list[str] = []
+        usage = None
+        for line in bytes(self._body).split(b"\n"):
+            data = line.removeprefix(b"data: ")
+            if data == line or data == b"[DONE]":
+                continue
+            chunk = msgspec.json.decode(data)
+            texts.append(chunk.get("text", ""))
+            usage = chunk.get("usage", usage)
+        document = {"text": "".join(texts), "usage": usage}
+        return "application/json", msgspec.json.encode(document)
