--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/capacity.py
@@ -0,0 +1,300 @@
+"""Outstanding work and learned rates of one endpoint."""
+
+import math
+
+from baobabmux_core import deadlines, declarations, ids
+
+# Weight of one sample in a learned rate; about ten samples replace the
+# declared estimate.
+_SAMPLE_WEIGHT = 0.2
+# One sample moves a rate by at most this factor, so that a single wrong
+# length estimate does not.
+_MAX_STEP = 4.0
+# Progress over fewer tokens is dominated by network delays.
+_MIN_SAMPLE_TOKENS = 8
+_MIN_SAMPLE_SECONDS = 0.005
+# The usual rate follows the current one over some hundred samples: a lasting
+# change, not a bad minute.
+_USUAL_WEIGHT = 0.005
+# Ordinary variation of rates with the batch does not lower the limit.
+_TOLERATED_SLOWDOWN = 1.5
+# A foreign load report older than this says nothing.
+_REPORT_SECONDS = 5.0
+
+
+class Running:
+    """One granted request at an endpoint.
+
+    Attributes:
+        request: Identifier.
+        holder: Node that holds it.
+        tier: Rank of its tier.
+        short: Whether it counts as short.
+        tokens: Tokens that it takes of the endpoint's limit.
+        uncached: Prompt tokens that the endpoint must compute.
+        output: Expected output tokens.
+        content: Digest of route and body.
+        granted: Time of the grant in seconds.
+        first_token: Predicted time of the first token.
+        end: Predicted time of the last token.
+        produced: Output tokens reported so far.
+        elapsed: Seconds from the first token to that report.
+        isolated: Whether the endpoint runs it alone on purpose.
+        expires: Time at which it is forgotten because its holder is gone, or
+            None.
+    """
+
+    __slots__ = (
+        "content",
+        "elapsed",
+        "end",
+        "expires",
+        "first_token",
+        "granted",
+        "holder",
+        "isolated",
+        "output",
+        "produced",
+        "request",
+        "short",
+        "tier",
+        "tokens",
+        "uncached",
+    )
+
+    def __init__(
+        self,
+        request: ids.RequestId,
+        holder: ids.NodeId,
+        tier: int,
+        tokens: int,
+        uncached: int,
+        output: int,
+        content: ids.ContentDigest,
+        granted: float,
+        *,
+        short: bool = False,
+        isolated: bool = False,
+    ):
+        self.request = request
+        self.holder = holder
+        self.tier = tier
+        self.short = short
+        self.tokens = tokens
+        self.uncached = uncached
+        self.output = output
+        self.content = content
+        self.granted = granted
+        self.first_token = granted
+        self.end = granted
+        self.produced = 0
+        self.elapsed = 0.0
+        self.isolated = isolated
+        self.expires: float | None = None
+
+
+class EndpointModel:
+    """What a group's owner knows about one endpoint.
+
+    Attributes:
+        endpoint: Identifier.
+        declared: Its declaration.
+        plain: Whether it is a plain service, whose time does not depend on
+            tokens.
+        running: Granted requests by identifier.
+        tokens: Tokens that they take.
+        prefill_rate: Learned prompt tokens per second.
+        decode_rate: Learned output tokens per second of one request.
+        plain_seconds: Learned duration of a request of a plain service.
+        usual_decode_rate: Slowly learned decode rate, the reference for a
+            slowdown unless the owner knows a better one.
+    """
+
+    def __init__(
+        self,
+        endpoint: ids.EndpointId,
+        declared: declarations.Endpoint,
+        *,
+        plain: bool = False,
+    ):
+        self.endpoint = endpoint
+        self.declared = declared
+        self.plain = plain
+        self.running: dict[ids.RequestId, Running] = {}
+        self.tokens = 0
+        self.prefill_rate = declared.prefill_tokens_per_second
+        self.decode_rate = declared.decode_tokens_per_second
+        self.plain_seconds = 0.1
+        self.usual_decode_rate = self.decode_rate
+        self._prefill_free = 0.0
+        self._foreign = 0
+        self._foreign_until = 0.0
+        self._last_excess = 0
+
+    def prefill_seconds(self, uncached: int) -> float:
+        """Predicts the time to compute prompt tokens, without a queue."""
+        return 0.0 if self.plain else uncached / self.prefill_rate
+
+    def decode_seconds(self, output: int) -> float:
+        """Predicts the time to produce output tokens."""
+        return self.plain_seconds if self.plain else output / self.decode_rate
+
+    def predict(
+        self, start: float, uncached: int, output: int
+    ) -> deadlines.Prediction:
+        """Predicts the end of a request dispatched at `start`."""
+        return deadlines.predict_end(
+            start,
+            start if self.plain else self._prefill_free,
+            self.prefill_seconds(uncached),
+            self.decode_seconds(output),
+        )
+
+    def slowdown(self) -> float:
+        """Returns the usual decode rate over the current one."""
+        return self.usual_decode_rate / self.decode_rate
+
+    def limit(self) -> int:
+        """Returns how many requests the endpoint may run at its speed."""
+        slowdown = self.slowdown()
+        if slowdown <= _TOLERATED_SLOWDOWN:
+            return self.declared.max_requests
+        shrunk = self.declared.max_requests * _TOLERATED_SLOWDOWN / slowdown
+        return max(1, math.floor(shrunk))
+
+    def used(self, now: float) -> int:
+        """Returns the occupied slots, foreign requests included."""
+        foreign = self._foreign if now < self._foreign_until else 0
+        return len(self.running) + foreign
+
+    def charge(self, tokens: int) -> int:
+        """Returns what a request takes of the token limit.
+
+        A request larger than the limit takes all of it and runs alone.
+        """
+        return min(tokens, self.declared.max_tokens)
+
+    def fits(self, tokens: int, reserved: int, now: float) -> bool:
+        """Returns whether a request has a place.
+
+        Args:
+            tokens: Prompt and output tokens of the request.
+            reserved: Slots that the request must leave free.
+            now: Current time in seconds.
+        """
+        limit = self.limit()
+        # A reservation never closes an idle endpoint.
+        if self.used(now) >= max(1, limit - reserved):
+            return False
+        return self.tokens + self.charge(tokens) <= self.declared.max_tokens
+
+    def running_seconds(self, now: float) -> float:
+        """Returns the slot seconds that the running requests still need."""
+        return sum(max(0.0, run.end - now) for run in self.running.values())
+
+    def start(self, run: Running) -> None:
+        """Notes a grant."""
+        prediction = self.predict(run.granted, run.uncached, run.output)
+        run.first_token = prediction.first_token
+        run.end = prediction.end
+        self._prefill_free = max(self._prefill_free, prediction.first_token)
+        self._put(run)
+
+    def restore(self, run: Running) -> None:
+        """Notes a request that its holder registered as in flight."""
+        prediction = self.predict(run.granted, run.uncached, run.output)
+        run.first_token = run.granted
+        run.end = prediction.end
+        self._put(run)
+
+    def end(self, request: ids.RequestId) -> Running | None:
+        """Forgets a request and returns it, or None if it is unknown."""
+        run = self.running.pop(request, None)
+        if run is None:
+            return None
+        self.tokens -= run.tokens
+        if not self.running:
+            self._prefill_free = 0.0
+        return run
+
+    def progress(self, run: Running, tokens: int, elapsed: float) -> None:
+        """Learns from a progress report.
+
+        Args:
+            run: Request that is running here.
+            tokens: Output tokens so far.
+            elapsed: Seconds since its first token.
+        """
+        gained = tokens - run.produced
+        seconds = elapsed - run.elapsed
+        if gained < 0 or seconds < _MIN_SAMPLE_SECONDS:
+            return
+        if gained < _MIN_SAMPLE_TOKENS and seconds < 1.0:
+            return
+        run.produced = tokens
+        run.elapsed = elapsed
+        # A stalled stream counts as half a token, which keeps rates positive.
+        self._learn_decode(max(gained, 0.5) / seconds)
+
+    def learn(
+        self,
+        run: Running,
+        computed: int,
+        output: int,
+        prefill: float,
+        decode: float,
+    ) -> None:
+        """Learns from a completed request.
+
+        Args:
+            run: Request that has completed.
+            computed: Prompt tokens that were computed, or -1 if unknown.
+            output: Output tokens produced.
+            prefill: Seconds from dispatch to the first token.
+            decode: Seconds from the first token to the last.
+        """
+        if self.plain:
+            self.plain_seconds = _blend(self.plain_seconds, prefill + decode)
+            return
+        predicted = run.first_token - run.granted
+        if computed >= 0:
+            predicted += (computed - run.uncached) / self.prefill_rate
+        if predicted > _MIN_SAMPLE_SECONDS and prefill > _MIN_SAMPLE_SECONDS:
+            self.prefill_rate = _blend(
+                self.prefill_rate, self.prefill_rate * predicted / prefill
+            )
+        self.progress(run, output, decode)
+
+    def report(self, running: int, now: float) -> None:
+        """Corrects the occupied slots by the endpoint's own report.
+
+        Args:
+            running: Requests that the endpoint runs or queues.
+            now: Current time in seconds.
+        """
+        excess = max(0, running - len(self.running))
+        # Reports lag behind the owner's grants and releases; only an excess
+        # that two reports in a row agree on is work of somebody else.
+        if now < self._foreign_until:
+            self._foreign = min(excess, self._last_excess)
+        else:
+            self._foreign = 0
+        self._last_excess = excess
+        self._foreign_until = now + _REPORT_SECONDS
+
+    def _put(self, run: Running) -> None:
+        self.end(run.request)
+        run.tokens = self.charge(run.tokens)
+        self.running[run.request] = run
+        self.tokens += run.tokens
+
+    def _learn_decode(self, sample: float) -> None:
+        self.decode_rate = _blend(self.decode_rate, sample)
+        self.usual_decode_rate += _USUAL_WEIGHT * (
+            self.decode_rate - self.usual_decode_rate
+        )
+
+
+def _blend(old: float, sample: float) -> float:
+    bounded = min(max(sample, old / _MAX_STEP), old * _MAX_STEP)
+    return old + _SAMPLE_WEIGHT * (bounded - old)
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/deadlines.py
@@ -0,0 +1,54 @@
+"""Prediction of a request's end, for admission and selection."""
+
+import msgspec
+
+
+class Prediction(msgspec.Struct, frozen=True):
+    """When a request would get its first and its last token.
+
+    Attributes:
+        first_token: Time of the first token in seconds.
+        end: Time of the last token in seconds.
+    """
+
+    first_token: float
+    end: float
+
+
+def predict_end(
+    start: float,
+    prefill_free: float,
+    prefill_seconds: float,
+    decode_seconds: float,
+) -> Prediction:
+    """Predicts the end of a request at one endpoint.
+
+    Args:
+        start: Time at which the request could be dispatched, in seconds.
+        prefill_free: Time at which the endpoint has computed the prompts
+            ahead, in seconds.
+        prefill_seconds: Time to compute the part of the prompt that is not
+            in the endpoint's cache.
+        decode_seconds: Time to produce the expected output.
+
+    Returns:
+        The predicted times.
+    """
+    first_token = max(start, prefill_free) + prefill_seconds
+    return Prediction(first_token, first_token + decode_seconds)
+
+
+def backlog_wait(
+    queued_seconds: float, running_seconds: float, slots: int
+) -> float:
+    """Predicts how long a backlog keeps all slots of a group occupied.
+
+    Args:
+        queued_seconds: Slot seconds of the requests ahead in the queue.
+        running_seconds: Slot seconds that running requests still need.
+        slots: Requests that the group runs at a time.
+
+    Returns:
+        The wait in seconds.
+    """
+    return (queued_seconds + running_seconds) / max(1, slots)
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -0,0 +1,842 @@
+"""Queue and dispatch decisions of the owner of one group."""
+
+import collections
+import enum
+import heapq
+import itertools
+import math
+
+from baobabmux_core import (
+    breakers,
+    capacity,
+    deadlines,
+    declarations,
+    effects,
+    errors,
+    fairness,
+    ids,
+    messages,
+    prefixes,
+    quarantine,
+    states,
+)
+
+LEASE_SECONDS = 3.0
+"""Time after its arrival during which a holder may use a grant."""
+
+REGISTRATION_SECONDS = 1.0
+"""Longest time that a new owner waits for holders to register."""
+
+# Requests looked at for one grant in each tier; more only matter when many
+# wait for a warm cache.
+_CANDIDATES = 16
+# A register older than this may have been sent before the grant was used, so
+# it does not prove that the grant is unused.
+_REGISTER_GRACE_SECONDS = LEASE_SECONDS + 2.0
+# Ended requests are remembered so that a late copy of their Ask is not
+# queued; the bound covers more requests than one group ends in a minute.
+_ENDED_KEPT = 4096
+# Reservations hold for a kind of request that was seen this recently.
+_PRESENT_SECONDS = 30.0
+_NO_ENDPOINT_RETRY_SECONDS = 2.0
+_MIN_RETRY_SECONDS = 0.5
+# A holder that is gone keeps its in-flight work counted at least so long.
+_ORPHAN_SECONDS = 1.0
+
+
+class _Wait(enum.Enum):
+    """Why a queued request gets no endpoint now."""
+
+    CAPACITY = "capacity"
+    AFFINITY = "affinity"
+
+
+class _Member:
+    """One endpoint of the group."""
+
+    def __init__(
+        self,
+        endpoint: ids.EndpointId,
+        declared: declarations.Endpoint,
+        plain: bool,
+    ):
+        self.model = capacity.EndpointModel(endpoint, declared, plain=plain)
+        self.breaker = breakers.CircuitBreaker()
+        self.prefixes = prefixes.PrefixIndex(declared.cache_tokens)
+        self.open = True
+        # Request that this endpoint is kept empty for, because it runs alone.
+        self.kept_for: ids.RequestId | None = None
+
+
+class GroupOwner:
+    """Grants the endpoints of one group to requests of all holders.
+
+    Attributes:
+        group: Group that it owns.
+        notices: Messages for all nodes; the scheduler takes them out.
+    """
+
+    def __init__(
+        self,
+        group: ids.GroupId,
+        suspects: quarantine.Quarantine,
+        now: float,
+    ):
+        self.group = group
+        self.notices: list[messages.AnyMessage] = []
+        self._suspects = suspects
+        self._members: dict[ids.EndpointId, _Member] = {}
+        self._service: declarations.Service | None = None
+        self._preset: declarations.Preset | None = None
+        self._refused_ranks: frozenset[int] = frozenset()
+        self._weights: dict[int, float] = {}
+        self._tiers: dict[int, fairness.TierQueue] = {}
+        self._entries: dict[ids.RequestId, fairness.QueueEntry] = {}
+        self._by_content: dict[ids.ContentDigest, set[ids.RequestId]] = {}
+        self._running_at: dict[ids.RequestId, _Member] = {}
+        self._ended: collections.OrderedDict[ids.RequestId, None] = (
+            collections.OrderedDict()
+        )
+        self._latest: list[tuple[float, int, fairness.QueueEntry]] = []
+        self._order = itertools.count()
+        self._seen_tiers: dict[int, float] = {}
+        self._short_seen = -math.inf
+        self._long_seen = -math.inf
+        self._awaited: set[ids.NodeId] = set()
+        self._grants_from = now
+        self._isolated: ids.RequestId | None = None
+
+    # Configuration and members.
+
+    def configure(
+        self, configuration: declarations.Configuration, now: float
+    ) -> None:
+        """Adopts a configuration; rates of kept endpoints stay learned."""
+        service_name = self.group.split("@")[0]
+        service = configuration.services.get(ids.ServiceName(service_name))
+        declared = configuration.group_endpoints(self.group)
+        if service is not None:
+            self._service = service
+        self._preset = configuration.active_preset()
+        self._refused_ranks = frozenset(
+            configuration.tiers[name].rank
+            for name in self._preset.refused_tiers
+            if name in configuration.tiers
+        )
+        self._weights = {
+            fairness.workspace_hash(name): share.weight
+            for name, share in configuration.workspaces.items()
+        }
+        for tier in self._tiers.values():
+            tier.set_weights(self._weights)
+        plain = self._service is not None and self._service.kind == "plain"
+        for name, endpoint in declared.items():
+            member = self._members.get(name)
+            if member is None:
+                self._members[name] = _Member(name, endpoint, plain)
+                continue
+            member.model.declared = endpoint
+            member.prefixes.capacity = endpoint.cache_tokens
+        for name in self._members.keys() - declared.keys():
+            self._members[name].open = False
+            if not self._members[name].model.running:
+                del self._members[name]
+
+    def set_open(self, endpoint: ids.EndpointId, is_open: bool) -> None:
+        """Opens an endpoint for new work or closes it."""
+        member = self._members.get(endpoint)
+        if member is not None:
+            member.open = is_open
+
+    def await_registers(self, holders: set[ids.NodeId], now: float) -> None:
+        """Withholds grants until these holders registered, for a bounded time.
+
+        Without it, a new owner would grant slots that are occupied.
+        """
+        self._awaited = set(holders)
+        self._grants_from = now + REGISTRATION_SECONDS
+
+    def holder_lost(self, holder: ids.NodeId, now: float) -> None:
+        """Drops a dead holder's asks; its running work expires later."""
+        self._awaited.discard(holder)
+        for entry in [
+            entry for entry in self._entries.values() if entry.holder == holder
+        ]:
+            self._dequeue(entry)
+        for member in self._members.values():
+            for run in member.model.running.values():
+                if run.holder == holder and run.expires is None:
+                    run.expires = max(run.end, now + _ORPHAN_SECONDS)
+
+    # Queries.
+
+    def endpoints(self) -> list[ids.EndpointId]:
+        """Returns the endpoints of the group."""
+        return list(self._members)
+
+    def queue_length(self) -> int:
+        """Returns the number of waiting requests."""
+        return len(self._entries)
+
+    def queued_tokens(self) -> int:
+        """Returns the number of waiting tokens."""
+        return sum(tier.tokens for tier in self._tiers.values())
+
+    def outstanding(self) -> dict[ids.EndpointId, tuple[int, int]]:
+        """Returns the granted requests and tokens of each endpoint."""
+        return {
+            name: (len(member.model.running), member.model.tokens)
+            for name, member in self._members.items()
+        }
+
+    def model(self, endpoint: ids.EndpointId) -> capacity.EndpointModel:
+        """Returns the model of an endpoint of the group."""
+        return self._members[endpoint].model
+
+    def breaker(self, endpoint: ids.EndpointId) -> breakers.CircuitBreaker:
+        """Returns the circuit breaker of an endpoint of the group."""
+        return self._members[endpoint].breaker
+
+    def queued_by_tier(self) -> dict[int, int]:
+        """Returns the number of waiting requests by tier rank."""
+        counts = collections.Counter(
+            entry.ask.tier for entry in self._entries.values()
+        )
+        return dict(counts)
+
+    def wait(self, now: float, tier: int | None = None) -> float:
+        """Predicts how long a new request of a tier waits, in seconds.
+
+        Args:
+            now: Current time in seconds.
+            tier: Rank of the tier, or None for the lowest.
+        """
+        usable = self._usable(now)
+        if not usable:
+            return _NO_ENDPOINT_RETRY_SECONDS
+        queued = sum(
+            queue.seconds
+            for rank, queue in self._tiers.items()
+            if tier is None or rank <= tier
+        )
+        slots = sum(member.model.limit() for member in usable)
+        free = slots - sum(member.model.used(now) for member in usable)
+        if free > 0 and queued <= 0.0:
+            return 0.0
+        running = sum(member.model.running_seconds(now) for member in usable)
+        # The next slot frees after the running work's share of a slot; on
+        # average a running request has half of its time left.
+        return deadlines.backlog_wait(queued, running, slots)
+
+    # Messages.
+
+    def ask(
+        self, ask: messages.Ask, holder: ids.NodeId, now: float
+    ) -> list[effects.Effect]:
+        """Queues a request, grants it or refuses it."""
+        if (member := self._running_at.get(ask.request)) is not None:
+            return self._repeat_grant(member, ask, holder, now)
+        if ask.request in self._ended:
+            return []
+        if (known := self._entries.get(ask.request)) is not None:
+            known.holder = holder
+            return []
+        refusal = self._admission(ask, holder, now)
+        if refusal is not None:
+            return [refusal]
+        entry = fairness.QueueEntry(ask, holder, now, self._short_tokens())
+        self._note_present(entry, now)
+        if (refused := self._check_deadline(entry, now)) is not None:
+            return [refused]
+        self._enqueue(entry)
+        found = self._pump(now)
+        found += self._shed(now)
+        return found
+
+    def withdraw(
+        self, request: ids.RequestId, holder: ids.NodeId, now: float
+    ) -> list[effects.Effect]:
+        """Drops a queued request or takes back its unused grant."""
+        entry = self._entries.get(request)
+        if entry is not None and entry.holder == holder:
+            self._dequeue(entry)
+            return self._pump(now)
+        member = self._running_at.get(request)
+        if member is None or member.model.running[request].holder != holder:
+            return []
+        self._end_running(request, now)
+        member.breaker.abandoned(now)
+        return self._pump(now)
+
+    def progress(
+        self, report: messages.Progress, holder: ids.NodeId, now: float
+    ) -> list[effects.Effect]:
+        """Learns an endpoint's decode rate from a running request."""
+        member = self._running_at.get(report.request)
+        if member is None:
+            return []
+        run = member.model.running[report.request]
+        if run.holder != holder:
+            return []
+        member.model.progress(run, report.tokens, report.elapsed_ms / 1000)
+        return []
+
+    def release(
+        self, release: messages.Release, holder: ids.NodeId, now: float
+    ) -> list[effects.Effect]:
+        """Ends a granted request and grants its slot again."""
+        outcome = states.Outcome(release.outcome)
+        if outcome not in (states.Outcome.NOT_SENT, states.Outcome.REJECTED):
+            self._remember_ended(release.request)
+            entry = self._entries.get(release.request)
+            if entry is not None and entry.holder == holder:
+                self._dequeue(entry)
+        member = self._running_at.get(release.request)
+        if member is None or member.model.endpoint != release.endpoint:
+            return []
+        run = member.model.running[release.request]
+        if run.holder != holder:
+            return []
+        self._judge(member, run, outcome, now)
+        if outcome is states.Outcome.COMPLETED:
+            member.model.learn(
+                run,
+                release.computed_tokens,
+                release.output_tokens,
+                release.prefill_ms / 1000,
+                release.decode_ms / 1000,
+            )
+        self._end_running(release.request, now)
+        return self._pump(now)
+
+    def register(
+        self, register: messages.Register, holder: ids.NodeId, now: float
+    ) -> list[effects.Effect]:
+        """Reconciles what a holder has in flight with the owner's count."""
+        self._awaited.discard(holder)
+        listed = {item.request for item in register.in_flight}
+        for item in register.in_flight:
+            self._restore(item, holder, now)
+        lost = [
+            run.request
+            for member in self._members.values()
+            for run in member.model.running.values()
+            if run.holder == holder
+            and run.request not in listed
+            and now - run.granted > _REGISTER_GRACE_SECONDS
+        ]
+        for request in lost:
+            self._end_running(request, now)
+        return self._pump(now)
+
+    def contents_suspected(
+        self, contents: tuple[ids.ContentDigest, ...], now: float
+    ) -> list[effects.Effect]:
+        """Moves queued requests with suspect contents to isolation."""
+        refused = []
+        for content in contents:
+            for request in list(self._by_content.get(content, ())):
+                refused += self._reconsider(self._entries[request], now)
+        return refused + self._pump(now)
+
+    def load_report(
+        self, endpoint: ids.EndpointId, requests: int, now: float
+    ) -> list[effects.Effect]:
+        """Corrects the count of an endpoint's occupied slots."""
+        member = self._members.get(endpoint)
+        if member is None:
+            return []
+        member.model.report(requests, now)
+        return self._pump(now)
+
+    def cache_event(
+        self,
+        endpoint: ids.EndpointId,
+        kind: str,
+        digest: ids.PrefixDigest,
+        tokens: int,
+    ) -> None:
+        """Follows an endpoint's prefix cache."""
+        member = self._members.get(endpoint)
+        if member is None:
+            return
+        if kind == "stored":
+            member.prefixes.stored(digest, tokens)
+        else:
+            member.prefixes.evicted(digest)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Refuses what cannot end in time and grants what waited."""
+        found = self._refuse_unreachable(now)
+        self._expire_running(now)
+        return found + self._pump(now)
+
+    # Admission.
+
+    def _short_tokens(self) -> int:
+        return self._service.short_tokens if self._service else 0
+
+    def _usable(self, now: float) -> list[_Member]:
+        return [
+            member
+            for member in self._members.values()
+            if member.open and member.breaker.admits(now)
+        ]
+
+    def _admission(
+        self, ask: messages.Ask, holder: ids.NodeId, now: float
+    ) -> effects.Effect | None:
+        if not any(member.open for member in self._members.values()):
+            return _refusal(
+                holder,
+                ask.request,
+                errors.ErrorKind.NO_ENDPOINT,
+                _NO_ENDPOINT_RETRY_SECONDS,
+            )
+        if ask.tier in self._refused_ranks:
+            return _refusal(
+                holder,
+                ask.request,
+                errors.ErrorKind.OVERLOADED,
+                max(_NO_ENDPOINT_RETRY_SECONDS, self.wait(now)),
+            )
+        standing = self._suspects.standing(ask.content, now)
+        if standing is quarantine.Standing.GUILTY:
+            return _refusal(
+                holder,
+                ask.request,
+                errors.ErrorKind.QUARANTINED,
+                self._suspects.retry_after(ask.content, now),
+            )
+        return None
+
+    def _note_present(self, entry: fairness.QueueEntry, now: float) -> None:
+        self._seen_tiers[entry.ask.tier] = now
+        if entry.short:
+            self._short_seen = now
+        else:
+            self._long_seen = now
+
+    def _check_deadline(
+        self, entry: fairness.QueueEntry, now: float
+    ) -> effects.Effect | None:
+        """Sets the entry's estimates; returns a refusal if it is too late."""
+        usable = self._usable(now) or [
+            member for member in self._members.values() if member.open
+        ]
+        ask = entry.ask
+        entry.seconds = min(
+            member.model.prefill_seconds(
+                ask.prompt_tokens - member.prefixes.cached_tokens(ask.prefixes)
+            )
+            + member.model.decode_seconds(ask.output_tokens)
+            for member in usable
+        )
+        entry.latest_start = entry.deadline - entry.seconds
+        wait = self.wait(now, ask.tier)
+        late = now + wait - entry.latest_start
+        if late <= 0.0:
+            return None
+        return _refusal(
+            entry.holder,
+            ask.request,
+            errors.ErrorKind.DEADLINE_UNREACHABLE,
+            max(_MIN_RETRY_SECONDS, min(late, wait)),
+        )
+
+    def _refuse_unreachable(self, now: float) -> list[effects.Effect]:
+        refused = []
+        while self._latest and (
+            self._latest[0][0] < now or not self._latest[0][2].queued
+        ):
+            entry = heapq.heappop(self._latest)[2]
+            if not entry.queued:
+                continue
+            self._dequeue(entry)
+            refused.append(
+                _refusal(
+                    entry.holder,
+                    entry.ask.request,
+                    errors.ErrorKind.DEADLINE_UNREACHABLE,
+                    max(_MIN_RETRY_SECONDS, self.wait(now, entry.ask.tier)),
+                )
+            )
+        return refused
+
+    def _shed(self, now: float) -> list[effects.Effect]:
+        """Refuses the lowest tier's newest requests beyond the bounds."""
+        if self._service is None:
+            return []
+        shed = []
+        while (
+            len(self._entries) > self._service.max_queue_requests
+            or self.queued_tokens() > self._service.max_queue_tokens
+        ):
+            lowest = max(
+                rank for rank, queue in self._tiers.items() if len(queue)
+            )
+            entry = self._tiers[lowest].newest()
+            self._dequeue(entry)
+            shed.append(
+                _refusal(
+                    entry.holder,
+                    entry.ask.request,
+                    errors.ErrorKind.OVERLOADED,
+                    max(_MIN_RETRY_SECONDS, self.wait(now, lowest)),
+                )
+            )
+        return shed
+
+    # Queue.
+
+    def _enqueue(self, entry: fairness.QueueEntry) -> None:
+        ask = entry.ask
+        queue = self._tiers.get(ask.tier)
+        if queue is None:
+            queue = self._tiers[ask.tier] = fairness.TierQueue()
+            queue.set_weights(self._weights)
+            self._tiers = dict(sorted(self._tiers.items()))
+        queue.add(entry)
+        self._entries[ask.request] = entry
+        self._by_content.setdefault(ask.content, set()).add(ask.request)
+        if entry.latest_start < math.inf:
+            heapq.heappush(
+                self._latest, (entry.latest_start, next(self._order), entry)
+            )
+
+    def _dequeue(
+        self, entry: fairness.QueueEntry, *, granted: bool = False
+    ) -> None:
+        ask = entry.ask
+        queue = self._tiers[ask.tier]
+        if granted:
+            queue.take(entry)
+        else:
+            queue.remove(entry)
+        del self._entries[ask.request]
+        same = self._by_content[ask.content]
+        same.discard(ask.request)
+        if not same:
+            del self._by_content[ask.content]
+        if self._isolated == ask.request and not granted:
+            self._end_isolation()
+
+    # Grants.
+
+    def _withholds(self, now: float) -> bool:
+        if self._awaited and now < self._grants_from:
+            return True
+        self._awaited.clear()
+        return False
+
+    def _pump(self, now: float) -> list[effects.Effect]:
+        """Grants as much as has a place, in the order of the policy."""
+        if not self._entries or self._withholds(now):
+            return []
+        grants: list[effects.Effect] = []
+        long_blocked = False
+        for queue in self._tiers.values():
+            granted = True
+            while granted and len(queue):
+                granted = False
+                short_blocked = False
+                for entry in queue.candidates(_CANDIDATES):
+                    if self._is_suspect(entry, now):
+                        effect = self._isolate(entry, now)
+                        if effect is not None:
+                            grants.append(effect)
+                            granted = True
+                            break
+                        continue
+                    if (long_blocked and not entry.short) or short_blocked:
+                        continue
+                    choice = self._choose(entry, now)
+                    if choice is _Wait.AFFINITY:
+                        continue
+                    if choice is _Wait.CAPACITY:
+                        if entry.short:
+                            short_blocked = True
+                        else:
+                            long_blocked = True
+                        continue
+                    grants.append(self._grant(entry, choice, now))
+                    granted = True
+                    break
+            if len(queue) and short_blocked:
+                # A lower tier must not take what this one waits for.
+                break
+        return grants
+
+    def _reserved(self, entry: fairness.QueueEntry, limit: int, now: float):
+        """Returns the slots that a request must leave free."""
+        if self._preset is None:
+            return 0
+        reserved = 0
+        if not entry.short and now - self._short_seen < _PRESENT_SECONDS:
+            reserved += math.floor(limit * self._preset.short_share)
+        present = [
+            rank
+            for rank, seen in self._seen_tiers.items()
+            if now - seen < _PRESENT_SECONDS or rank == entry.ask.tier
+        ]
+        above = sum(rank < entry.ask.tier for rank in present)
+        if above:
+            share = self._preset.high_tier_share * above / (len(present) - 1)
+            reserved += math.floor(limit * share)
+        return reserved
+
+    def _choose(self, entry: fairness.QueueEntry, now: float):
+        """Returns the endpoint for a request, or why it waits."""
+        ask = entry.ask
+        best = None
+        best_end = math.inf
+        warm_end = math.inf
+        for member in self._members.values():
+            if not member.open or not member.breaker.admits(now):
+                continue
+            if member.kept_for is not None:
+                continue
+            model = member.model
+            cached = member.prefixes.cached_tokens(ask.prefixes)
+            end = model.predict(
+                now, ask.prompt_tokens - cached, ask.output_tokens
+            ).end
+            reserved = self._reserved(entry, model.limit(), now)
+            if model.fits(entry.tokens, reserved, now):
+                if end < best_end:
+                    best = member
+                    best_end = end
+            elif cached:
+                warm_end = min(warm_end, end)
+        if best is None:
+            return _Wait.CAPACITY
+        patience = self._preset.affinity_wait_seconds if self._preset else 0.0
+        if warm_end < best_end and now - entry.arrival < patience:
+            return _Wait.AFFINITY
+        return best
+
+    def _grant(
+        self,
+        entry: fairness.QueueEntry,
+        member: _Member,
+        now: float,
+        *,
+        isolated: bool = False,
+    ) -> effects.Effect:
+        ask = entry.ask
+        self._dequeue(entry, granted=True)
+        cached = member.prefixes.cached_tokens(ask.prefixes)
+        run = capacity.Running(
+            ask.request,
+            entry.holder,
+            ask.tier,
+            entry.tokens,
+            max(0, ask.prompt_tokens - cached),
+            ask.output_tokens,
+            ask.content,
+            now,
+            short=entry.short,
+            isolated=isolated,
+        )
+        member.model.start(run)
+        member.breaker.granted(now)
+        member.prefixes.used(ask.prefixes)
+        self._running_at[ask.request] = member
+        return _grant(entry.holder, ask.request, member.model.endpoint)
+
+    def _repeat_grant(
+        self,
+        member: _Member,
+        ask: messages.Ask,
+        holder: ids.NodeId,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Grants again what a holder asks for because the grant was lost."""
+        run = member.model.running[ask.request]
+        if run.holder != holder:
+            return []
+        run.granted = now
+        return [_grant(holder, ask.request, member.model.endpoint)]
+
+    # Running requests.
+
+    def _end_running(self, request: ids.RequestId, now: float) -> None:
+        member = self._running_at.pop(request)
+        member.model.end(request)
+        if self._isolated == request:
+            self._end_isolation()
+        if (
+            not member.open
+            and not member.model.running
+            and (self._service is None)
+        ):
+            self._members.pop(member.model.endpoint, None)
+
+    def _remember_ended(self, request: ids.RequestId) -> None:
+        self._ended[request] = None
+        if len(self._ended) > _ENDED_KEPT:
+            self._ended.popitem(last=False)
+
+    def _expire_running(self, now: float) -> None:
+        expired = [
+            run.request
+            for member in self._members.values()
+            for run in member.model.running.values()
+            if run.expires is not None and run.expires <= now
+        ]
+        for request in expired:
+            self._end_running(request, now)
+
+    def _restore(
+        self, item: messages.InFlight, holder: ids.NodeId, now: float
+    ) -> None:
+        if item.request in self._ended:
+            return
+        member = self._members.get(item.endpoint)
+        if member is None:
+            return
+        known = self._running_at.get(item.request)
+        if known is not None:
+            run = known.model.running[item.request]
+            if run.holder == holder and known is member:
+                run.expires = None
+                return
+            self._end_running(item.request, now)
+        entry = self._entries.get(item.request)
+        if entry is not None:
+            self._dequeue(entry)
+        tokens = item.prompt_tokens + item.output_tokens
+        run = capacity.Running(
+            item.request,
+            holder,
+            item.tier,
+            tokens,
+            0,
+            item.output_tokens,
+            item.content,
+            now - item.elapsed_ms / 1000,
+            short=tokens < self._short_tokens(),
+        )
+        member.model.restore(run)
+        self._running_at[item.request] = member
+
+    # Failures.
+
+    def _judge(
+        self,
+        member: _Member,
+        run: capacity.Running,
+        outcome: states.Outcome,
+        now: float,
+    ) -> None:
+        """Draws conclusions about endpoint and content from an outcome."""
+        if outcome is states.Outcome.COMPLETED:
+            member.breaker.succeeded()
+            if self._suspects.clear(run.content, now):
+                self.notices.append(messages.Cleared(run.content))
+            return
+        if outcome is states.Outcome.CANCELLED:
+            member.breaker.abandoned(now)
+            return
+        member.breaker.failed(now)
+        if outcome is not states.Outcome.BROKEN:
+            return
+        member.prefixes.clear()
+        if run.isolated and len(member.model.running) == 1:
+            self._suspects.convict(run.content, now)
+            self.notices.append(
+                messages.Suspect(
+                    member.model.endpoint, (run.content,), alone=True
+                )
+            )
+            return
+        contents = tuple(
+            sorted({other.content for other in member.model.running.values()})
+        )
+        fresh = [
+            content
+            for content in contents
+            if self._suspects.suspect(content, now)
+        ]
+        if fresh:
+            self.notices.append(
+                messages.Suspect(
+                    member.model.endpoint, tuple(fresh), alone=False
+                )
+            )
+
+    def _is_suspect(self, entry: fairness.QueueEntry, now: float) -> bool:
+        standing = self._suspects.standing(entry.ask.content, now)
+        return standing is not quarantine.Standing.CLEAR
+
+    def _isolate(
+        self, entry: fairness.QueueEntry, now: float
+    ) -> effects.Effect | None:
+        """Keeps an endpoint for a suspect and grants it once it is empty."""
+        request = entry.ask.request
+        if self._isolated is None:
+            usable = [
+                member
+                for member in self._usable(now)
+                if member.kept_for is None
+            ]
+            if not usable:
+                return None
+            member = min(
+                usable, key=lambda member: member.model.running_seconds(now)
+            )
+            member.kept_for = request
+            self._isolated = request
+        if self._isolated != request:
+            return None
+        for member in self._members.values():
+            if member.kept_for != request:
+                continue
+            if not member.open or not member.breaker.admits(now):
+                self._end_isolation()
+            elif not member.model.running:
+                return self._grant(entry, member, now, isolated=True)
+        return None
+
+    def _end_isolation(self) -> None:
+        for member in self._members.values():
+            if member.kept_for == self._isolated:
+                member.kept_for = None
+        self._isolated = None
+
+    def _reconsider(
+        self, entry: fairness.QueueEntry, now: float
+    ) -> list[effects.Effect]:
+        standing = self._suspects.standing(entry.ask.content, now)
+        if standing is not quarantine.Standing.GUILTY:
+            return []
+        self._dequeue(entry)
+        return [
+            _refusal(
+                entry.holder,
+                entry.ask.request,
+                errors.ErrorKind.QUARANTINED,
+                self._suspects.retry_after(entry.ask.content, now),
+            )
+        ]
+
+
+def _refusal(
+    holder: ids.NodeId,
+    request: ids.RequestId,
+    kind: errors.ErrorKind,
+    retry_after: float,
+) -> effects.Effect:
+    return effects.Send(
+        holder,
+        messages.Refusal(request, kind.value, math.ceil(retry_after * 1000)),
+    )
+
+
+def _grant(
+    holder: ids.NodeId, request: ids.RequestId, endpoint: ids.EndpointId
+) -> effects.Effect:
+    return effects.Send(
+        holder,
+        messages.Grant(request, endpoint, round(LEASE_SECONDS * 1000)),
+    )
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -0,0 +1,528 @@
+"""Lifecycle of the requests whose callers are connected to this node."""
+
+import random
+from collections.abc import Callable
+
+from baobabmux_core import (
+    effects,
+    errors,
+    fairness,
+    ids,
+    messages,
+    retries,
+    states,
+)
+
+OwnerOf = Callable[[ids.GroupId], ids.NodeId | None]
+
+# An unanswered Ask is repeated; the interval doubles because most requests
+# without an answer are queued, not lost.
+_FIRST_REPEAT_SECONDS = 1.0
+_MAX_REPEAT_SECONDS = 4.0
+# Progress is reported at least this often, so that a slowdown is known within
+# seconds.
+_PROGRESS_SECONDS = 2.0
+# A lost Release occupies a slot for at most about one interval.
+_REGISTER_SECONDS = 3.0
+# Registers that say "nothing in flight", against their loss.
+_EMPTY_REGISTERS = 3
+# A longer gap between ticks means that the process was paused: owners have
+# dropped its asks meanwhile.
+_PAUSE_SECONDS = 1.5
+_NO_ENDPOINT_RETRY_SECONDS = 2.0
+
+_HOLDS_SLOT = frozenset(
+    {
+        states.RequestState.GRANTED,
+        states.RequestState.CLAIMING,
+        states.RequestState.DISPATCHED,
+        states.RequestState.STREAMING,
+    }
+)
+_RUNNING = frozenset(
+    {states.RequestState.DISPATCHED, states.RequestState.STREAMING}
+)
+
+
+class Held:
+    """One request that this node holds.
+
+    Attributes:
+        work: The request.
+        state: Its state.
+        group: Group that it asks, or that granted it.
+        owner: Node that was asked last.
+        endpoint: Endpoint that was granted, or None.
+        arrival: Time of submission in seconds.
+        deadline: Latest end in seconds.
+        spilled: Whether it has asked another data centre.
+    """
+
+    __slots__ = (
+        "arrival",
+        "ask_at",
+        "claimed",
+        "deadline",
+        "dispatched",
+        "endpoint",
+        "failures",
+        "first_token",
+        "group",
+        "lease_end",
+        "owner",
+        "repeat",
+        "reported",
+        "spilled",
+        "state",
+        "tokens",
+        "work",
+    )
+
+    def __init__(
+        self,
+        work: effects.Work,
+        group: ids.GroupId,
+        deadline: float,
+        now: float,
+    ):
+        self.work = work
+        self.state = states.RequestState.RECEIVED
+        self.group = group
+        self.owner: ids.NodeId | None = None
+        self.endpoint: ids.EndpointId | None = None
+        self.arrival = now
+        self.deadline = deadline
+        self.spilled = False
+        self.claimed = False
+        self.ask_at = now
+        self.repeat = _FIRST_REPEAT_SECONDS
+        self.lease_end = 0.0
+        self.failures = 0
+        self.dispatched = 0.0
+        self.first_token: float | None = None
+        self.tokens = 0
+        self.reported = 0.0
+
+
+class Holder:
+    """Keeps requests from submission to their end and asks for grants.
+
+    Attributes:
+        held: Requests that have not ended, by identifier.
+    """
+
+    def __init__(self, node: ids.NodeId, owner_of: OwnerOf, seed: int):
+        self.node = node
+        self.held: dict[ids.RequestId, Held] = {}
+        self._owner_of = owner_of
+        self._generator = random.Random(seed)
+        self._budget = retries.RetryBudget()
+        self._registers: dict[ids.GroupId, int] = {}
+        self._register_at = 0.0
+        self._last_tick: float | None = None
+
+    # Commands of the caller's side.
+
+    def submit(
+        self,
+        work: effects.Work,
+        group: ids.GroupId,
+        deadline: float,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Takes a request and asks the owner of a group for a grant."""
+        if work.request in self.held:
+            return []
+        held = Held(work, group, deadline, now)
+        self.held[work.request] = held
+        held.state = states.RequestState.QUEUED
+        self._budget.deposit()
+        return self._ask(held, now)
+
+    def cancel(
+        self, request: ids.RequestId, now: float
+    ) -> list[effects.Effect]:
+        """Drops a request that has not been dispatched.
+
+        A dispatched request ends by `finished`, after the driver cancelled
+        it at the endpoint.
+        """
+        held = self.held.get(request)
+        if held is None or held.state in _RUNNING:
+            return []
+        return self._drop(held, states.RequestState.CANCELLED)
+
+    def start_dispatch(self, request: ids.RequestId, now: float) -> bool:
+        """Makes the dispatch irreversible; returns whether it may happen."""
+        held = self.held.get(request)
+        if held is None or held.state is not states.RequestState.GRANTED:
+            return False
+        if now >= held.lease_end or now >= held.deadline:
+            self._requeue(held, now)
+            return False
+        held.state = states.RequestState.DISPATCHED
+        held.dispatched = now
+        held.reported = now
+        return True
+
+    def first_token(
+        self, request: ids.RequestId, now: float
+    ) -> list[effects.Effect]:
+        """Notes the first token of the answer."""
+        held = self.held.get(request)
+        if held is None or held.state is not states.RequestState.DISPATCHED:
+            return []
+        held.state = states.RequestState.STREAMING
+        held.first_token = now
+        return []
+
+    def progress(
+        self, request: ids.RequestId, tokens: int, now: float
+    ) -> list[effects.Effect]:
+        """Notes the output tokens so far."""
+        held = self.held.get(request)
+        if held is None or held.state not in _RUNNING:
+            return []
+        self.first_token(request, now)
+        held.tokens = max(held.tokens, tokens)
+        return self._report(held, now)
+
+    def claim_decided(
+        self,
+        request: ids.RequestId,
+        won: bool,
+        now: float,
+        kind: errors.ErrorKind | None,
+        retry_after: float | None,
+    ) -> list[effects.Effect]:
+        """Dispatches a request whose claim won, or refuses it."""
+        held = self.held.get(request)
+        if held is None or held.state in _RUNNING or held.claimed:
+            return []
+        if not won:
+            return self._refuse(
+                held, kind or errors.ErrorKind.INTERNAL, retry_after
+            )
+        held.claimed = True
+        if held.state is not states.RequestState.CLAIMING:
+            return []
+        held.state = states.RequestState.GRANTED
+        return self._dispatch(held, now)
+
+    def finished(
+        self,
+        request: ids.RequestId,
+        outcome: states.Outcome,
+        now: float,
+        computed_tokens: int,
+        output_tokens: int,
+    ) -> list[effects.Effect]:
+        """Ends an attempt; a request that was not run may be tried again."""
+        held = self.held.get(request)
+        if held is None or held.state not in (
+            _RUNNING | {states.RequestState.GRANTED}
+        ):
+            return []
+        release = self._release(
+            held, outcome, now, computed_tokens, output_tokens
+        )
+        if outcome in (states.Outcome.NOT_SENT, states.Outcome.REJECTED):
+            return [release, *self._retry(held, now)]
+        held.state = {
+            states.Outcome.COMPLETED: states.RequestState.DONE,
+            states.Outcome.CANCELLED: states.RequestState.CANCELLED,
+        }.get(outcome, states.RequestState.FAILED)
+        del self.held[request]
+        return [release]
+
+    # Messages of owners.
+
+    def granted(
+        self, grant: messages.Grant, sender: ids.NodeId, now: float
+    ) -> list[effects.Effect]:
+        """Uses a grant, or gives it back."""
+        held = self.held.get(grant.request)
+        if (
+            held is not None
+            and held.endpoint == grant.endpoint
+            and (held.state in _HOLDS_SLOT)
+        ):
+            return []
+        if (
+            held is None
+            or sender != held.owner
+            or (held.state is not states.RequestState.QUEUED)
+        ):
+            return self._give_back(grant, held, sender)
+        held.endpoint = grant.endpoint
+        held.lease_end = now + grant.lease_ms / 1000
+        held.state = states.RequestState.GRANTED
+        self._registers[held.group] = _EMPTY_REGISTERS
+        if held.work.needs_claim and not held.claimed:
+            held.state = states.RequestState.CLAIMING
+            return [effects.Claim(grant.request)]
+        return self._dispatch(held, now)
+
+    def refused(
+        self,
+        refusal: messages.Refusal,
+        sender: ids.NodeId,
+        spill: Callable[[Held], ids.GroupId | None],
+        now: float,
+    ) -> list[effects.Effect]:
+        """Refuses a request, or asks another data centre once.
+
+        Args:
+            refusal: The owner's answer.
+            sender: The owner.
+            spill: Returns a group of another data centre that would end the
+                request in time, or None.
+            now: Current time in seconds.
+        """
+        held = self.held.get(refusal.request)
+        if (
+            held is None
+            or sender != held.owner
+            or (held.state is not states.RequestState.QUEUED)
+        ):
+            return []
+        kind = errors.ErrorKind(refusal.kind)
+        if kind is not errors.ErrorKind.QUARANTINED and not held.spilled:
+            group = spill(held)
+            if group is not None:
+                held.spilled = True
+                held.group = group
+                held.repeat = _FIRST_REPEAT_SECONDS
+                return self._ask(held, now)
+        return self._refuse(
+            held, kind, refusal.retry_after_ms / 1000, withdraw=False
+        )
+
+    # Time and members.
+
+    def owner_changed(
+        self, group: ids.GroupId, now: float
+    ) -> list[effects.Effect]:
+        """Registers and asks again at the new owner of a group."""
+        found = self.register(group, now)
+        owner = self._owner_of(group)
+        for held in list(self.held.values()):
+            if held.group != group or held.owner == owner:
+                continue
+            if held.state is states.RequestState.QUEUED:
+                found += self._ask(held, now)
+            else:
+                held.owner = owner
+        return found
+
+    def groups(self) -> set[ids.GroupId]:
+        """Returns the groups that hold requests of this node."""
+        return {held.group for held in self.held.values()}
+
+    def register(self, group: ids.GroupId, now: float) -> list[effects.Effect]:
+        """Tells the owner of a group what is in flight there."""
+        owner = self._owner_of(group)
+        if owner is None:
+            return []
+        in_flight = tuple(
+            messages.InFlight(
+                held.work.request,
+                held.endpoint,
+                held.work.tier,
+                held.work.prompt_tokens,
+                held.work.output_tokens,
+                held.work.content,
+                round((now - held.dispatched) * 1000)
+                if held.state in _RUNNING
+                else 0,
+            )
+            for held in self.held.values()
+            if held.group == group and held.state in _HOLDS_SLOT
+        )
+        return [effects.Send(owner, messages.Register(group, in_flight))]
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Repeats unanswered asks, refuses what is late, reports progress."""
+        paused = self._last_tick is not None and (
+            now - self._last_tick > _PAUSE_SECONDS
+        )
+        self._last_tick = now
+        found = []
+        for held in list(self.held.values()):
+            found += self._check(held, paused, now)
+        if now >= self._register_at:
+            self._register_at = now + _REGISTER_SECONDS
+            found += self._register_all(now)
+        return found
+
+    def _check(
+        self, held: Held, paused: bool, now: float
+    ) -> list[effects.Effect]:
+        if held.state in _RUNNING:
+            return self._report(held, now)
+        if now >= held.deadline:
+            return self._refuse(
+                held,
+                errors.ErrorKind.DEADLINE_PASSED,
+                _NO_ENDPOINT_RETRY_SECONDS,
+            )
+        if held.state is states.RequestState.QUEUED:
+            return self._ask(held, now) if paused or now >= held.ask_at else []
+        if now >= held.lease_end and (
+            held.state is states.RequestState.GRANTED
+        ):
+            self._requeue(held, now)
+            return self._ask(held, now)
+        return []
+
+    def _register_all(self, now: float) -> list[effects.Effect]:
+        """Repeats registers, so that a lost Release frees its slot."""
+        busy = {
+            held.group
+            for held in self.held.values()
+            if held.state in _HOLDS_SLOT
+        }
+        found = []
+        for group, left in list(self._registers.items()):
+            found += self.register(group, now)
+            if group in busy:
+                self._registers[group] = _EMPTY_REGISTERS
+            elif left <= 1:
+                del self._registers[group]
+            else:
+                self._registers[group] = left - 1
+        return found
+
+    # Steps.
+
+    def _ask(self, held: Held, now: float) -> list[effects.Effect]:
+        work = held.work
+        previous = held.owner
+        held.owner = self._owner_of(held.group)
+        held.ask_at = now + held.repeat
+        held.repeat = min(_MAX_REPEAT_SECONDS, 2 * held.repeat)
+        if held.owner is None:
+            return []
+        if held.owner != previous:
+            held.repeat = _FIRST_REPEAT_SECONDS
+        remaining = max(0, round((held.deadline - now) * 1000))
+        ask = messages.Ask(
+            held.group,
+            work.request,
+            work.tier,
+            fairness.workspace_hash(work.workspace),
+            remaining,
+            work.prompt_tokens,
+            work.output_tokens,
+            work.prefixes,
+            work.content,
+            round((now - held.arrival) * 1000),
+            held.spilled,
+        )
+        return [effects.Send(held.owner, ask)]
+
+    def _dispatch(self, held: Held, now: float) -> list[effects.Effect]:
+        if now >= held.lease_end:
+            self._requeue(held, now)
+            return self._ask(held, now)
+        return [effects.Dispatch(held.work.request, held.endpoint)]
+
+    def _requeue(self, held: Held, now: float) -> None:
+        """Returns to the queue; the next tick asks again."""
+        held.state = states.RequestState.QUEUED
+        held.endpoint = None
+        held.ask_at = now
+        held.repeat = _FIRST_REPEAT_SECONDS
+
+    def _retry(self, held: Held, now: float) -> list[effects.Effect]:
+        held.failures += 1
+        if not self._budget.withdraw():
+            return self._refuse(
+                held,
+                errors.ErrorKind.NO_ENDPOINT,
+                _NO_ENDPOINT_RETRY_SECONDS,
+                withdraw=False,
+            )
+        self._requeue(held, now)
+        held.first_token = None
+        held.tokens = 0
+        held.ask_at = now + retries.backoff(held.failures, self._generator)
+        return []
+
+    def _refuse(
+        self,
+        held: Held,
+        kind: errors.ErrorKind,
+        retry_after: float | None,
+        *,
+        withdraw: bool = True,
+    ) -> list[effects.Effect]:
+        found = self._drop(held, states.RequestState.REFUSED)
+        if not withdraw:
+            found = []
+        return [
+            *found,
+            effects.Refuse(held.work.request, kind, retry_after),
+        ]
+
+    def _drop(
+        self, held: Held, state: states.RequestState
+    ) -> list[effects.Effect]:
+        held.state = state
+        del self.held[held.work.request]
+        if held.owner is None:
+            return []
+        return [
+            effects.Send(
+                held.owner, messages.Withdraw(held.group, held.work.request)
+            )
+        ]
+
+    def _give_back(
+        self, grant: messages.Grant, held: Held | None, sender: ids.NodeId
+    ) -> list[effects.Effect]:
+        # A grant does not name its group; the owner finds the request in any
+        # group that it owns.
+        group = held.group if held is not None else ids.GroupId("")
+        return [effects.Send(sender, messages.Withdraw(group, grant.request))]
+
+    def _release(
+        self,
+        held: Held,
+        outcome: states.Outcome,
+        now: float,
+        computed_tokens: int,
+        output_tokens: int,
+    ) -> effects.Effect:
+        first = held.first_token if held.first_token is not None else now
+        message = messages.Release(
+            held.group,
+            held.work.request,
+            held.endpoint,
+            outcome.value,
+            computed_tokens,
+            output_tokens,
+            max(0, round((first - held.dispatched) * 1000)),
+            max(0, round((now - first) * 1000)),
+        )
+        owner = self._owner_of(held.group) or held.owner
+        return effects.Send(owner, message)
+
+    def _report(self, held: Held, now: float) -> list[effects.Effect]:
+        if now - held.reported < _PROGRESS_SECONDS or (
+            held.first_token is None
+        ):
+            return []
+        held.reported = now
+        owner = self._owner_of(held.group)
+        if owner is None:
+            return []
+        elapsed = round((now - held.first_token) * 1000)
+        return [
+            effects.Send(
+                owner,
+                messages.Progress(
+                    held.group, held.work.request, held.tokens, elapsed
+                ),
+            )
+        ]
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -0,0 +1,608 @@
+"""The scheduling decisions of one node, driven by the node and the bench."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+import msgspec
+
+from baobabmux_core import (
+    capacity,
+    declarations,
+    effects,
+    errors,
+    grants,
+    holders,
+    ids,
+    messages,
+    quarantine,
+    rendezvous,
+    states,
+)
+
+if typing.TYPE_CHECKING:
+    from baobabmux_core import membership
+
+# A wait of another data centre that is older than this says nothing; at 42
+# peers the heartbeat interval is 2.1 s and the wait takes two hops.
+_LOAD_SECONDS = 8.0
+# A drain is announced again this often against the loss of a message.
+_DRAIN_REPEATS = 3
+_DRAIN_REPEAT_SECONDS = 1.0
+_SHUTDOWN_RETRY_SECONDS = 1.0
+# Waits of another data centre change between heartbeats; a spill must leave
+# this much of a margin before the deadline.
+_SPILL_MARGIN_SECONDS = 0.5
+
+
+class _RemoteLoad(msgspec.Struct, frozen=True):
+    """Wait of a group as heard from a node at a time."""
+
+    wait: float
+    sender: ids.NodeId
+    heard: float
+
+
+class NodeScheduler:
+    """Composes the holder's and the owners' decisions of one node.
+
+    Commands return effects in the order in which the driver must carry them
+    out. A `Send` to the node itself is looped back by the driver.
+
+    Attributes:
+        node: Name of this node.
+        data_centre: Where it stands.
+        leaving: Whether it is shutting down.
+    """
+
+    def __init__(
+        self,
+        node: ids.NodeId,
+        data_centre: ids.DataCentre,
+        members: membership.Membership,
+        seed: int,
+    ):
+        self.node = node
+        self.data_centre = data_centre
+        self.leaving = False
+        self._membership = members
+        self._configuration: declarations.Configuration | None = None
+        self._holder = holders.Holder(node, self._owner, seed)
+        self._owned: dict[ids.GroupId, grants.GroupOwner] = {}
+        self._owners: dict[ids.GroupId, ids.NodeId | None] = {}
+        self._live: set[ids.NodeId] = set()
+        self._quarantine = quarantine.Quarantine()
+        self._drained: set[ids.EndpointId] = set()
+        self._drain_repeats: dict[ids.EndpointId, tuple[int, float]] = {}
+        self._loads: dict[ids.GroupId, _RemoteLoad] = {}
+
+    # Callers.
+
+    def submit(self, work: effects.Work, now: float) -> list[effects.Effect]:
+        """Takes a caller's request."""
+        refusal = self._refusal_at_once(work, now)
+        if refusal is not None:
+            return [refusal]
+        group = self._home_group(work.service)
+        if group is None:
+            return [_refuse(work, errors.ErrorKind.NO_ENDPOINT, 1.0)]
+        route = self._configuration.routes.get(work.route)
+        deadline = math.inf if work.deadline is None else work.deadline
+        if route is not None:
+            deadline = min(deadline, now + route.timeout_seconds)
+        return self._holder.submit(work, group, deadline, now)
+
+    def start_dispatch(self, request: ids.RequestId, now: float) -> bool:
+        """Permits the first byte; called immediately before it.
+
+        Returns:
+            Whether the driver may write. If not, the next tick asks again
+            or refuses.
+        """
+        return self._holder.start_dispatch(request, now)
+
+    def first_token(
+        self, request: ids.RequestId, now: float
+    ) -> list[effects.Effect]:
+        """Notes the first token of a request's answer."""
+        return self._holder.first_token(request, now)
+
+    def progress(
+        self, request: ids.RequestId, tokens: int, now: float
+    ) -> list[effects.Effect]:
+        """Notes the output tokens of a request so far."""
+        return self._holder.progress(request, tokens, now)
+
+    def finished(
+        self,
+        request: ids.RequestId,
+        outcome: states.Outcome,
+        now: float,
+        *,
+        computed_tokens: int = -1,
+        output_tokens: int = 0,
+    ) -> list[effects.Effect]:
+        """Ends an attempt.
+
+        After `NOT_SENT` and `REJECTED` the request waits for another grant
+        and a `Dispatch` or a `Refuse` follows; every other outcome is final.
+
+        Args:
+            request: Request that was dispatched.
+            outcome: How the attempt ended.
+            now: Current time in seconds.
+            computed_tokens: Prompt tokens that the endpoint computed, or -1.
+            output_tokens: Output tokens received.
+
+        Returns:
+            Effects to carry out.
+        """
+        return self._holder.finished(
+            request, outcome, now, computed_tokens, output_tokens
+        )
+
+    def claim_decided(
+        self,
+        request: ids.RequestId,
+        won: bool,
+        now: float,
+        *,
+        kind: errors.ErrorKind | None = None,
+        retry_after: float | None = None,
+    ) -> list[effects.Effect]:
+        """Dispatches a request whose claim won, or refuses it by `kind`."""
+        return self._holder.claim_decided(request, won, now, kind, retry_after)
+
+    def cancel(
+        self, request: ids.RequestId, now: float
+    ) -> list[effects.Effect]:
+        """Drops a request that is not dispatched; its caller is gone.
+
+        The driver cancels a dispatched request at the endpoint and calls
+        `finished` with `CANCELLED`.
+        """
+        return self._holder.cancel(request, now)
+
+    # Nodes.
+
+    def receive(
+        self, sender: ids.NodeId, message: messages.AnyMessage, now: float
+    ) -> list[effects.Effect]:
+        """Handles a message of a node; unknown kinds have no effect."""
+        match message:
+            case messages.Ask():
+                found = self._asked(message, sender, now)
+            case messages.Grant():
+                found = self._holder.granted(message, sender, now)
+            case messages.Refusal():
+                found = self._holder.refused(
+                    message, sender, lambda held: self._spill(held, now), now
+                )
+            case messages.Withdraw():
+                found = self._withdrawn(message, sender, now)
+            case messages.Progress() | messages.Release():
+                found = self._reported(message, sender, now)
+            case messages.Register():
+                owner = self._owned.get(message.group)
+                found = owner.register(message, sender, now) if owner else []
+            case messages.Heartbeat():
+                self._note_loads(message, sender, now)
+                found = []
+            case messages.Suspect():
+                found = self._suspected(message, now)
+            case messages.Cleared():
+                self._quarantine.clear(message.content, now)
+                found = []
+            case messages.DrainEndpoint():
+                self._set_drained(message.endpoint, message.drain)
+                found = []
+            case _:
+                found = []
+        return found + self._notices()
+
+    def members_changed(self, now: float) -> list[effects.Effect]:
+        """Adapts to the membership: owners, dead holders, endpoints' VMs."""
+        live = set(self._membership.live(self.data_centre))
+        live.add(self.node)
+        reachable = live | set(self._membership.reachable())
+        lost = self._live - reachable
+        self._live = reachable
+        for owner in self._owned.values():
+            for holder in lost:
+                owner.holder_lost(holder, now)
+        found = self._update_owners(now, live)
+        self._update_endpoints()
+        return found + self._pump(now)
+
+    def leave(self, now: float) -> list[effects.Effect]:
+        """Starts a graceful shutdown: no new callers, no ownership."""
+        self.leaving = True
+        heartbeat = messages.Heartbeat(True, -1)
+        found: list[effects.Effect] = [
+            effects.Send(node, heartbeat)
+            for node in self._membership.reachable()
+            if node != self.node
+        ]
+        return found + self.members_changed(now)
+
+    # Operators, endpoints and time.
+
+    def configure(
+        self, configuration: declarations.Configuration, now: float
+    ) -> list[effects.Effect]:
+        """Adopts a configuration."""
+        self._configuration = configuration
+        for owner in self._owned.values():
+            owner.configure(configuration, now)
+        return self.members_changed(now)
+
+    def load_report(
+        self,
+        endpoint: ids.EndpointId,
+        running: int,
+        waiting: int,
+        tokens: int,
+        as_of: float,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Corrects an owned endpoint's count by its own report."""
+        found = []
+        for owner in self._owned.values():
+            found += owner.load_report(endpoint, running + waiting, now)
+        return found
+
+    def cache_event(
+        self,
+        endpoint: ids.EndpointId,
+        kind: str,
+        digest: ids.PrefixDigest,
+        tokens: int,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Follows an owned endpoint's cache; `kind` "stored" or "evicted"."""
+        for owner in self._owned.values():
+            owner.cache_event(endpoint, kind, digest, tokens)
+        return []
+
+    def drain_endpoint(
+        self, endpoint: ids.EndpointId, drain: bool, now: float
+    ) -> list[effects.Effect]:
+        """Keeps new work from an endpoint on all nodes, or ends that."""
+        self._set_drained(endpoint, drain)
+        self._drain_repeats[endpoint] = (
+            _DRAIN_REPEATS,
+            now + _DRAIN_REPEAT_SECONDS,
+        )
+        return self._broadcast(messages.DrainEndpoint(endpoint, drain)) + (
+            self._pump(now)
+        )
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Does what is due; called several times a second."""
+        self._update_endpoints()
+        found = self._holder.tick(now) + self._pump(now)
+        for endpoint, (left, due) in list(self._drain_repeats.items()):
+            if now < due:
+                continue
+            drained = endpoint in self._drained
+            found += self._broadcast(messages.DrainEndpoint(endpoint, drained))
+            self._drain_repeats[endpoint] = (
+                left - 1,
+                now + _DRAIN_REPEAT_SECONDS,
+            )
+            if left <= 1:
+                del self._drain_repeats[endpoint]
+        return found + self._notices()
+
+    # Queries.
+
+    def held_requests(self) -> int:
+        """Returns the number of requests that have not ended here."""
+        return len(self._holder.held)
+
+    def state(self, request: ids.RequestId) -> states.RequestState | None:
+        """Returns the state of a request, or None if it is not held."""
+        held = self._holder.held.get(request)
+        return held.state if held else None
+
+    def latest_end(self) -> float | None:
+        """Returns the latest deadline of a held request, or None.
+
+        A graceful shutdown ends by then.
+        """
+        return max(
+            (held.deadline for held in self._holder.held.values()),
+            default=None,
+        )
+
+    def owned_groups(self) -> list[ids.GroupId]:
+        """Returns the groups that this node owns."""
+        return list(self._owned)
+
+    def owned_endpoints(self) -> list[ids.EndpointId]:
+        """Returns the endpoints of all owned groups."""
+        return [
+            endpoint
+            for owner in self._owned.values()
+            for endpoint in owner.endpoints()
+        ]
+
+    def queue_length(self) -> int:
+        """Returns the requests that wait in the owned groups."""
+        return sum(owner.queue_length() for owner in self._owned.values())
+
+    def queued_by_tier(self, group: ids.GroupId) -> dict[int, int]:
+        """Returns the requests that wait in an owned group, by tier rank."""
+        owner = self._owned.get(group)
+        return owner.queued_by_tier() if owner else {}
+
+    def outstanding(self) -> dict[ids.EndpointId, tuple[int, int]]:
+        """Returns granted requests and tokens of the owned endpoints."""
+        return {
+            endpoint: counts
+            for owner in self._owned.values()
+            for endpoint, counts in owner.outstanding().items()
+        }
+
+    def model(self, endpoint: ids.EndpointId) -> capacity.EndpointModel | None:
+        """Returns the model of an owned endpoint, or None."""
+        for owner in self._owned.values():
+            if endpoint in owner.endpoints():
+                return owner.model(endpoint)
+        return None
+
+    def drained(self) -> frozenset[ids.EndpointId]:
+        """Returns the endpoints that operators drain."""
+        return frozenset(self._drained)
+
+    def loads(
+        self, now: float, peer: ids.NodeId | None = None
+    ) -> tuple[messages.ServiceLoad, ...]:
+        """Returns the waits of groups for a heartbeat.
+
+        Peers in this data centre are told the waits of other data centres
+        that this node heard from there; peers elsewhere those of this data
+        centre. Thus two delegates of each data centre suffice.
+
+        Args:
+            now: Current time in seconds.
+            peer: Receiver of the heartbeat, or None for the owned groups.
+        """
+        waits = {group: owner.wait(now) for group, owner in self._owned.items()}
+        if peer is not None:
+            near = set(self._membership.live(self.data_centre))
+            for group, load in self._loads.items():
+                at_home = group.endswith(f"@{self.data_centre}")
+                if now - load.heard > _LOAD_SECONDS or at_home == (
+                    peer in near
+                ):
+                    continue
+                if at_home or load.sender not in near:
+                    waits.setdefault(group, load.wait)
+        return tuple(
+            messages.ServiceLoad(group, round(wait * 1000))
+            for group, wait in waits.items()
+        )
+
+    # Steps.
+
+    def _refusal_at_once(
+        self, work: effects.Work, now: float
+    ) -> effects.Effect | None:
+        if self._configuration is None:
+            return _refuse(work, errors.ErrorKind.NOT_READY, 1.0)
+        if self.leaving:
+            return _refuse(
+                work,
+                errors.ErrorKind.SHUTTING_DOWN,
+                _SHUTDOWN_RETRY_SECONDS,
+            )
+        standing = self._quarantine.standing(work.content, now)
+        if standing is quarantine.Standing.GUILTY:
+            return _refuse(
+                work,
+                errors.ErrorKind.QUARANTINED,
+                self._quarantine.retry_after(work.content, now),
+            )
+        if work.deadline is not None and work.deadline <= now:
+            return _refuse(work, errors.ErrorKind.DEADLINE_PASSED, 1.0)
+        return None
+
+    def _home_group(self, service: ids.ServiceName) -> ids.GroupId | None:
+        """Returns the local group, or else the one with the least wait."""
+        centres = {
+            endpoint.data_centre
+            for endpoint in self._configuration.endpoints.values()
+            if endpoint.service == service
+        }
+        if not centres:
+            return None
+        if self.data_centre in centres:
+            return ids.group_id(service, self.data_centre)
+        groups = sorted(ids.group_id(service, centre) for centre in centres)
+        return min(
+            groups,
+            key=lambda group: (
+                self._loads[group].wait if group in self._loads else math.inf
+            ),
+        )
+
+    def _spill(self, held: holders.Held, now: float) -> ids.GroupId | None:
+        best = None
+        best_wait = math.inf
+        for group, load in self._loads.items():
+            service, _, _ = group.partition("@")
+            if service != held.work.service or group == held.group:
+                continue
+            if now - load.heard > _LOAD_SECONDS or load.wait >= best_wait:
+                continue
+            if self._owner(group) is None:
+                continue
+            best = group
+            best_wait = load.wait
+        if best is None:
+            return None
+        seconds = self._service_seconds(held.work, best)
+        late = now + best_wait + seconds + _SPILL_MARGIN_SECONDS
+        return best if late < held.deadline else None
+
+    def _service_seconds(self, work: effects.Work, group: ids.GroupId) -> float:
+        """Estimates a request's time in a slot by the declared rates."""
+        endpoints = self._configuration.group_endpoints(group).values()
+        service = self._configuration.services.get(work.service)
+        if service is None or service.kind == "plain":
+            return 0.0
+        return min(
+            (
+                work.prompt_tokens / endpoint.prefill_tokens_per_second
+                + work.output_tokens / endpoint.decode_tokens_per_second
+                for endpoint in endpoints
+            ),
+            default=math.inf,
+        )
+
+    def _owner(self, group: ids.GroupId) -> ids.NodeId | None:
+        owner = self._membership.owner(group)
+        if owner != self.node or not self.leaving:
+            return owner
+        # Peers already regard this node as leaving.
+        others = set(self._membership.live(self.data_centre)) - {self.node}
+        return rendezvous.owner(group, others) or self.node
+
+    def _asked(
+        self, ask: messages.Ask, sender: ids.NodeId, now: float
+    ) -> list[effects.Effect]:
+        owner = self._owned.get(ask.group)
+        # The holder repeats its ask; by then both agree on the owner.
+        return owner.ask(ask, sender, now) if owner else []
+
+    def _withdrawn(
+        self, message: messages.Withdraw, sender: ids.NodeId, now: float
+    ) -> list[effects.Effect]:
+        found = []
+        for owner in self._owned.values():
+            found += owner.withdraw(message.request, sender, now)
+        return found
+
+    def _reported(
+        self,
+        message: messages.Progress | messages.Release,
+        sender: ids.NodeId,
+        now: float,
+    ) -> list[effects.Effect]:
+        owner = self._owned.get(message.group)
+        if owner is None:
+            return []
+        if isinstance(message, messages.Progress):
+            return owner.progress(message, sender, now)
+        return owner.release(message, sender, now)
+
+    def _note_loads(
+        self, message: messages.Heartbeat, sender: ids.NodeId, now: float
+    ) -> None:
+        for load in message.loads:
+            if load.group not in self._owned:
+                self._loads[load.group] = _RemoteLoad(
+                    load.wait_ms / 1000, sender, now
+                )
+
+    def _suspected(
+        self, message: messages.Suspect, now: float
+    ) -> list[effects.Effect]:
+        for content in message.contents:
+            if message.alone:
+                self._quarantine.convict(content, now)
+            else:
+                self._quarantine.suspect(content, now)
+        found = []
+        for owner in self._owned.values():
+            found += owner.contents_suspected(message.contents, now)
+        return found
+
+    def _set_drained(self, endpoint: ids.EndpointId, drain: bool) -> None:
+        if drain:
+            self._drained.add(endpoint)
+        else:
+            self._drained.discard(endpoint)
+        self._update_endpoints()
+
+    def _update_owners(
+        self, now: float, live: set[ids.NodeId]
+    ) -> list[effects.Effect]:
+        if self._configuration is None:
+            return []
+        groups = {
+            ids.group_id(endpoint.service, endpoint.data_centre)
+            for endpoint in self._configuration.endpoints.values()
+            if endpoint.data_centre == self.data_centre
+        }
+        for group in self._owned.keys() - groups:
+            del self._owned[group]
+        found = []
+        for group in sorted(groups | self._holder.groups()):
+            owner = self._owner(group)
+            if group in groups:
+                self._take_or_drop(group, owner, live, now)
+            if owner != self._owners.get(group):
+                self._owners[group] = owner
+                found += self._holder.owner_changed(group, now)
+        return found
+
+    def _take_or_drop(
+        self,
+        group: ids.GroupId,
+        owner: ids.NodeId | None,
+        live: set[ids.NodeId],
+        now: float,
+    ) -> None:
+        if owner != self.node:
+            self._owned.pop(group, None)
+            return
+        if group in self._owned:
+            return
+        taken = grants.GroupOwner(group, self._quarantine, now)
+        taken.configure(self._configuration, now)
+        taken.await_registers(live, now)
+        self._owned[group] = taken
+
+    def _update_endpoints(self) -> None:
+        if self._configuration is None:
+            return
+        for owner in self._owned.values():
+            for endpoint in owner.endpoints():
+                declared = self._configuration.endpoints.get(endpoint)
+                is_open = (
+                    declared is not None
+                    and endpoint not in self._drained
+                    and self._membership.endpoint_vm_state(declared.vm)
+                    is states.EndpointState.LIVE
+                )
+                owner.set_open(endpoint, is_open)
+
+    def _pump(self, now: float) -> list[effects.Effect]:
+        found = []
+        for owner in self._owned.values():
+            found += owner.tick(now)
+        return found + self._notices()
+
+    def _notices(self) -> list[effects.Effect]:
+        found = []
+        for owner in self._owned.values():
+            for message in owner.notices:
+                found += self._broadcast(message)
+            owner.notices.clear()
+        return found
+
+    def _broadcast(self, message: messages.AnyMessage) -> list[effects.Effect]:
+        return [
+            effects.Send(node, message)
+            for node in sorted(self._membership.reachable())
+            if node != self.node
+        ]
+
+
+def _refuse(
+    work: effects.Work, kind: errors.ErrorKind, retry_after: float
+) -> effects.Effect:
+    return effects.Refuse(work.request, kind, retry_after)
--- /dev/null
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -0,0 +1,338 @@
+"""Tests of the scheduling decisions of several nodes together."""
+
+import collections
+
+import pytest
+from hypothesis import settings
+from hypothesis import stateful as st
+from hypothesis import strategies as hs
+
+from baobabmux_core import (
+    declarations,
+    effects,
+    rendezvous,
+    scheduler,
+    states,
+)
+
+_CENTRE = "col-a"
+_GROUP = f"drafting@{_CENTRE}"
+_MAX_REQUESTS = 2
+
+
+def _configuration(endpoints=2, centres=(_CENTRE,), **service):
+    declared = {
+        f"e{index}-{centre}": declarations.Endpoint(
+            "drafting", centre, f"vm{index}", "127.0.0.1:1",
+            max_requests=_MAX_REQUESTS, max_tokens=4000, cache_tokens=4000,
+            prefill_tokens_per_second=1000.0, decode_tokens_per_second=100.0,
+        )
+        for centre in centres
+        for index in range(endpoints)
+    }  # fmt: skip
+    return declarations.Configuration(
+        tiers={f"t{rank}": declarations.Tier(rank) for rank in range(3)},
+        services={"drafting": declarations.Service("engine", **service)},
+        endpoints=declared,
+        routes={
+            "wording": declarations.Route(
+                "/w", "drafting", "t0", timeout_seconds=30.0
+            )
+        },
+        presets={
+            "ordinary": declarations.Preset(short_share=0, high_tier_share=0)
+        },
+        active="ordinary",
+    )
+
+
+class _Members:
+    """Membership view that a test sets; the same for all nodes."""
+
+    def __init__(self, centres):
+        self.centres = centres  # Live nodes by data centre.
+        self.endpoint_states = {}
+
+    def live(self, data_centre):
+        return list(self.centres.get(data_centre, ()))
+
+    def reachable(self):
+        return [node for nodes in self.centres.values() for node in nodes]
+
+    def owner(self, group):
+        return rendezvous.owner(group, self.live(group.split("@")[1]))
+
+    def endpoint_vm_state(self, vm):
+        return self.endpoint_states.get(vm, states.EndpointState.LIVE)
+
+
+class Cluster:
+    """Nodes, a network that may lose and repeat, and endpoints."""
+
+    def __init__(self, nodes=3, centres=(_CENTRE,), **options):
+        self.now = 100.0
+        self.members = _Members(
+            {c: [f"{c}-n{i}" for i in range(nodes)] for c in centres}
+        )
+        self.nodes = {
+            node: scheduler.NodeScheduler(node, centre, self.members, 1)
+            for centre, names in self.members.centres.items()
+            for node in names
+        }
+        self.network = collections.deque()
+        self.paused = set()
+        self.lost = set()  # Names of message types that get lost.
+        self.holder_of = {}
+        self.pending = {}  # Dispatch effects that the driver has not begun.
+        self.running = {}
+        self.dispatches = collections.Counter()
+        self.finals = collections.defaultdict(list)
+        self.refusals = {}
+        configuration = _configuration(centres=centres, **options)
+        for node, core in self.nodes.items():
+            self.carry_out(node, core.configure(configuration, self.now))
+        self.deliver_all()
+
+    def carry_out(self, node, found):
+        for effect in found:
+            if isinstance(effect, effects.Send):
+                self.network.append((node, effect.to, effect.message))
+            elif isinstance(effect, effects.Dispatch | effects.Claim):
+                self.pending[effect.request] = effect
+            elif isinstance(effect, effects.Refuse):
+                self.finals[effect.request].append("refused")
+                self.refusals[effect.request] = effect
+                self.pending.pop(effect.request, None)
+
+    def deliver(self, index=0):
+        sender, to, message = self.network[index]
+        del self.network[index]
+        if to not in self.nodes or type(message).__name__ in self.lost:
+            return
+        if to in self.paused:
+            self.network.append((sender, to, message))
+            return
+        found = self.nodes[to].receive(sender, message, self.now)
+        self.carry_out(to, found)
+
+    def deliver_all(self):
+        for _ in range(2000):
+            waiting = [m for m in self.network if m[1] not in self.paused]
+            if not waiting:
+                return
+            self.deliver()
+        raise AssertionError("messages circulate without end")
+
+    def submit(self, request, node=0, **fields):
+        name = list(self.nodes)[node]
+        values = {
+            "route": "wording", "service": "drafting", "tier": 0,
+            "workspace": "w", "deadline": None, "prompt_tokens": 100,
+            "output_tokens": 100, "content": hash(request) & 0xFFFF,
+        }  # fmt: skip
+        values.update(fields)
+        self.holder_of[request] = name
+        core = self.nodes[name]
+        work = effects.Work(request=request, **values)
+        self.carry_out(name, core.submit(work, self.now))
+
+    def step(self, request):
+        """Does the driver's next step for a pending effect."""
+        effect = self.pending.pop(request)
+        core = self.nodes[self.holder_of[request]]
+        if isinstance(effect, effects.Claim):
+            found = core.claim_decided(request, True, self.now)
+            self.carry_out(self.holder_of[request], found)
+        elif core.start_dispatch(request, self.now):
+            self.dispatches[request] += 1
+            self.running[request] = effect.endpoint
+
+    def step_all(self):
+        while self.pending:
+            self.step(next(iter(self.pending)))
+
+    def finish(self, request, outcome=states.Outcome.COMPLETED):
+        node = self.holder_of[request]
+        del self.running[request]
+        if outcome in (states.Outcome.NOT_SENT, states.Outcome.REJECTED):
+            self.dispatches[request] -= 1  # It was not run.
+        else:
+            self.finals[request].append(outcome.value)
+        found = self.nodes[node].finished(
+            request, outcome, self.now, computed_tokens=50, output_tokens=20
+        )
+        self.carry_out(node, found)
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 0.25)
+            for node, core in self.nodes.items():
+                if node not in self.paused:
+                    self.carry_out(node, core.tick(self.now))
+            self.deliver_all()
+
+    def members_changed(self):
+        for node, core in self.nodes.items():
+            if node not in self.paused:
+                self.carry_out(node, core.members_changed(self.now))
+
+    def settle(self, seconds=40):
+        """Runs the cluster without faults until all requests have ended."""
+        self.lost.clear()
+        self.paused.clear()
+        self.members_changed()
+        for _ in range(int(seconds * 4)):
+            self.deliver_all()
+            self.step_all()
+            for request in list(self.running):
+                self.finish(request)
+            self.advance(0.25)
+        self.deliver_all()
+
+    def outstanding(self):
+        return {
+            endpoint: counts
+            for core in self.nodes.values()
+            for endpoint, counts in core.outstanding().items()
+        }
+
+    # Invariants, each written once.
+
+    def dispatched_twice(self):
+        return [r for r, count in self.dispatches.items() if count > 1]
+
+    def without_single_final(self):
+        return [r for r in self.holder_of if len(self.finals[r]) != 1]
+
+    def beyond_limits(self):
+        return [
+            (node, endpoint)
+            for node, core in self.nodes.items()
+            for endpoint, (requests, tokens) in core.outstanding().items()
+            if requests > _MAX_REQUESTS or tokens > 4000
+        ]
+
+
+def test_request_runs_from_submission_to_release():
+    """Guards against a broken chain of ask, grant, dispatch and release."""
+    cluster = Cluster()
+    cluster.submit("r1")
+    cluster.deliver_all()
+    cluster.step_all()
+    assert list(cluster.running) == ["r1"]
+    cluster.finish("r1")
+    cluster.deliver_all()
+    assert sum(n for n, _ in cluster.outstanding().values()) == 0
+    assert all(not core.held_requests() for core in cluster.nodes.values())
+
+
+@pytest.mark.parametrize("lost", ["Ask", "Grant", "Release", "Withdraw"])
+def test_lost_message_is_made_good(lost):
+    """Guards against a request or a slot lost with one message."""
+    cluster = Cluster(endpoints=1)
+    cluster.lost.add(lost)
+    for index in range(4):
+        cluster.submit(f"r{index}", node=index % 3)
+    cluster.deliver_all()
+    cluster.step_all()
+    for request in list(cluster.running):
+        cluster.finish(request)
+    cluster.advance(0.5)
+    cluster.settle()
+    assert not cluster.without_single_final()
+    assert not cluster.refusals
+    assert sum(n for n, _ in cluster.outstanding().values()) == 0
+
+
+class Faults(st.RuleBasedStateMachine):
+    """Submissions under lost, repeated and reordered messages and pauses."""
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = Cluster()
+        self.count = 0
+
+    @st.rule(
+        node=hs.integers(0, 2), tier=hs.integers(0, 2), claim=hs.booleans(),
+        size=hs.sampled_from([50, 500, 3000]),
+        deadline=hs.sampled_from([None, 2.0, 20.0]),
+    )  # fmt: skip
+    def submit(self, node, tier, claim, size, deadline):
+        name = list(self.cluster.nodes)[node]
+        if name in self.cluster.paused:
+            return
+        self.count += 1
+        due = None if deadline is None else self.cluster.now + deadline
+        self.cluster.submit(
+            f"r{self.count}", node, tier=tier, needs_claim=claim,
+            prompt_tokens=size, deadline=due,
+        )  # fmt: skip
+
+    @st.precondition(lambda self: self.cluster.network)
+    @st.rule(data=hs.data(), fate=hs.sampled_from("ddddlcc"))
+    def message(self, data, fate):
+        network = self.cluster.network
+        index = data.draw(hs.integers(0, min(5, len(network) - 1)))
+        if fate == "l":
+            del network[index]
+            return
+        if fate == "c":
+            network.append(network[index])
+        self.cluster.deliver(index)
+
+    @st.precondition(lambda self: self.cluster.pending)
+    @st.rule(data=hs.data())
+    def drive(self, data):
+        request = data.draw(hs.sampled_from(sorted(self.cluster.pending)))
+        if self.cluster.holder_of[request] not in self.cluster.paused:
+            self.cluster.step(request)
+
+    @st.precondition(lambda self: self.cluster.running)
+    @st.rule(data=hs.data(), outcome=hs.sampled_from(states.Outcome))
+    def finish(self, data, outcome):
+        request = data.draw(hs.sampled_from(sorted(self.cluster.running)))
+        if self.cluster.holder_of[request] not in self.cluster.paused:
+            self.cluster.finish(request, outcome)
+
+    @st.rule(seconds=hs.sampled_from([0.25, 1.0, 5.0]))
+    def wait(self, seconds):
+        self.cluster.now += seconds
+        for node, core in self.cluster.nodes.items():
+            if node not in self.cluster.paused:
+                found = core.tick(self.cluster.now)
+                self.cluster.carry_out(node, found)
+
+    @st.rule(node=hs.integers(0, 2))
+    def pause_or_resume(self, node):
+        name = list(self.cluster.nodes)[node]
+        self.cluster.paused ^= {name}
+        self.cluster.members.centres[_CENTRE] = [
+            node
+            for node in self.cluster.nodes
+            if node not in self.cluster.paused
+        ]
+        self.cluster.members_changed()
+
+    @st.invariant()
+    def at_most_one_dispatch(self):
+        assert not self.cluster.dispatched_twice()
+
+    @st.invariant()
+    def limits_hold(self):
+        assert not self.cluster.beyond_limits()
+
+    def teardown(self):
+        self.cluster.members.centres[_CENTRE] = list(self.cluster.nodes)
+        self.cluster.settle()
+        assert not self.cluster.without_single_final()
+        assert not self.cluster.dispatched_twice()
+        waiting = [c.queue_length() for c in self.cluster.nodes.values()]
+        assert sum(waiting) == 0
+        assert sum(n for n, _ in self.cluster.outstanding().values()) == 0
+
+
+Faults.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+)
+TestFaults = Faults.TestCase
