--- /dev/null
+++ b/standins/src/baobabmux_standins/cluster.py
@@ -0,0 +1,355 @@
+"""Harness of process tests: stand-ins and nodes as child processes.
+
+A `Cluster` starts processes, cuts the links between data centres and ends
+exactly the processes that it started. Its methods block the thread.
+"""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterable
+from types import TracebackType
+from typing import Any, Self
+
+import msgspec
+import tomli_w
+
+from baobabmux_standins import client, process
+
+_PLATFORM = "platform"
+_COMMANDS = pathlib.Path(sys.executable).parent
+_CTL_SECONDS = 60.0
+
+
+class CommandError(Exception):
+    """A command of a stand-in or of the operator's tool failed."""
+
+
+class StandIn(msgspec.Struct, frozen=True):
+    """A stand-in that runs in a child process.
+
+    Attributes:
+        kind: Its kind.
+        address: IP number and port of its protocol.
+        control: IP number and port for commands.
+    """
+
+    kind: str
+    address: str
+    control: str
+
+    def counts(self) -> dict[str, Any]:
+        """Returns its counts."""
+        return client.call(self.control, "GET", "/counts").json()
+
+    def set_faults(self, **faults: Any) -> None:
+        """Replaces its faults; without arguments it is healthy."""
+        _command(self.control, "/faults", faults)
+
+
+class Node:
+    """A node that runs as a child process.
+
+    Attributes:
+        name: Its identifier.
+        data_centre: Where it stands.
+        process: Its process.
+        callers: Address for callers.
+        admin: Address for operators.
+        peers: Address for other nodes.
+    """
+
+    def __init__(self, name: str, data_centre: str, running: process.Process):
+        self.name = name
+        self.data_centre = data_centre
+        self.process = running
+        self.callers = ""
+        self.admin = ""
+        self.peers = ""
+
+    def read_addresses(self) -> None:
+        """Waits for the line in which the node names its addresses."""
+        listening = self.process.announcement()
+        self.callers = listening["callers"]
+        self.admin = listening["admin"]
+        self.peers = listening["peers"]
+
+    def is_ready(self) -> bool:
+        """Returns whether the node says that it is ready."""
+        return client.call(self.admin, "GET", "/readyz").status == 200
+
+    def metrics(self) -> str:
+        """Returns the text of its metrics."""
+        return client.call(self.admin, "GET", "/metrics").body.decode()
+
+
+class _Link(msgspec.Struct, frozen=True):
+    """A relay between two places."""
+
+    ends: frozenset[str]
+    relay: StandIn
+
+
+class Cluster:
+    """Stand-ins, nodes and the links between their data centres.
+
+    Leaving the `with` block ends all processes.
+
+    Attributes:
+        directory: Temporary directory of settings and output.
+        log: Log service, after `start_platform`.
+        vms: VM list, after `start_platform`.
+        nodes: Nodes by name.
+        processes: All processes started.
+        relays: Relays by the viewer's data centre and the target.
+    """
+
+    def __init__(self):
+        self._temporary = tempfile.TemporaryDirectory(prefix="baobabmux-")
+        self.directory = pathlib.Path(self._temporary.name)
+        self.log: StandIn | None = None
+        self.vms: StandIn | None = None
+        self.nodes: dict[str, Node] = {}
+        self.processes: list[process.Process] = []
+        self._hosts: dict[str, str] = {}
+        self._links: list[_Link] = []
+        self.relays: dict[tuple[str, str], StandIn] = {}
+        self._data_centres: list[str] = []
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.end()
+
+    def end(self) -> None:
+        """Ends all processes and removes the directory."""
+        for running in reversed(self.processes):
+            running.end()
+        self.processes.clear()
+        self._temporary.cleanup()
+
+    def start_process(self, name: str, command: list[str]) -> process.Process:
+        """Starts a process that `end` will end."""
+        running = process.Process(name, command, self.directory)
+        self.processes.append(running)
+        return running
+
+    def add(
+        self, kind: str, host: str = "endpoints", **options: Any
+    ) -> StandIn:
+        """Starts a stand-in.
+
+        Args:
+            kind: Its kind, see `main.KINDS`.
+            host: Name of the process that runs it; started if there is none.
+            **options: Arguments of its class.
+        """
+        if host not in self._hosts:
+            self._hosts[host] = self._start_host(host)
+        wanted = {"kind": kind, "options": options}
+        addresses = _command(self._hosts[host], "/standins", wanted)
+        return StandIn(kind, addresses["address"], addresses["control"])
+
+    def start_platform(
+        self,
+        data_centres: Iterable[str],
+        log_options: dict[str, Any] | None = None,
+        vms_options: dict[str, Any] | None = None,
+    ) -> None:
+        """Starts the log service and the VM list with links to them."""
+        self._data_centres = list(data_centres)
+        self.log = self.add("log", _PLATFORM, **(log_options or {}))
+        self.vms = self.add("vms", _PLATFORM, **(vms_options or {}))
+        for data_centre in self._data_centres:
+            for name, target in (("log", self.log), ("vms", self.vms)):
+                relay = self._link({data_centre, _PLATFORM}, target.address)
+                self.relays[data_centre, name] = relay
+
+    def start_nodes(
+        self, places: dict[str, str], announce_seconds: float = 1.0
+    ) -> list[Node]:
+        """Starts nodes and puts them into the VM list.
+
+        Args:
+            places: Data centre of each node by name.
+            announce_seconds: Time between the announcement of a node's stop
+                and its refusal of callers.
+        """
+        started = [
+            self._start_node(name, data_centre, announce_seconds)
+            for name, data_centre in places.items()
+        ]
+        for node in started:
+            node.read_addresses()
+        self.edit_vms(add=[self._entry(node) for node in started])
+        return started
+
+    def wait_ready(self, nodes: Iterable[Node] | None = None) -> None:
+        """Waits until nodes, or all of them, say that they are ready."""
+        for node in nodes or self.nodes.values():
+            process.wait_until(node.is_ready, f"{node.name} is ready")
+
+    def stop_node(self, node: Node) -> int:
+        """Stops a node by SIGTERM; returns its exit code."""
+        self.edit_vms(add=[{**self._entry(node), "state": "leaving"}])
+        node.process.terminate()
+        code = node.process.wait()
+        self.forget_node(node)
+        return code
+
+    def kill_node(self, node: Node) -> None:
+        """Kills a node, which stays in the VM list until it is forgotten."""
+        node.process.kill()
+
+    def forget_node(self, node: Node) -> None:
+        """Takes a node out of the VM list."""
+        self.edit_vms(remove=[node.name])
+        self.nodes.pop(node.name, None)
+
+    def edit_vms(
+        self,
+        add: Iterable[dict[str, Any]] = (),
+        remove: Iterable[str] = (),
+    ) -> None:
+        """Sets and removes entries of the VM list."""
+        edit = {"set": list(add), "remove": list(remove)}
+        _command(_started(self.vms).control, "/vms", edit)
+
+    def cut(self, data_centre: str) -> None:
+        """Resets and refuses all connections out of a data centre."""
+        self._set_links(data_centre, cut=True)
+
+    def stall(self, data_centre: str) -> None:
+        """Lets all connections out of a data centre carry nothing."""
+        self._set_links(data_centre, stall=True)
+
+    def heal(self, data_centre: str) -> None:
+        """Ends the cut or stall of a data centre."""
+        self._set_links(data_centre)
+
+    def ctl(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Runs the operator's tool and returns what it printed."""
+        return subprocess.run(
+            [str(_COMMANDS / "baobabmuxctl"), *arguments],
+            check=False,
+            capture_output=True,
+            text=True,
+            timeout=_CTL_SECONDS,
+        )
+
+    def publish(self, *files: pathlib.Path) -> None:
+        """Publishes declarations.
+
+        Raises:
+            CommandError: The tool failed.
+        """
+        names = [str(file) for file in files]
+        self._ctl_done("publish", "--log", _started(self.log).address, *names)
+
+    def publish_tables(self, name: str, tables: dict[str, Any]) -> None:
+        """Writes declarations to a file of a name and publishes it."""
+        file = self.directory / f"{name}.toml"
+        file.write_text(tomli_w.dumps(tables))
+        self.publish(file)
+
+    def use_preset(self, name: str) -> None:
+        """Switches the preset.
+
+        Raises:
+            CommandError: The tool failed.
+        """
+        log = _started(self.log).address
+        self._ctl_done("preset", "use", name, "--log", log)
+
+    def _ctl_done(self, *arguments: str) -> None:
+        done = self.ctl(*arguments)
+        if done.returncode != 0:
+            said = f"{done.stdout}{done.stderr}".strip()
+            message = f"{arguments[0]}: exit {done.returncode}: {said}"
+            raise CommandError(message)
+
+    def _start_host(self, name: str) -> str:
+        module = "baobabmux_standins.main"
+        command = [sys.executable, "-m", module, "host"]
+        started = self.start_process(f"standins-{name}", command)
+        return started.announcement()["control"]
+
+    def _start_node(
+        self, name: str, data_centre: str, announce_seconds: float
+    ) -> Node:
+        any_port = "127.0.0.1:0"
+        settings = {
+            "node": {"id": name, "data_centre": data_centre},
+            "listen": {
+                "callers": any_port,
+                "admin": any_port,
+                "peers": any_port,
+            },
+            "platform": {
+                "log": self.relays[data_centre, "log"].address,
+                "vms": self.relays[data_centre, "vms"].address,
+            },
+            "shutdown": {"announce_seconds": announce_seconds},
+        }
+        file = self.directory / f"{name}.toml"
+        file.write_text(tomli_w.dumps(settings))
+        command = [str(_COMMANDS / "baobabmux"), "--settings", str(file)]
+        node = Node(name, data_centre, self.start_process(name, command))
+        self.nodes[name] = node
+        return node
+
+    def _entry(self, node: Node) -> dict[str, Any]:
+        """Returns a node's entry, with a relay for each other data centre."""
+        views = {
+            viewer: self._node_link(node, viewer)
+            for viewer in self._data_centres
+            if viewer != node.data_centre
+        }
+        return {
+            "id": node.name,
+            "kind": "node",
+            "data_centre": node.data_centre,
+            "state": "live",
+            "peer_address": node.peers,
+            "admin_address": node.admin,
+            "views": views,
+        }
+
+    def _node_link(self, node: Node, viewer: str) -> str:
+        key = (viewer, node.peers)
+        if key not in self.relays:
+            ends = {node.data_centre, viewer}
+            self.relays[key] = self._link(ends, node.peers)
+        return self.relays[key].address
+
+    def _link(self, ends: set[str], target: str) -> StandIn:
+        relay = self.add("relay", _PLATFORM, target=target)
+        self._links.append(_Link(frozenset(ends), relay))
+        return relay
+
+    def _set_links(self, data_centre: str, **faults: bool) -> None:
+        for link in self._links:
+            if data_centre in link.ends:
+                link.relay.set_faults(**faults)
+
+
+def _started(part: StandIn | None) -> StandIn:
+    if part is None:
+        raise CommandError("the platform is not started")
+    return part
+
+
+def _command(control: str, path: str, value: Any) -> Any:
+    answer = client.call(control, "POST", path, value)
+    if answer.status != 200:
+        text = answer.body.decode(errors="replace")
+        raise CommandError(f"{path}: {answer.status}: {text}")
+    return json.loads(answer.body)
--- /dev/null
+++ b/standins/tests/cluster_test.py
@@ -0,0 +1,71 @@
+"""Tests of the process harness with the stand-ins alone."""
+
+import os
+import pathlib
+import sys
+
+import pytest
+
+from baobabmux_standins import client, cluster, process
+
+
+def _alive(pid):
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+def test_cluster_ends_paused_and_runningprocesses():
+    """Guards against processes that outlive a test."""
+    with cluster.Cluster() as started:
+        started.start_platform(["col-a"])
+        sleep = [sys.executable, "-c", "import time; time.sleep(600)"]
+        paused = started.start_process("paused", sleep)
+        paused.pause()
+        pids = [child.pid for child in started.processes]
+        assert len(pids) == 2 and all(_alive(pid) for pid in pids)
+        directory = started.directory
+    assert not any(_alive(pid) for pid in pids)
+    assert not pathlib.Path(directory).exists()
+
+
+def test_cut_separates_one_data_centre_from_the_platform():
+    """Guards against a cut that spares a link or hits another place."""
+    with cluster.Cluster() as started:
+        started.start_platform(["col-a", "col-b"])
+        path = "/streams/config/records"
+
+        def reads(data_centre):
+            address = started.relays[data_centre, "log"].address
+            try:
+                return client.call(address, "GET", path).status
+            except OSError:
+                return 0
+
+        started.cut("col-a")
+        assert (reads("col-a"), reads("col-b")) == (0, 200)
+        started.heal("col-a")
+        assert reads("col-a") == 200
+
+
+def test_faults_are_set_while_connections_are_refused():
+    """Guards against a stand-in that cannot be healed after an outage."""
+    with cluster.Cluster() as started:
+        engine = started.add("engine")
+        engine.set_faults(refuse=True)
+        with pytest.raises(OSError, match="refused"):
+            client.call(engine.address, "GET", "/v1/load")
+        engine.set_faults()
+        assert client.call(engine.address, "GET", "/v1/load").status == 200
+        with pytest.raises(cluster.CommandError, match="unknown"):
+            engine.set_faults(no_such_fault=True)
+
+
+def test_early_end_of_a_process_is_told_with_its_errors(tmp_path):
+    """Guards against a long wait for a process that cannot start."""
+    command = [sys.executable, "-c", "import sys; sys.exit('bad settings')"]
+    failed = process.Process("failed", command, tmp_path)
+    with pytest.raises(process.NotInTimeError, match="bad settings"):
+        failed.announcement()
