Predict waits by class, isolate suspects apart, compare endpoints' speeds

Suspects wait in queues of their own, so that they hide no other request. The wait of a request counts only what is granted before it: higher tiers, earlier deadlines in its workspace and the other workspaces' shares. A load report is compared with the owner's count at the time it describes. The prefix digests are those of the engines' cache events. The state machine now checks limits at each grant: what a second owner granted may exceed an owner's count, which the design allows, but must not be added to.

--- a/packages/baobabmux-core/src/baobabmux_core/capacity.py
+++ b/packages/baobabmux-core/src/baobabmux_core/capacity.py
@@ -1,5 +1,6 @@
 """Outstanding work and learned rates of one endpoint."""
 
+import collections
 import math
 
 from baobabmux_core import deadlines, declarations, ids
@@ -18,8 +19,17 @@
 _USUAL_WEIGHT = 0.005
 # Ordinary variation of rates with the batch does not lower the limit.
 _TOLERATED_SLOWDOWN = 1.5
-# A foreign load report older than this says nothing.
+# A load report older than this says nothing about the present.
 _REPORT_SECONDS = 5.0
+# Grants are under way to the endpoint this long.
+_UNDER_WAY_SECONDS = 0.5
+# Each further request in a batch makes its steps about this much longer; the
+# learned rate is that of a batch of one, so that it does not follow the load.
+_BATCH_COST = 0.05
+# A stream without any report for this long, beyond what was predicted, is
+# stalled: holders report every 2 seconds.
+_STALL_SECONDS = 6.0
+_STALL_FACTOR = 3.0
 
 
 class Running:
@@ -39,6 +49,7 @@
         end: Predicted time of the last token.
         produced: Output tokens reported so far.
         elapsed: Seconds from the first token to that report.
+        reported: Time of the last report, at first of the grant.
         isolated: Whether the endpoint runs it alone on purpose.
         expires: Time at which it is forgotten because its holder is gone, or
             None.
@@ -55,6 +66,7 @@
         "isolated",
         "output",
         "produced",
+        "reported",
         "request",
         "short",
         "tier",
@@ -89,6 +101,7 @@
         self.end = granted
         self.produced = 0
         self.elapsed = 0.0
+        self.reported = granted
         self.isolated = isolated
         self.expires: float | None = None
 
@@ -106,8 +119,9 @@
         prefill_rate: Learned prompt tokens per second.
         decode_rate: Learned output tokens per second of one request.
         plain_seconds: Learned duration of a request of a plain service.
-        usual_decode_rate: Slowly learned decode rate, the reference for a
-            slowdown unless the owner knows a better one.
+        usual_decode_rate: Slowly learned decode rate.
+        reference_rate: Decode rate of its peers, or None without peers.
+        stalled: Whether running requests report nothing.
     """
 
     def __init__(
@@ -126,10 +140,14 @@
         self.decode_rate = declared.decode_tokens_per_second
         self.plain_seconds = 0.1
         self.usual_decode_rate = self.decode_rate
+        self.reference_rate: float | None = None
+        self.stalled = False
         self._prefill_free = 0.0
+        self._ends = 0.0
         self._foreign = 0
         self._foreign_until = 0.0
         self._last_excess = 0
+        self._counts: collections.deque[tuple[float, int]] = collections.deque()
 
     def prefill_seconds(self, uncached: int) -> float:
         """Predicts the time to compute prompt tokens, without a queue."""
@@ -137,7 +155,9 @@
 
     def decode_seconds(self, output: int) -> float:
         """Predicts the time to produce output tokens."""
-        return self.plain_seconds if self.plain else output / self.decode_rate
+        if self.plain:
+            return self.plain_seconds
+        return output * self._batch_factor(1) / self.decode_rate
 
     def predict(
         self, start: float, uncached: int, output: int
@@ -151,11 +171,16 @@
         )
 
     def slowdown(self) -> float:
-        """Returns the usual decode rate over the current one."""
-        return self.usual_decode_rate / self.decode_rate
+        """Returns how many times slower than its peers or usual it is."""
+        usual = self.usual_decode_rate
+        if self.reference_rate is not None:
+            usual = max(usual, self.reference_rate)
+        return usual / self.decode_rate
 
     def limit(self) -> int:
         """Returns how many requests the endpoint may run at its speed."""
+        if self.stalled:
+            return 1
         slowdown = self.slowdown()
         if slowdown <= _TOLERATED_SLOWDOWN:
             return self.declared.max_requests
@@ -189,8 +214,15 @@
         return self.tokens + self.charge(tokens) <= self.declared.max_tokens
 
     def running_seconds(self, now: float) -> float:
-        """Returns the slot seconds that the running requests still need."""
-        return sum(max(0.0, run.end - now) for run in self.running.values())
+        """Estimates the slot seconds that running requests still need."""
+        return max(0.0, self._ends - now * len(self.running))
+
+    def next_free(self, now: float) -> float:
+        """Predicts when a slot frees, in seconds on the node's clock."""
+        if len(self.running) < self.limit():
+            return now
+        ends = sorted(run.end for run in self.running.values())
+        return max(now, ends[len(self.running) - self.limit()])
 
     def start(self, run: Running) -> None:
         """Notes a grant."""
@@ -207,34 +239,43 @@
         run.end = prediction.end
         self._put(run)
 
-    def end(self, request: ids.RequestId) -> Running | None:
+    def end(self, request: ids.RequestId, now: float) -> Running | None:
         """Forgets a request and returns it, or None if it is unknown."""
         run = self.running.pop(request, None)
         if run is None:
             return None
         self.tokens -= run.tokens
+        self._ends -= run.end
+        self._note_count(now)
         if not self.running:
             self._prefill_free = 0.0
+            self._ends = 0.0
+            self.stalled = False
         return run
 
-    def progress(self, run: Running, tokens: int, elapsed: float) -> None:
+    def progress(
+        self, run: Running, tokens: int, elapsed: float, now: float
+    ) -> None:
         """Learns from a progress report.
 
         Args:
             run: Request that is running here.
             tokens: Output tokens so far.
             elapsed: Seconds since its first token.
+            now: Current time in seconds.
         """
         gained = tokens - run.produced
         seconds = elapsed - run.elapsed
         if gained < 0 or seconds < _MIN_SAMPLE_SECONDS:
             return
+        run.reported = now
         if gained < _MIN_SAMPLE_TOKENS and seconds < 1.0:
             return
         run.produced = tokens
         run.elapsed = elapsed
         # A stalled stream counts as half a token, which keeps rates positive.
-        self._learn_decode(max(gained, 0.5) / seconds)
+        sample = max(gained, 0.5) / seconds
+        self._learn_decode(sample * self._batch_factor(0))
 
     def learn(
         self,
@@ -243,6 +284,7 @@
         output: int,
         prefill: float,
         decode: float,
+        now: float,
     ) -> None:
         """Learns from a completed request.
 
@@ -252,6 +294,7 @@
             output: Output tokens produced.
             prefill: Seconds from dispatch to the first token.
             decode: Seconds from the first token to the last.
+            now: Current time in seconds.
         """
         if self.plain:
             self.plain_seconds = _blend(self.plain_seconds, prefill + decode)
@@ -263,30 +306,69 @@
             self.prefill_rate = _blend(
                 self.prefill_rate, self.prefill_rate * predicted / prefill
             )
-        self.progress(run, output, decode)
+        self.progress(run, output, decode, now)
 
-    def report(self, running: int, now: float) -> None:
+    def report(self, requests: int, as_of: float, now: float) -> None:
         """Corrects the occupied slots by the endpoint's own report.
 
+        The report is compared with the owner's count at the time that it
+        describes. Only an excess that two reports in a row agree on is work
+        of somebody else.
+
         Args:
-            running: Requests that the endpoint runs or queues.
+            requests: Requests that the endpoint ran or queued.
+            as_of: Time that the report describes, in seconds.
             now: Current time in seconds.
         """
-        excess = max(0, running - len(self.running))
-        # Reports lag behind the owner's grants and releases; only an excess
-        # that two reports in a row agree on is work of somebody else.
-        if now < self._foreign_until:
-            self._foreign = min(excess, self._last_excess)
-        else:
-            self._foreign = 0
+        if now - as_of > _REPORT_SECONDS:
+            return
+        excess = max(0, requests - self._count_around(as_of))
+        fresh = now < self._foreign_until
+        self._foreign = min(excess, self._last_excess) if fresh else 0
         self._last_excess = excess
         self._foreign_until = now + _REPORT_SECONDS
 
+    def check_stall(self, now: float) -> None:
+        """Updates `stalled`."""
+        if self.plain:
+            return
+        self.stalled = any(
+            run.expires is None
+            and now - run.reported
+            > _STALL_SECONDS
+            + _STALL_FACTOR * max(0.0, run.first_token - run.reported)
+            for run in self.running.values()
+        )
+
+    def _count_around(self, time: float) -> int:
+        """Returns the greatest own count near a time."""
+        greatest = 0
+        current = 0
+        for changed, count in self._counts:
+            if changed > time + _UNDER_WAY_SECONDS:
+                break
+            if changed < time - _UNDER_WAY_SECONDS:
+                current = count
+            else:
+                greatest = max(greatest, count)
+        return max(greatest, current)
+
+    def _note_count(self, now: float) -> None:
+        self._counts.append((now, len(self.running)))
+        oldest = now - 2 * _REPORT_SECONDS
+        while len(self._counts) > 1 and self._counts[1][0] < oldest:
+            self._counts.popleft()
+
+    def _batch_factor(self, more: int) -> float:
+        return 1.0 + _BATCH_COST * max(0, len(self.running) + more - 1)
+
     def _put(self, run: Running) -> None:
-        self.end(run.request)
+        self.end(run.request, run.granted)
         run.tokens = self.charge(run.tokens)
         self.running[run.request] = run
         self.tokens += run.tokens
+        self._ends += run.end
+        self._note_count(run.granted)
 
     def _learn_decode(self, sample: float) -> None:
         self.decode_rate = _blend(self.decode_rate, sample)
--- a/packages/baobabmux-core/src/baobabmux_core/deadlines.py
+++ b/packages/baobabmux-core/src/baobabmux_core/deadlines.py
@@ -39,16 +39,21 @@
 
 
 def backlog_wait(
-    queued_seconds: float, running_seconds: float, slots: int
+    queued_seconds: float, running_seconds: float, slots: float
 ) -> float:
-    """Predicts how long a backlog keeps all slots of a group occupied.
+    """Predicts how long a request behind a backlog waits for a slot.
+
+    The requests ahead occupy all slots in parallel. Of the running ones only
+    the first to end matters, which on average comes after the mean remaining
+    time divided by their number.
 
     Args:
         queued_seconds: Slot seconds of the requests ahead in the queue.
         running_seconds: Slot seconds that running requests still need.
-        slots: Requests that the group runs at a time.
+        slots: Requests that run at a time.
 
     Returns:
         The wait in seconds.
     """
-    return (queued_seconds + running_seconds) / max(1, slots)
+    usable = max(1.0, slots)
+    return (queued_seconds + running_seconds / usable) / usable
--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -39,6 +39,9 @@
         seconds: Estimated time in an endpoint's slot.
         latest_start: Time after which the deadline cannot be met.
         queued: Whether it still waits.
+        suspect: Whether it waits to run in isolation.
+        passed: Time at which it first let a place go in favour of a warm
+            endpoint, or None.
     """
 
     __slots__ = (
@@ -48,9 +51,11 @@
         "holder",
         "key",
         "latest_start",
+        "passed",
         "queued",
         "seconds",
         "short",
+        "suspect",
         "tokens",
     )
 
@@ -72,17 +77,20 @@
         self.seconds = 0.0
         self.latest_start = math.inf
         self.queued = False
+        self.suspect = False
+        self.passed: float | None = None
         self.key = (self.deadline, self.arrival, ask.request)
 
 
 class _Share:
     """Waiting requests of one workspace and its start tag."""
 
-    __slots__ = ("classes", "start", "weight")
+    __slots__ = ("classes", "seconds", "start", "weight")
 
     def __init__(self, start: float, weight: float):
         self.start = start
         self.weight = weight
+        self.seconds = 0.0
         self.classes: tuple[list, list] = ([], [])
 
     def __len__(self) -> int:
@@ -94,12 +102,14 @@
 
     Attributes:
         tokens: Total tokens that wait.
-        seconds: Total slot seconds that wait.
+        seconds: Slot seconds of all that wait.
+        short_seconds: Slot seconds of the short ones.
     """
 
     def __init__(self):
         self.tokens = 0
         self.seconds = 0.0
+        self.short_seconds = 0.0
         self._weights: dict[int, float] = {}
         self._shares: dict[int, _Share] = {}
         self._order: list[tuple[float, int]] = []
@@ -128,8 +138,8 @@
         bisect.insort(share.classes[entry.short], (entry.key, entry))
         entry.queued = True
         self._entries[entry.ask.request] = entry
-        self.tokens += entry.tokens
-        self.seconds += entry.seconds
+        share.seconds += entry.seconds
+        self._count(entry, 1)
 
     def remove(self, entry: QueueEntry) -> None:
         """Removes a request without charging its workspace."""
@@ -174,6 +184,42 @@
             if not found:
                 return
 
+    def ahead_seconds(self, entry: QueueEntry) -> float:
+        """Estimates the slot seconds that are granted before a request.
+
+        Inside the workspace, earlier deadlines go first; meanwhile other
+        workspaces get at most their share.
+
+        Args:
+            entry: Request that waits here or might.
+        """
+        workspace = entry.ask.workspace
+        share = self._shares.get(workspace)
+        weight = self._weights.get(workspace, 1.0)
+        own = 0.0
+        if share is not None and len(share):
+            before = sum(
+                bisect.bisect_left(items, (entry.key,))
+                for items in share.classes
+            )
+            own = share.seconds * before / len(share)
+        # Its own turn counts: until it comes, the others get theirs too.
+        turns = (own + entry.seconds) / weight
+        return own + sum(
+            min(other.seconds, turns * other.weight)
+            for _, name in self._order
+            if (other := self._shares[name]) is not share
+        )
+
+    def last(self) -> list[QueueEntry]:
+        """Returns the request with the latest deadline of each workspace."""
+        return [
+            items[-1][1]
+            for _, workspace in self._order
+            for items in self._shares[workspace].classes
+            if items
+        ]
+
     def newest(self) -> QueueEntry | None:
         """Returns the request that was queued last, or None."""
         if not self._entries:
@@ -181,12 +227,23 @@
         return self._entries[next(reversed(self._entries))]
 
     def _drop(self, entry: QueueEntry) -> None:
-        items = self._shares[entry.ask.workspace].classes[entry.short]
+        share = self._shares[entry.ask.workspace]
+        items = share.classes[entry.short]
         del items[bisect.bisect_left(items, (entry.key,))]
         entry.queued = False
         del self._entries[entry.ask.request]
-        self.tokens -= entry.tokens
-        self.seconds = max(0.0, self.seconds - entry.seconds)
+        share.seconds = share.seconds - entry.seconds if len(share) else 0.0
+        self._count(entry, -1)
+
+    def _count(self, entry: QueueEntry, sign: int) -> None:
+        self.tokens += sign * entry.tokens
+        self.seconds += sign * entry.seconds
+        if entry.short:
+            self.short_seconds += sign * entry.seconds
+        if not self._entries:
+            # Sums of floats drift; an empty queue is exactly empty.
+            self.seconds = 0.0
+            self.short_seconds = 0.0
 
     def _deactivate(self, workspace: int, share: _Share) -> None:
         place = bisect.bisect_left(self._order, (share.start, workspace))
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -5,6 +5,9 @@
 import heapq
 import itertools
 import math
+import statistics
+
+import msgspec
 
 from baobabmux_core import (
     breakers,
@@ -42,6 +45,14 @@
 _MIN_RETRY_SECONDS = 0.5
 # A holder that is gone keeps its in-flight work counted at least so long.
 _ORPHAN_SECONDS = 1.0
+# Slow checks of rates and backlog happen this often.
+_CHECK_SECONDS = 0.5
+# A queued request is refused when its predicted start is later than its
+# latest start by this share of the wait; predictions are not better.
+_WAIT_TOLERANCE = 0.2
+# Computing a cached prefix again also delays the others in the batch, so it
+# counts as this many times its own duration.
+_RECOMPUTE_WEIGHT = 2.0
 
 
 class _Wait(enum.Enum):
@@ -51,6 +62,17 @@
     AFFINITY = "affinity"
 
 
+class _Blocked:
+    """Classes of requests for which no place is left in this round.
+
+    What has no place for a tier is not given to a lower one either.
+    """
+
+    def __init__(self):
+        self.long = False
+        self.short = False
+
+
 class _Member:
     """One endpoint of the group."""
 
@@ -68,6 +90,50 @@
         self.kept_for: ids.RequestId | None = None
 
 
+class EndpointStatus(msgspec.Struct, frozen=True):
+    """State of an endpoint for operators.
+
+    Attributes:
+        endpoint: Identifier.
+        open: Whether it may get new work.
+        breaker: State of its circuit breaker.
+        limit: Requests that it may run at its present speed.
+        outstanding_requests: Requests granted and not released.
+        outstanding_tokens: Their tokens.
+        prefill_tokens_per_second: Learned prefill rate.
+        decode_tokens_per_second: Learned decode rate of one request.
+    """
+
+    endpoint: ids.EndpointId
+    open: bool
+    breaker: str
+    limit: int
+    outstanding_requests: int
+    outstanding_tokens: int
+    prefill_tokens_per_second: float
+    decode_tokens_per_second: float
+
+
+class GroupState(msgspec.Struct, frozen=True):
+    """State of a group for operators.
+
+    Attributes:
+        group: Identifier.
+        queue_requests: Requests that wait.
+        queue_tokens: Tokens that wait.
+        queue_by_tier: Requests that wait, by tier rank.
+        wait_seconds: Predicted wait of a request of the lowest tier.
+        endpoints: Its endpoints.
+    """
+
+    group: ids.GroupId
+    queue_requests: int
+    queue_tokens: int
+    queue_by_tier: dict[int, int]
+    wait_seconds: float
+    endpoints: tuple[EndpointStatus, ...]
+
+
 class GroupOwner:
     """Grants the endpoints of one group to requests of all holders.
 
@@ -91,6 +157,9 @@
         self._refused_ranks: frozenset[int] = frozenset()
         self._weights: dict[int, float] = {}
         self._tiers: dict[int, fairness.TierQueue] = {}
+        # Suspects wait apart: they need an empty endpoint and must not hide
+        # other requests from the search for a grant.
+        self._suspect_tiers: dict[int, fairness.TierQueue] = {}
         self._entries: dict[ids.RequestId, fairness.QueueEntry] = {}
         self._by_content: dict[ids.ContentDigest, set[ids.RequestId]] = {}
         self._running_at: dict[ids.RequestId, _Member] = {}
@@ -105,6 +174,9 @@
         self._awaited: set[ids.NodeId] = set()
         self._grants_from = now
         self._isolated: ids.RequestId | None = None
+        self._check_at = now
+        # Contents whose standing changed and whose queued copies must move.
+        self._judged: list[ids.ContentDigest] = []
 
     # Configuration and members.
 
@@ -127,7 +199,7 @@
             fairness.workspace_hash(name): share.weight
             for name, share in configuration.workspaces.items()
         }
-        for tier in self._tiers.values():
+        for tier in self._all_queues():
             tier.set_weights(self._weights)
         plain = self._service is not None and self._service.kind == "plain"
         for name, endpoint in declared.items():
@@ -180,7 +252,7 @@
 
     def queued_tokens(self) -> int:
         """Returns the number of waiting tokens."""
-        return sum(tier.tokens for tier in self._tiers.values())
+        return sum(queue.tokens for queue in self._all_queues())
 
     def outstanding(self) -> dict[ids.EndpointId, tuple[int, int]]:
         """Returns the granted requests and tokens of each endpoint."""
@@ -199,34 +271,47 @@
 
     def queued_by_tier(self) -> dict[int, int]:
         """Returns the number of waiting requests by tier rank."""
-        counts = collections.Counter(
-            entry.ask.tier for entry in self._entries.values()
-        )
+        counts: collections.Counter[int] = collections.Counter()
+        for tiers in (self._tiers, self._suspect_tiers):
+            for rank, queue in tiers.items():
+                if len(queue):
+                    counts[rank] += len(queue)
         return dict(counts)
 
-    def wait(self, now: float, tier: int | None = None) -> float:
-        """Predicts how long a new request of a tier waits, in seconds.
+    def state(self, now: float) -> GroupState:
+        """Returns the state of the group for operators."""
+        return GroupState(
+            self.group,
+            self.queue_length(),
+            self.queued_tokens(),
+            self.queued_by_tier(),
+            self.wait(now),
+            tuple(
+                EndpointStatus(
+                    name,
+                    member.open,
+                    member.breaker.state.value,
+                    member.model.limit(),
+                    len(member.model.running),
+                    member.model.tokens,
+                    member.model.prefill_rate,
+                    member.model.decode_rate,
+                )
+                for name, member in self._members.items()
+            ),
+        )
 
-        Args:
-            now: Current time in seconds.
-            tier: Rank of the tier, or None for the lowest.
-        """
+    def wait(self, now: float) -> float:
+        """Predicts how long a request behind the queue waits, in seconds."""
         usable = self._usable(now)
         if not usable:
             return _NO_ENDPOINT_RETRY_SECONDS
-        queued = sum(
-            queue.seconds
-            for rank, queue in self._tiers.items()
-            if tier is None or rank <= tier
-        )
-        slots = sum(member.model.limit() for member in usable)
-        free = slots - sum(member.model.used(now) for member in usable)
-        if free > 0 and queued <= 0.0:
+        queued = sum(queue.seconds for queue in self._tiers.values())
+        if queued <= 0.0 and any(
+            member.model.used(now) < member.model.limit() for member in usable
+        ):
             return 0.0
-        running = sum(member.model.running_seconds(now) for member in usable)
-        # The next slot frees after the running work's share of a slot; on
-        # average a running request has half of its time left.
-        return deadlines.backlog_wait(queued, running, slots)
+        return self._backlog_wait(queued, usable, 0, now)
 
     # Messages.
 
@@ -245,13 +330,12 @@
         if refusal is not None:
             return [refusal]
         entry = fairness.QueueEntry(ask, holder, now, self._short_tokens())
+        entry.suspect = self._is_suspect(ask.content, now)
         self._note_present(entry, now)
         if (refused := self._check_deadline(entry, now)) is not None:
             return [refused]
         self._enqueue(entry)
-        found = self._pump(now)
-        found += self._shed(now)
-        return found
+        return self._shed(now) + self._pump(now)
 
     def withdraw(
         self, request: ids.RequestId, holder: ids.NodeId, now: float
@@ -278,7 +362,7 @@
         run = member.model.running[report.request]
         if run.holder != holder:
             return []
-        member.model.progress(run, report.tokens, report.elapsed_ms / 1000)
+        member.model.progress(run, report.tokens, report.elapsed_ms / 1000, now)
         return []
 
     def release(
@@ -305,9 +389,12 @@
                 release.output_tokens,
                 release.prefill_ms / 1000,
                 release.decode_ms / 1000,
+                now,
             )
         self._end_running(release.request, now)
-        return self._pump(now)
+        judged = tuple(self._judged)
+        self._judged.clear()
+        return self.contents_judged(judged, now)
 
     def register(
         self, register: messages.Register, holder: ids.NodeId, now: float
@@ -329,10 +416,10 @@
             self._end_running(request, now)
         return self._pump(now)
 
-    def contents_suspected(
+    def contents_judged(
         self, contents: tuple[ids.ContentDigest, ...], now: float
     ) -> list[effects.Effect]:
-        """Moves queued requests with suspect contents to isolation."""
+        """Moves queued requests whose content became suspect or clear."""
         refused = []
         for content in contents:
             for request in list(self._by_content.get(content, ())):
@@ -340,13 +427,17 @@
         return refused + self._pump(now)
 
     def load_report(
-        self, endpoint: ids.EndpointId, requests: int, now: float
+        self,
+        endpoint: ids.EndpointId,
+        requests: int,
+        as_of: float,
+        now: float,
     ) -> list[effects.Effect]:
         """Corrects the count of an endpoint's occupied slots."""
         member = self._members.get(endpoint)
         if member is None:
             return []
-        member.model.report(requests, now)
+        member.model.report(requests, as_of, now)
         return self._pump(now)
 
     def cache_event(
@@ -368,9 +459,30 @@
     def tick(self, now: float) -> list[effects.Effect]:
         """Refuses what cannot end in time and grants what waited."""
         found = self._refuse_unreachable(now)
-        self._expire_running(now)
+        if now >= self._check_at:
+            self._check_at = now + _CHECK_SECONDS
+            self._expire_running(now)
+            self._check_rates(now)
+            found += self._refuse_hopeless(now)
         return found + self._pump(now)
 
+    def _check_rates(self, now: float) -> None:
+        """Compares the endpoints' speeds with each other."""
+        relative = {
+            name: member.model.decode_rate
+            / member.model.declared.decode_tokens_per_second
+            for name, member in self._members.items()
+        }
+        for name, member in self._members.items():
+            member.model.check_stall(now)
+            others = [r for other, r in relative.items() if other != name]
+            member.model.reference_rate = (
+                statistics.median(others)
+                * member.model.declared.decode_tokens_per_second
+                if others
+                else None
+            )
+
     # Admission.
 
     def _short_tokens(self) -> int:
@@ -433,17 +545,95 @@
             for member in usable
         )
         entry.latest_start = entry.deadline - entry.seconds
-        wait = self.wait(now, ask.tier)
+        wait = self._wait_of(entry, now)
         late = now + wait - entry.latest_start
         if late <= 0.0:
             return None
+        return self._unreachable(entry, late)
+
+    def _wait_of(self, entry: fairness.QueueEntry, now: float) -> float:
+        """Predicts how long a request that waits or might wait still waits."""
+        usable = self._usable(now)
+        if not usable:
+            return 0.0  # A breaker may close at any time.
+        queues = [q for r, q in self._tiers.items() if r < entry.ask.tier]
+        own = self._tiers.get(entry.ask.tier)
+        ahead = sum(queue.seconds for queue in queues)
+        if own is not None:
+            ahead += own.ahead_seconds(entry)
+        wait = self._class_wait(entry, ahead, usable, now)
+        if not entry.short or wait <= 0.0:
+            return wait
+        # Short requests also have the slots that long ones must leave free.
+        queues.append(own or fairness.TierQueue())
+        ahead = sum(queue.short_seconds for queue in queues)
+        if ahead <= 0.0 and any(
+            member.model.used(now) < member.model.limit() for member in usable
+        ):
+            return 0.0
+        share = self._preset.short_share if self._preset else 0.0
+        slots = sum(
+            math.floor(member.model.limit() * share) for member in usable
+        )
+        return min(wait, ahead / slots) if slots else wait
+
+    def _class_wait(
+        self,
+        entry: fairness.QueueEntry,
+        ahead: float,
+        usable: list[_Member],
+        now: float,
+    ) -> float:
+        share = self._reserved_share(entry, now)
+        if ahead <= 0.0 and any(
+            member.model.fits(
+                entry.tokens,
+                math.floor(member.model.limit() * share),
+                now,
+            )
+            for member in usable
+        ):
+            return 0.0
+        return self._backlog_wait(ahead, usable, share, now)
+
+    def _backlog_wait(
+        self, ahead: float, usable: list[_Member], share: float, now: float
+    ) -> float:
+        slots = 0.0
+        running = 0.0
+        for member in usable:
+            model = member.model
+            limit = max(1, model.limit() - math.floor(model.limit() * share))
+            if model.running:
+                # Long requests exhaust the tokens before the slots.
+                mean = model.tokens / len(model.running)
+                limit = min(limit, max(1, model.declared.max_tokens / mean))
+            slots += limit
+            running += model.running_seconds(now)
+        return deadlines.backlog_wait(ahead, running, slots)
+
+    def _unreachable(
+        self, entry: fairness.QueueEntry, late: float
+    ) -> effects.Effect:
         return _refusal(
             entry.holder,
-            ask.request,
+            entry.ask.request,
             errors.ErrorKind.DEADLINE_UNREACHABLE,
-            max(_MIN_RETRY_SECONDS, min(late, wait)),
+            max(_MIN_RETRY_SECONDS, late),
         )
 
+    def _refuse_hopeless(self, now: float) -> list[effects.Effect]:
+        """Refuses what the backlog ahead keeps from ending in time."""
+        refused = []
+        for queue in list(self._tiers.values()):
+            for entry in queue.last():
+                wait = self._wait_of(entry, now)
+                late = now + wait * (1 - _WAIT_TOLERANCE) - entry.latest_start
+                if late > 0.0:
+                    self._dequeue(entry)
+                    refused.append(self._unreachable(entry, late))
+        return refused
+
     def _refuse_unreachable(self, now: float) -> list[effects.Effect]:
         refused = []
         while self._latest and (
@@ -452,15 +642,9 @@
             entry = heapq.heappop(self._latest)[2]
             if not entry.queued:
                 continue
+            late = now + self._wait_of(entry, now) - entry.latest_start
             self._dequeue(entry)
-            refused.append(
-                _refusal(
-                    entry.holder,
-                    entry.ask.request,
-                    errors.ErrorKind.DEADLINE_UNREACHABLE,
-                    max(_MIN_RETRY_SECONDS, self.wait(now, entry.ask.tier)),
-                )
-            )
+            refused.append(self._unreachable(entry, late))
         return refused
 
     def _shed(self, now: float) -> list[effects.Effect]:
@@ -472,31 +656,48 @@
             len(self._entries) > self._service.max_queue_requests
             or self.queued_tokens() > self._service.max_queue_tokens
         ):
-            lowest = max(
-                rank for rank, queue in self._tiers.items() if len(queue)
-            )
-            entry = self._tiers[lowest].newest()
+            entry = self._newest_of_lowest()
             self._dequeue(entry)
             shed.append(
                 _refusal(
                     entry.holder,
                     entry.ask.request,
                     errors.ErrorKind.OVERLOADED,
-                    max(_MIN_RETRY_SECONDS, self.wait(now, lowest)),
+                    max(_MIN_RETRY_SECONDS, self.wait(now)),
                 )
             )
         return shed
 
+    def _newest_of_lowest(self) -> fairness.QueueEntry:
+        waiting = [
+            (rank, suspect, queue)
+            for suspect, tiers in enumerate((self._tiers, self._suspect_tiers))
+            for rank, queue in tiers.items()
+            if len(queue)
+        ]
+        return max(waiting, key=lambda item: item[:2])[2].newest()
+
     # Queue.
 
+    def _all_queues(self) -> list[fairness.TierQueue]:
+        return [*self._tiers.values(), *self._suspect_tiers.values()]
+
+    def _queue_of(self, entry: fairness.QueueEntry) -> fairness.TierQueue:
+        tiers = self._suspect_tiers if entry.suspect else self._tiers
+        queue = tiers.get(entry.ask.tier)
+        if queue is not None:
+            return queue
+        queue = fairness.TierQueue()
+        queue.set_weights(self._weights)
+        tiers[entry.ask.tier] = queue
+        ordered = sorted(tiers.items())
+        tiers.clear()
+        tiers.update(ordered)
+        return queue
+
     def _enqueue(self, entry: fairness.QueueEntry) -> None:
         ask = entry.ask
-        queue = self._tiers.get(ask.tier)
-        if queue is None:
-            queue = self._tiers[ask.tier] = fairness.TierQueue()
-            queue.set_weights(self._weights)
-            self._tiers = dict(sorted(self._tiers.items()))
-        queue.add(entry)
+        self._queue_of(entry).add(entry)
         self._entries[ask.request] = entry
         self._by_content.setdefault(ask.content, set()).add(ask.request)
         if entry.latest_start < math.inf:
@@ -508,7 +709,7 @@
         self, entry: fairness.QueueEntry, *, granted: bool = False
     ) -> None:
         ask = entry.ask
-        queue = self._tiers[ask.tier]
+        queue = self._queue_of(entry)
         if granted:
             queue.take(entry)
         else:
@@ -534,86 +735,114 @@
         if not self._entries or self._withholds(now):
             return []
         grants: list[effects.Effect] = []
-        long_blocked = False
-        for queue in self._tiers.values():
-            granted = True
-            while granted and len(queue):
-                granted = False
-                short_blocked = False
-                for entry in queue.candidates(_CANDIDATES):
-                    if self._is_suspect(entry, now):
-                        effect = self._isolate(entry, now)
-                        if effect is not None:
-                            grants.append(effect)
-                            granted = True
-                            break
-                        continue
-                    if (long_blocked and not entry.short) or short_blocked:
-                        continue
-                    choice = self._choose(entry, now)
-                    if choice is _Wait.AFFINITY:
-                        continue
-                    if choice is _Wait.CAPACITY:
-                        if entry.short:
-                            short_blocked = True
-                        else:
-                            long_blocked = True
-                        continue
-                    grants.append(self._grant(entry, choice, now))
-                    granted = True
-                    break
-            if len(queue) and short_blocked:
+        blocked = _Blocked()
+        waiting_above = False
+        for rank in sorted({*self._tiers, *self._suspect_tiers}):
+            suspects = self._suspect_tiers.get(rank)
+            if suspects and len(suspects) and not waiting_above:
+                grants += self._isolate(suspects, now)
+            queue = self._tiers.get(rank)
+            if queue is None or not len(queue):
+                continue
+            while (found := self._next(queue, blocked, now)) is not None:
+                grants.append(self._grant(*found, now))
+            if blocked.short:
                 # A lower tier must not take what this one waits for.
                 break
+            waiting_above = waiting_above or len(queue) > 0
         return grants
 
-    def _reserved(self, entry: fairness.QueueEntry, limit: int, now: float):
-        """Returns the slots that a request must leave free."""
+    def _next(
+        self, queue: fairness.TierQueue, blocked: _Blocked, now: float
+    ) -> tuple[fairness.QueueEntry, _Member] | None:
+        """Returns the next request to grant and its endpoint."""
+        if not any(
+            member.model.used(now) < member.model.limit()
+            for member in self._members.values()
+            if member.kept_for is None
+        ):
+            blocked.long = blocked.short = True
+            return None
+        for entry in queue.candidates(_CANDIDATES):
+            if blocked.long and not entry.short:
+                continue
+            choice = self._choose(entry, now)
+            if isinstance(choice, _Member):
+                return entry, choice
+            if choice is _Wait.CAPACITY:
+                blocked.long = True
+                if entry.short:
+                    blocked.short = True
+                    return None
+        return None
+
+    def _reserved_share(self, entry: fairness.QueueEntry, now: float) -> float:
+        """Returns the share of slots that a request must leave free."""
         if self._preset is None:
-            return 0
-        reserved = 0
+            return 0.0
+        share = 0.0
         if not entry.short and now - self._short_seen < _PRESENT_SECONDS:
-            reserved += math.floor(limit * self._preset.short_share)
+            share += self._preset.short_share
+        tier = entry.ask.tier
         present = [
             rank
             for rank, seen in self._seen_tiers.items()
-            if now - seen < _PRESENT_SECONDS or rank == entry.ask.tier
+            if now - seen < _PRESENT_SECONDS or rank == tier
         ]
-        above = sum(rank < entry.ask.tier for rank in present)
+        above = sum(rank < tier for rank in present)
         if above:
-            share = self._preset.high_tier_share * above / (len(present) - 1)
-            reserved += math.floor(limit * share)
-        return reserved
+            share += self._preset.high_tier_share * above / (len(present) - 1)
+        return share
 
-    def _choose(self, entry: fairness.QueueEntry, now: float):
+    def _choose(
+        self, entry: fairness.QueueEntry, now: float
+    ) -> _Member | _Wait:
         """Returns the endpoint for a request, or why it waits."""
         ask = entry.ask
+        share = self._reserved_share(entry, now)
+        cached = {
+            name: member.prefixes.cached_tokens(ask.prefixes)
+            for name, member in self._members.items()
+        }
+        longest = max(cached.values(), default=0)
         best = None
-        best_end = math.inf
-        warm_end = math.inf
-        for member in self._members.values():
-            if not member.open or not member.breaker.admits(now):
-                continue
-            if member.kept_for is not None:
-                continue
+        best_cost = math.inf
+        busy_cost = math.inf
+        for name, member in self._members.items():
             model = member.model
-            cached = member.prefixes.cached_tokens(ask.prefixes)
+            if (
+                not member.open
+                or member.kept_for is not None
+                or not member.breaker.admits(now)
+            ):
+                continue
+            reserved = math.floor(model.limit() * share)
+            fits = model.fits(entry.tokens, reserved, now)
+            start = now if fits else model.next_free(now)
             end = model.predict(
-                now, ask.prompt_tokens - cached, ask.output_tokens
+                start, ask.prompt_tokens - cached[name], ask.output_tokens
             ).end
-            reserved = self._reserved(entry, model.limit(), now)
-            if model.fits(entry.tokens, reserved, now):
-                if end < best_end:
-                    best = member
-                    best_end = end
-            elif cached:
-                warm_end = min(warm_end, end)
+            recomputed = model.prefill_seconds(longest - cached[name])
+            cost = end + _RECOMPUTE_WEIGHT * recomputed
+            if fits and cost < best_cost:
+                best = member
+                best_cost = cost
+            elif not fits and cached[name] and end <= entry.deadline:
+                busy_cost = min(busy_cost, cost)
         if best is None:
             return _Wait.CAPACITY
+        if busy_cost >= best_cost:
+            return best
+        return self._patience(entry, best, now)
+
+    def _patience(
+        self, entry: fairness.QueueEntry, best: _Member, now: float
+    ) -> _Member | _Wait:
+        """Lets a request wait for a warm endpoint for a bounded time."""
+        if entry.passed is None:
+            entry.passed = now
         patience = self._preset.affinity_wait_seconds if self._preset else 0.0
-        if warm_end < best_end and now - entry.arrival < patience:
-            return _Wait.AFFINITY
-        return best
+        return _Wait.AFFINITY if now - entry.passed < patience else best
 
     def _grant(
         self,
@@ -662,7 +891,7 @@
 
     def _end_running(self, request: ids.RequestId, now: float) -> None:
         member = self._running_at.pop(request)
-        member.model.end(request)
+        member.model.end(request, now)
         if self._isolated == request:
             self._end_isolation()
         if (
@@ -719,6 +948,11 @@
         )
         member.model.restore(run)
         self._running_at[item.request] = member
+        if self._isolated is None and self._is_suspect(item.content, now):
+            # A former owner isolated it; nothing may join it.
+            run.isolated = True
+            member.kept_for = item.request
+            self._isolated = item.request
 
     # Failures.
 
@@ -734,6 +968,7 @@
             member.breaker.succeeded()
             if self._suspects.clear(run.content, now):
                 self.notices.append(messages.Cleared(run.content))
+                self._judged.append(run.content)
             return
         if outcome is states.Outcome.CANCELLED:
             member.breaker.abandoned(now)
@@ -744,6 +979,7 @@
         member.prefixes.clear()
         if run.isolated and len(member.model.running) == 1:
             self._suspects.convict(run.content, now)
+            self._judged.append(run.content)
             self.notices.append(
                 messages.Suspect(
                     member.model.endpoint, (run.content,), alone=True
@@ -759,44 +995,50 @@
             if self._suspects.suspect(content, now)
         ]
         if fresh:
+            self._judged += fresh
             self.notices.append(
                 messages.Suspect(
                     member.model.endpoint, tuple(fresh), alone=False
                 )
             )
 
-    def _is_suspect(self, entry: fairness.QueueEntry, now: float) -> bool:
-        standing = self._suspects.standing(entry.ask.content, now)
+    def _is_suspect(self, content: ids.ContentDigest, now: float) -> bool:
+        standing = self._suspects.standing(content, now)
         return standing is not quarantine.Standing.CLEAR
 
     def _isolate(
-        self, entry: fairness.QueueEntry, now: float
-    ) -> effects.Effect | None:
-        """Keeps an endpoint for a suspect and grants it once it is empty."""
-        request = entry.ask.request
+        self, suspects: fairness.TierQueue, now: float
+    ) -> list[effects.Effect]:
+        """Keeps an endpoint for a suspect and grants it once it is empty.
+
+        One suspect at a time runs in the group, alone on one endpoint.
+        """
         if self._isolated is None:
             usable = [
                 member
                 for member in self._usable(now)
                 if member.kept_for is None
             ]
-            if not usable:
-                return None
+            entry = next(suspects.candidates(1), None)
+            if not usable or entry is None:
+                return []
             member = min(
                 usable, key=lambda member: member.model.running_seconds(now)
             )
-            member.kept_for = request
-            self._isolated = request
-        if self._isolated != request:
-            return None
+            member.kept_for = entry.ask.request
+            self._isolated = entry.ask.request
+        entry = self._entries.get(self._isolated)
+        if entry is None:
+            return []  # It is running.
         for member in self._members.values():
-            if member.kept_for != request:
+            if member.kept_for != self._isolated:
                 continue
             if not member.open or not member.breaker.admits(now):
                 self._end_isolation()
-            elif not member.model.running:
-                return self._grant(entry, member, now, isolated=True)
-        return None
+                return []
+            if member.model.used(now) == 0:
+                return [self._grant(entry, member, now, isolated=True)]
+        return []
 
     def _end_isolation(self) -> None:
         for member in self._members.values():
@@ -808,9 +1050,11 @@
         self, entry: fairness.QueueEntry, now: float
     ) -> list[effects.Effect]:
         standing = self._suspects.standing(entry.ask.content, now)
+        self._dequeue(entry)
         if standing is not quarantine.Standing.GUILTY:
+            entry.suspect = standing is quarantine.Standing.SUSPECT
+            self._enqueue(entry)
             return []
-        self._dequeue(entry)
         return [
             _refusal(
                 entry.holder,
--- a/packages/baobabmux-core/src/baobabmux_core/prefixes.py
+++ b/packages/baobabmux-core/src/baobabmux_core/prefixes.py
@@ -9,14 +9,23 @@
 # An estimate that holds for common tokenizers and European text.
 _BYTES_PER_TOKEN = 4
 
-# Prefix lengths in tokens. Steps of a half keep a shared prefix of any length
-# at two thirds or more, and 14 parts keep an Ask within its byte budget.
-_BOUNDARIES = (
-    64, 96, 128, 192, 256, 384, 512, 768, 1024, 1536, 2048, 3072, 4096, 6144,
-    8192, 12288, 16384,
-)  # fmt: skip
+# Engines cache prompts in blocks of this many tokens.
+_BLOCK_TOKENS = 64
+_BLOCK_BYTES = _BLOCK_TOKENS * _BYTES_PER_TOKEN
+
+# Numbers of blocks at which a prefix is named. Steps of at most a half keep
+# two thirds of a shared prefix of any length; the longest 8 parts keep an Ask
+# within its byte budget.
+_BOUNDARIES = frozenset(
+    {1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256, 384, 512}
+)
 _MAX_PARTS = 8
 
+# An entry for each block that a cache can hold, and room for entries whose
+# eviction was not announced.
+_TOKENS_PER_ENTRY = _BLOCK_TOKENS // 2
+_MIN_ENTRIES = 64
+
 
 def estimate_tokens(prompt: bytes) -> int:
     """Estimates the length of a prompt in tokens."""
@@ -26,23 +35,29 @@
 def digest_prompt(prompt: bytes) -> tuple[messages.PrefixPart, ...]:
     """Digests the prefixes of a prompt at fixed lengths.
 
+    The digest of a block is seeded with the digest of all before it, as
+    engines do it in their cache events.
+
     Args:
         prompt: Bytes of the prompt.
 
     Returns:
         At most 8 prefixes, the longest last.
     """
-    digest = xxhash.xxh3_64()
+    digest = 0
     parts = []
-    done = 0
-    for tokens in _BOUNDARIES:
-        end = tokens * _BYTES_PER_TOKEN
-        if end > len(prompt):
-            break
-        digest.update(prompt[done:end])
-        done = end
-        value = digest.intdigest() & 0xFFFFFFFF
-        parts.append(messages.PrefixPart(ids.PrefixDigest(value), tokens))
+    blocks = min(len(prompt) // _BLOCK_BYTES, max(_BOUNDARIES))
+    for block in range(1, blocks + 1):
+        end = block * _BLOCK_BYTES
+        digest = xxhash.xxh32_intdigest(
+            prompt[end - _BLOCK_BYTES : end], seed=digest
+        )
+        if block in _BOUNDARIES:
+            parts.append(
+                messages.PrefixPart(
+                    ids.PrefixDigest(digest), block * _BLOCK_TOKENS
+                )
+            )
     return tuple(parts[-_MAX_PARTS:])
 
 
@@ -87,11 +102,14 @@
             self._store(part.digest, max(0, part.tokens - shorter))
 
     def stored(self, digest: ids.PrefixDigest, tokens: int) -> None:
-        """Notes the endpoint's event that it cached a prefix."""
-        if digest in self._parts:
-            self._parts.move_to_end(digest)
-            return
-        self._store(digest, tokens)
+        """Notes the endpoint's event that it cached a prefix.
+
+        An event names the whole length of the prefix, not what it adds, so
+        a prefix that this node has not dispatched counts as nothing and is
+        bounded by the number of entries.
+        """
+        if digest not in self._parts:
+            self._store(digest, 0)
 
     def evicted(self, digest: ids.PrefixDigest) -> None:
         """Notes the endpoint's event that it dropped a prefix."""
@@ -105,5 +123,9 @@
     def _store(self, digest: ids.PrefixDigest, tokens: int) -> None:
         self.tokens += tokens - self._parts.pop(digest, 0)
         self._parts[digest] = tokens
-        while self.tokens > self.capacity and self._parts:
+        while self._parts and (
+            self.tokens > self.capacity
+            or len(self._parts) * _TOKENS_PER_ENTRY
+            > max(self.capacity, _MIN_ENTRIES * _TOKENS_PER_ENTRY)
+        ):
             self.tokens -= self._parts.popitem(last=False)[1]
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -37,11 +37,11 @@
 
 
 class _RemoteLoad(msgspec.Struct, frozen=True):
-    """Wait of a group as heard from a node at a time."""
+    """Wait of a group as heard from its data centre or from a delegate."""
 
     wait: float
-    sender: ids.NodeId
     heard: float
+    first_hand: bool
 
 
 class NodeScheduler:
@@ -192,8 +192,7 @@
             case messages.Suspect():
                 found = self._suspected(message, now)
             case messages.Cleared():
-                self._quarantine.clear(message.content, now)
-                found = []
+                found = self._cleared(message.content, now)
             case messages.DrainEndpoint():
                 self._set_drained(message.endpoint, message.drain)
                 found = []
@@ -249,7 +248,7 @@
         """Corrects an owned endpoint's count by its own report."""
         found = []
         for owner in self._owned.values():
-            found += owner.load_report(endpoint, running + waiting, now)
+            found += owner.load_report(endpoint, running + waiting, as_of, now)
         return found
 
     def cache_event(
@@ -352,34 +351,31 @@
                 return owner.model(endpoint)
         return None
 
+    def group_states(self, now: float) -> list[grants.GroupState]:
+        """Returns the states of the owned groups for operators."""
+        return [owner.state(now) for owner in self._owned.values()]
+
     def drained(self) -> frozenset[ids.EndpointId]:
         """Returns the endpoints that operators drain."""
         return frozenset(self._drained)
 
-    def loads(
-        self, now: float, peer: ids.NodeId | None = None
-    ) -> tuple[messages.ServiceLoad, ...]:
+    def loads(self, now: float) -> tuple[messages.ServiceLoad, ...]:
         """Returns the waits of groups for a heartbeat.
 
-        Peers in this data centre are told the waits of other data centres
-        that this node heard from there; peers elsewhere those of this data
-        centre. Thus two delegates of each data centre suffice.
-
-        Args:
-            now: Current time in seconds.
-            peer: Receiver of the heartbeat, or None for the owned groups.
+        They are those of the owned groups, and what this node heard first
+        hand: from owners in its data centre for delegates elsewhere, and
+        from delegates elsewhere for nodes in its data centre.
         """
         waits = {group: owner.wait(now) for group, owner in self._owned.items()}
-        if peer is not None:
-            near = set(self._membership.live(self.data_centre))
-            for group, load in self._loads.items():
-                at_home = group.endswith(f"@{self.data_centre}")
-                if now - load.heard > _LOAD_SECONDS or at_home == (
-                    peer in near
-                ):
-                    continue
-                if at_home or load.sender not in near:
-                    waits.setdefault(group, load.wait)
+        fresh = {
+            group: load
+            for group, load in self._loads.items()
+            if load.first_hand and now - load.heard <= _LOAD_SECONDS
+        }
+        is_delegate = any(not self._is_local(group) for group in fresh)
+        if is_delegate:
+            for group, load in fresh.items():
+                waits.setdefault(group, load.wait)
         return tuple(
             messages.ServiceLoad(group, round(wait * 1000))
             for group, wait in waits.items()
@@ -501,12 +497,24 @@
     def _note_loads(
         self, message: messages.Heartbeat, sender: ids.NodeId, now: float
     ) -> None:
+        near = sender in self._membership.live(self.data_centre)
+        centre = self.data_centre if near else message.data_centre
         for load in message.loads:
-            if load.group not in self._owned:
+            local = self._is_local(load.group)
+            # A wait passed on inside its own data centre would never expire.
+            if local and self._owner(load.group) != sender:
+                continue
+            if load.group in self._owned:
+                continue
+            first_hand = load.group.endswith(f"@{centre}")
+            if near or first_hand:
                 self._loads[load.group] = _RemoteLoad(
-                    load.wait_ms / 1000, sender, now
+                    load.wait_ms / 1000, now, first_hand
                 )
 
+    def _is_local(self, group: ids.GroupId) -> bool:
+        return group.endswith(f"@{self.data_centre}")
+
     def _suspected(
         self, message: messages.Suspect, now: float
     ) -> list[effects.Effect]:
@@ -517,7 +525,16 @@
                 self._quarantine.suspect(content, now)
         found = []
         for owner in self._owned.values():
-            found += owner.contents_suspected(message.contents, now)
+            found += owner.contents_judged(message.contents, now)
+        return found
+
+    def _cleared(
+        self, content: ids.ContentDigest, now: float
+    ) -> list[effects.Effect]:
+        self._quarantine.clear(content, now)
+        found = []
+        for owner in self._owned.values():
+            found += owner.contents_judged((content,), now)
         return found
 
     def _set_drained(self, endpoint: ids.EndpointId, drain: bool) -> None:
--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -10,6 +10,7 @@
 from baobabmux_core import (
     declarations,
     effects,
+    messages,
     rendezvous,
     scheduler,
     states,
@@ -88,6 +89,8 @@
         self.dispatches = collections.Counter()
         self.finals = collections.defaultdict(list)
         self.refusals = {}
+        self.granted = set()
+        self.beyond_limits = []  # Grants that exceeded the owner's count.
         configuration = _configuration(centres=centres, **options)
         for node, core in self.nodes.items():
             self.carry_out(node, core.configure(configuration, self.now))
@@ -97,6 +100,8 @@
         for effect in found:
             if isinstance(effect, effects.Send):
                 self.network.append((node, effect.to, effect.message))
+                if isinstance(effect.message, messages.Grant):
+                    self.check_grant(node, effect.message)
             elif isinstance(effect, effects.Dispatch | effects.Claim):
                 self.pending[effect.request] = effect
             elif isinstance(effect, effects.Refuse):
@@ -104,6 +109,19 @@
                 self.refusals[effect.request] = effect
                 self.pending.pop(effect.request, None)
 
+    def check_grant(self, node, grant):
+        """Notes a grant, unless repeated, that exceeds the owner's count.
+
+        What another owner granted may exceed it, but adds no further grant.
+        """
+        key = (node, grant.request, grant.endpoint)
+        requests, tokens = self.nodes[node].outstanding()[grant.endpoint]
+        if key not in self.granted and (
+            requests > _MAX_REQUESTS or tokens > 4000
+        ):
+            self.beyond_limits.append(key)
+        self.granted.add(key)
+
     def deliver(self, index=0):
         sender, to, message = self.network[index]
         del self.network[index]
@@ -128,7 +146,7 @@
         values = {
             "route": "wording", "service": "drafting", "tier": 0,
             "workspace": "w", "deadline": None, "prompt_tokens": 100,
-            "output_tokens": 100, "content": hash(request) & 0xFFFF,
+            "output_tokens": 100, "content": len(self.holder_of),
         }  # fmt: skip
         values.update(fields)
         self.holder_of[request] = name
@@ -205,14 +223,6 @@
     def without_single_final(self):
         return [r for r in self.holder_of if len(self.finals[r]) != 1]
 
-    def beyond_limits(self):
-        return [
-            (node, endpoint)
-            for node, core in self.nodes.items()
-            for endpoint, (requests, tokens) in core.outstanding().items()
-            if requests > _MAX_REQUESTS or tokens > 4000
-        ]
-
 
 def test_request_runs_from_submission_to_release():
     """Guards against a broken chain of ask, grant, dispatch and release."""
@@ -255,10 +265,10 @@
 
     @st.rule(
         node=hs.integers(0, 2), tier=hs.integers(0, 2), claim=hs.booleans(),
-        size=hs.sampled_from([50, 500, 3000]),
+        size=hs.sampled_from([50, 500, 3000]), content=hs.integers(1, 20),
         deadline=hs.sampled_from([None, 2.0, 20.0]),
     )  # fmt: skip
-    def submit(self, node, tier, claim, size, deadline):
+    def submit(self, node, tier, claim, size, deadline, content):
         name = list(self.cluster.nodes)[node]
         if name in self.cluster.paused:
             return
@@ -266,7 +276,7 @@
         due = None if deadline is None else self.cluster.now + deadline
         self.cluster.submit(
             f"r{self.count}", node, tier=tier, needs_claim=claim,
-            prompt_tokens=size, deadline=due,
+            prompt_tokens=size, deadline=due, content=content,
         )  # fmt: skip
 
     @st.precondition(lambda self: self.cluster.network)
@@ -281,6 +291,22 @@
             network.append(network[index])
         self.cluster.deliver(index)
 
+    @st.rule(tier=hs.integers(0, 2), content=hs.integers(1, 5))
+    def submit_burst(self, tier, content):
+        for node, name in enumerate(self.cluster.nodes):
+            if name not in self.cluster.paused:
+                self.count += 1
+                self.cluster.submit(
+                    f"r{self.count}", node, tier=tier, content=content
+                )
+
+    @st.rule()
+    def deliver_and_drive(self):
+        self.cluster.deliver_all()
+        for request in list(self.cluster.pending):
+            if self.cluster.holder_of[request] not in self.cluster.paused:
+                self.cluster.step(request)
+
     @st.precondition(lambda self: self.cluster.pending)
     @st.rule(data=hs.data())
     def drive(self, data):
@@ -320,7 +346,7 @@
 
     @st.invariant()
     def limits_hold(self):
-        assert not self.cluster.beyond_limits()
+        assert not self.cluster.beyond_limits
 
     def teardown(self):
         self.cluster.members.centres[_CENTRE] = list(self.cluster.nodes)
@@ -333,6 +359,6 @@
 
 
 Faults.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+    max_examples=80, stateful_step_count=50, derandomize=True, deadline=None
 )
 TestFaults = Faults.TestCase
