Treat an engine's rejection as the end of a request

Cause: after REJECTED the holder asked for another grant, so a request that one engine had received was dispatched to a second one. Ruled out: counting a rejection as never sent; bytes had reached the engine, and the promise is one dispatch to an engine, not one run.

Change: REJECTED is final (refused, not run); only NOT_SENT is retried. The new test failed before (two dispatches) and passes now.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -286,7 +286,7 @@
     ) -> list[effects.Effect]:
         """Ends a granted request and grants its slot again."""
         outcome = states.Outcome(release.outcome)
-        if outcome not in (states.Outcome.NOT_SENT, states.Outcome.REJECTED):
+        if outcome is not states.Outcome.NOT_SENT:
             self._remember_ended(release.request)
             entry = self._entries.get(release.request)
             if entry is not None and entry.holder == holder:
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -226,11 +226,14 @@
         release = self._release(
             held, outcome, now, computed_tokens, output_tokens
         )
-        if outcome in (states.Outcome.NOT_SENT, states.Outcome.REJECTED):
+        if outcome is states.Outcome.NOT_SENT:
             return [release, *self._retry(held, now)]
         held.state = {
             states.Outcome.COMPLETED: states.RequestState.DONE,
             states.Outcome.CANCELLED: states.RequestState.CANCELLED,
+            # An engine was reached, so a second one would be a second
+            # dispatch although the first did not run the request.
+            states.Outcome.REJECTED: states.RequestState.REFUSED,
         }.get(outcome, states.RequestState.FAILED)
         del self.held[request]
         return [release]
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -125,7 +125,7 @@
     ) -> list[effects.Effect]:
         """Ends an attempt.
 
-        After `NOT_SENT` and `REJECTED` the request waits for another grant
+        After `NOT_SENT` the request waits for another grant
         and a `Dispatch` or a `Refuse` follows; every other outcome is final.
 
         Args:
--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -154,8 +154,8 @@
     def finish(self, request, outcome=states.Outcome.COMPLETED):
         node = self.holder_of[request]
         del self.running[request]
-        if outcome in (states.Outcome.NOT_SENT, states.Outcome.REJECTED):
-            self.dispatches[request] -= 1  # It was not run.
+        if outcome is states.Outcome.NOT_SENT:
+            self.dispatches[request] -= 1  # No byte was written.
         else:
             self.finals[request].append(outcome.value)
         found = self.nodes[node].finished(
@@ -227,6 +227,18 @@
     assert all(not core.held_requests() for core in cluster.nodes.values())
 
 
+def test_rejected_request_is_not_dispatched_again():
+    """Guards against a second dispatch after an engine answered 503."""
+    cluster = Cluster()
+    cluster.submit("r1")
+    cluster.deliver_all()
+    cluster.step_all()
+    cluster.finish("r1", states.Outcome.REJECTED)
+    cluster.settle(10)
+    assert cluster.dispatches["r1"] == 1
+    assert cluster.finals["r1"] == ["rejected"]
+
+
 @pytest.mark.parametrize("lost", ["Ask", "Grant", "Release", "Withdraw"])
 def test_lost_message_is_made_good(lost):
     """Guards against a request or a slot lost with one message."""
