--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -320,6 +320,14 @@
         """Returns the groups that this node owns."""
         return list(self._owned)
 
+    def owned_group(self, group: ids.GroupId) -> grants.GroupOwner:
+        """Returns the decisions for an owned group, for queries only.
+
+        Raises:
+            KeyError: This node does not own the group.
+        """
+        return self._owned[group]
+
     def owned_endpoints(self) -> list[ids.EndpointId]:
         """Returns the endpoints of all owned groups."""
         return [
--- a/packages/baobabmux-node/src/baobabmux_node/admin.py
+++ b/packages/baobabmux-node/src/baobabmux_node/admin.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from baobabmux_core import catalogue, errors, ids, messages
-from baobabmux_node import responses, server
+from baobabmux_core import catalogue, errors, ids
+from baobabmux_node import responses, server, status
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -94,7 +94,7 @@
                     name: host.membership.state(name).value
                     for name in host.membership.reachable()
                 },
-                "groups": host.scheduler.group_states(now),
+                "groups": status.group_states(host.scheduler, now),
                 "held": len(host.held),
                 "timeline_events": len(host.events.timeline),
                 "addresses": host.addresses(),
@@ -136,10 +136,6 @@
 
     async def _spread(self, order: DrainOrder) -> None:
         host = self._host
-        message = messages.DrainEndpoint(order.endpoint, order.drain)
-        for name in host.membership.reachable():
-            if name != host.settings.node:
-                host.peers.enqueue(name, message)
         host.events.record(
             catalogue.EventKind.ENDPOINT_DRAINED,
             endpoint=order.endpoint,
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -6,6 +6,8 @@
 
 import prometheus_client
 
+from baobabmux_node import status
+
 
 class Metrics:
     """All metrics; docs/metrics.md describes them for operators.
@@ -101,12 +103,8 @@
         self._raise(self.dropped_frames, transport.dropped_frames)
         self._raise(self.log_appends, log.appends)
 
-    def update_groups(self, groups) -> None:
-        """Takes the states of the groups that this node owns.
-
-        Args:
-            groups: States from `scheduler.NodeScheduler.group_states`.
-        """
+    def update_groups(self, groups: list[status.GroupStatus]) -> None:
+        """Takes the states of the groups that this node owns."""
         # Groups and endpoints that moved to another owner disappear here.
         for gauge in (
             self.queue_requests,
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -14,6 +14,7 @@
     ids,
     membership,
     messages,
+    rendezvous,
     scheduler,
     states,
     timers,
@@ -35,6 +36,7 @@
     server,
     settings,
     sinks,
+    status,
     vms,
 )
 
@@ -440,15 +442,14 @@
         self._send_heartbeats(self.membership.heartbeat_targets(now))
 
     def _send_heartbeats(self, targets: list[ids.NodeId]) -> None:
-        if not targets:
-            return
-        heartbeat = messages.Heartbeat(
-            self.draining,
-            self.config.state.version,
-            self.scheduler.loads(time.monotonic()),
-            self.settings.data_centre,
-        )
+        now = time.monotonic()
         for target in targets:
+            heartbeat = messages.Heartbeat(
+                self.draining,
+                self.config.state.version,
+                self.scheduler.loads(now, target),
+                self.settings.data_centre,
+            )
             self.peers.enqueue(target, heartbeat)
 
     def _tick_scheduler(self, now: float) -> None:
@@ -458,7 +459,7 @@
         self.metrics.held.set(len(self.held))
         self.metrics.members.set(len(self.membership.reachable()))
         self.metrics.update_control(self.peers, self.log)
-        self.metrics.update_groups(self.scheduler.group_states(now))
+        self.metrics.update_groups(status.group_states(self.scheduler, now))
 
     def _ask_for_configuration(self, now: float) -> None:
         """Asks a peer while the own configuration is missing."""
@@ -489,7 +490,7 @@
         while True:
             await curio.sleep(_SNAPSHOT_SECONDS)
             live = self.membership.reachable()
-            first = scheduler.rendezvous.owner(config_follower.STREAM, live)
+            first = rendezvous.owner(config_follower.STREAM, live)
             if first == self.settings.node:
                 await self.config.append_snapshot()
 
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/status.py
@@ -0,0 +1,85 @@
+"""What a node tells operators about itself."""
+
+import msgspec
+
+from baobabmux_core import ids, scheduler
+
+
+class EndpointStatus(msgspec.Struct, frozen=True):
+    """State of an endpoint, as the owner of its group sees it.
+
+    Attributes:
+        endpoint: Identifier.
+        outstanding_requests: Requests granted and not released.
+        outstanding_tokens: Their tokens.
+        breaker: Value of the circuit breaker's state.
+        drained: Whether an operator drains it.
+        decode_tokens_per_second: Learned rate of one request.
+        prefill_tokens_per_second: Learned rate.
+    """
+
+    endpoint: ids.EndpointId
+    outstanding_requests: int
+    outstanding_tokens: int
+    breaker: str
+    drained: bool
+    decode_tokens_per_second: float
+    prefill_tokens_per_second: float
+
+
+class GroupStatus(msgspec.Struct, frozen=True):
+    """State of a group that the node owns.
+
+    Attributes:
+        group: Identifier.
+        queue_requests: Requests that wait.
+        queue_tokens: Their tokens.
+        queue_by_tier: Requests that wait, by tier rank.
+        wait_seconds: Predicted wait of a new request of the lowest tier.
+        endpoints: Its endpoints.
+    """
+
+    group: ids.GroupId
+    queue_requests: int
+    queue_tokens: int
+    queue_by_tier: dict[int, int]
+    wait_seconds: float
+    endpoints: list[EndpointStatus]
+
+
+def group_states(
+    source: scheduler.NodeScheduler, now: float
+) -> list[GroupStatus]:
+    """Returns the states of the groups that a node owns.
+
+    Args:
+        source: Decisions of the node.
+        now: Time on the node's clock in seconds.
+    """
+    return [
+        _group_state(source, group, now) for group in source.owned_groups()
+    ]
+
+
+def _group_state(source, group, now) -> GroupStatus:
+    owner = source.owned_group(group)
+    drained = source.drained()
+    return GroupStatus(
+        group=group,
+        queue_requests=owner.queue_length(),
+        queue_tokens=owner.queued_tokens(),
+        queue_by_tier=owner.queued_by_tier(),
+        wait_seconds=owner.wait(now),
+        endpoints=[
+            EndpointStatus(
+                endpoint=name,
+                outstanding_requests=requests,
+                outstanding_tokens=tokens,
+                breaker=owner.breaker(name).state.value,
+                drained=name in drained,
+                decode_tokens_per_second=owner.model(name).decode_rate,
+                prefill_tokens_per_second=owner.model(name).prefill_rate,
+            )
+            for name, (requests, tokens) in owner.outstanding().items()
+        ],
+    )
