--- a/standins/src/baobabmux_standins/client.py
+++ b/standins/src/baobabmux_standins/client.py
@@ -24,12 +24,14 @@
         headers: Header fields by lower-case name.
         body: The body, as far as it arrived.
         whole: Whether the answer arrived to its end.
+        connected: Whether the connection was made at all.
     """
 
     status: int
     headers: Headers
     body: bytes
     whole: bool
+    connected: bool = True
 
     def json(self) -> Any:
         """Returns the body as JSON; raises ValueError if it is none."""
@@ -148,17 +150,18 @@
     A refused or broken connection is told by the status 0 and by `whole`;
     so is an answer that has not ended after `timeout_seconds`.
     """
-    exchange: Exchange | None = None
+    try:
+        exchange = Exchange(await connect(address))
+    except OSError:
+        return Response(0, {}, b"", False, connected=False)
     received = bytearray()
     try:
         async with curio.timeout_after(timeout_seconds):
-            exchange = await open_exchange(address, method, path, body, headers)
+            await exchange.send(address, method, path, headers or {}, body)
             async for part in exchange.parts():
                 received += part
     except (OSError, curio.TaskTimeout):
         pass
-    if exchange is None:
-        return Response(0, {}, b"", False)
     await exchange.close()
     return Response(
         exchange.status, exchange.headers, bytes(received), exchange.whole
--- a/standins/src/baobabmux_standins/cluster.py
+++ b/standins/src/baobabmux_standins/cluster.py
@@ -254,11 +254,11 @@
         names = [str(file) for file in files]
         self._ctl_done("publish", "--log", _started(self.log).address, *names)
 
-    def publish_tables(self, name: str, tables: dict[str, Any]) -> None:
-        """Writes declarations to a file of a name and publishes it."""
+    def write_tables(self, name: str, tables: dict[str, Any]) -> pathlib.Path:
+        """Writes declarations to a temporary file, for `publish`."""
         file = self.directory / f"{name}.toml"
         file.write_text(tomli_w.dumps(tables))
-        self.publish(file)
+        return file
 
     def use_preset(self, name: str) -> None:
         """Switches the preset.
@@ -299,8 +299,7 @@
             },
             "shutdown": {"announce_seconds": announce_seconds},
         }
-        file = self.directory / f"{name}.toml"
-        file.write_text(tomli_w.dumps(settings))
+        file = self.write_tables(name, settings)
         command = [str(_COMMANDS / "baobabmux"), "--settings", str(file)]
         node = Node(name, data_centre, self.start_process(name, command))
         self.nodes[name] = node
--- /dev/null
+++ b/standins/src/baobabmux_standins/load.py
@@ -0,0 +1,133 @@
+"""Sends calls through nodes and notes what their callers are told."""
+
+import itertools
+import json
+from collections.abc import Iterable
+
+import curio
+import msgspec
+
+from baobabmux_standins import client, ledger, workload
+
+_RESENDS = 3
+_CALL_SECONDS = 120.0
+# Kinds of refusals after which a load balancer tries another node.
+_LEAVING_KINDS = ("shutting_down", "not_ready")
+
+
+class Balancer:
+    """Chooses a node for each connection, as the platform's balancer does.
+
+    Attributes:
+        addresses: Addresses for callers of the nodes in use.
+    """
+
+    def __init__(self, addresses: Iterable[str]):
+        self.addresses = list(addresses)
+        self._turns = itertools.count()
+
+    def choose(self) -> str:
+        """Returns the next address in turn."""
+        return self.addresses[next(self._turns) % len(self.addresses)]
+
+    def add(self, address: str) -> None:
+        """Takes an address into use."""
+        self.addresses.append(address)
+
+    def remove(self, address: str) -> None:
+        """Takes an address out of use, unless it is the last."""
+        if address in self.addresses and len(self.addresses) > 1:
+            self.addresses.remove(address)
+
+
+class Load:
+    """Sends calls at their times and keeps the outcomes.
+
+    Attributes:
+        balancer: Chooses the nodes.
+        outcomes: Outcomes of the calls that have ended.
+        sent: Number of calls sent.
+        resent: Number of repeats after a refusal by a leaving node.
+    """
+
+    def __init__(self, balancer: Balancer):
+        self.balancer = balancer
+        self.outcomes: list[ledger.Outcome] = []
+        self.sent = 0
+        self.resent = 0
+
+    async def run(self, calls: list[workload.Call]) -> None:
+        """Sends calls, which are in order of time, and awaits all answers."""
+        start = await curio.clock()
+        async with curio.TaskGroup() as group:
+            for call in calls:
+                wait = start + call.at_seconds - await curio.clock()
+                await curio.sleep(max(0.0, wait))
+                self.sent += 1
+                await group.spawn(self._send, call)
+
+    async def _send(self, call: workload.Call) -> None:
+        for _ in range(_RESENDS):
+            address = self.balancer.choose()
+            outcome = await send(address, call)
+            if outcome.connected and outcome.kind not in _LEAVING_KINDS:
+                break
+            self.balancer.remove(address)
+            self.resent += 1
+        self.outcomes.append(outcome)
+
+
+async def send(address: str, call: workload.Call) -> ledger.Outcome:
+    """Sends a call to one node and judges the answer."""
+    response = await client.request(
+        address, "POST", call.path, call.body, call.headers, _CALL_SECONDS
+    )
+    return judge(call, response)
+
+
+def judge(call: workload.Call, response: client.Response) -> ledger.Outcome:
+    """Tells what the caller knows after a response."""
+    is_good = response.whole and 200 <= response.status < 300
+    problem = {} if is_good else _problem(response)
+    told = response.headers.get("baobabmux-run-status", "")
+    return ledger.Outcome(
+        marker=call.marker,
+        connected=response.connected,
+        answered=response.whole,
+        status=response.status,
+        run_status=problem.get("run_status", told),
+        kind=problem.get("kind", ""),
+        own=not is_good or is_own(call, response.body),
+    )
+
+
+def is_own(call: workload.Call, body: bytes) -> bool:
+    """Returns whether a body is the complete answer to a call."""
+    if not call.text:
+        return _member(body, "marker") == call.marker
+    events = client.parse_events(body)
+    if not events:
+        return _member(body, "text") == call.text
+    texts = [_member(event.data.encode(), "text") for event in events]
+    return events[-1].data == "[DONE]" and "".join(texts) == call.text
+
+
+def _member(body: bytes, name: str) -> str:
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return ""
+    return str(value.get(name, "")) if isinstance(value, dict) else ""
+
+
+class _Problem(msgspec.Struct):
+    kind: str = ""
+    run_status: str = ""
+
+
+def _problem(response: client.Response) -> dict[str, str]:
+    try:
+        problem = msgspec.json.decode(response.body, type=_Problem)
+    except msgspec.DecodeError:
+        return {}
+    return {"kind": problem.kind, "run_status": problem.run_status}
