--- a/packages/baobabmux-node/src/baobabmux_node/status.py
+++ b/packages/baobabmux-node/src/baobabmux_node/status.py
@@ -56,9 +56,7 @@
         source: Decisions of the node.
         now: Time on the node's clock in seconds.
     """
-    return [
-        _group_state(source, group, now) for group in source.owned_groups()
-    ]
+    return [_group_state(source, group, now) for group in source.owned_groups()]
 
 
 def _group_state(source, group, now) -> GroupStatus:
