--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/configuration.py
@@ -0,0 +1,453 @@
+"""Configuration as a fold over the records of the log stream `config`.
+
+Every node folds the same records in the same order, so every node reaches the
+same verdicts. Offsets of the log service are consecutive; a reader that meets
+a gap has lost records to expiry and waits for a snapshot that closes it.
+"""
+
+import collections
+import enum
+import functools
+from typing import Any
+
+import expression
+import msgspec
+
+from baobabmux_core import declarations
+
+STREAM = "config"
+
+# About five hours of changes at 4,500 a day.
+_MAX_VERDICTS = 1000
+
+# Bounds error lines and entry addresses over all verdicts, because a single
+# publication may name every entry.
+_MAX_DETAILS = 100_000
+
+# Records kept while a reader waits for a snapshot; two days of changes.
+_MAX_PENDING = 10_000
+
+# Offsets whose time is remembered, to judge the age of snapshots.
+_MAX_TIMES = 1000
+
+_MAX_NAME_CHARACTERS = 128
+
+
+class VerdictKind(enum.Enum):
+    """How a publication was decided."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Decision about one publication.
+
+    Attributes:
+        operation: Identifier that the operator's tool chose.
+        kind: How it was decided.
+        offset: Offset of the publication; the new version if accepted.
+        base: Version against which it was made.
+        version: Version in force after the decision.
+        entries: Addresses `section/name` that the publication changed if it
+            was accepted, or that changed after its base if it conflicts.
+        complete: Whether `entries` reaches back to the base of a conflict;
+            changes older than the remembered verdicts are missing.
+        errors: All errors of an invalid publication, one line each.
+    """
+
+    operation: str
+    kind: VerdictKind
+    offset: int
+    base: int
+    version: int
+    entries: tuple[str, ...] = ()
+    complete: bool = True
+    errors: tuple[str, ...] = ()
+
+
+class Publication(msgspec.Struct, tag="publication"):
+    """A change of some entries, made against a known version.
+
+    Attributes:
+        operation: Identifier of the change, the same for repeated appends.
+        base: Version that the author saw, -1 before the first one.
+        set: New tables by address `section/name`; each replaces the entry.
+        delete: Addresses of entries to remove.
+        author: Who made the change.
+    """
+
+    operation: str
+    base: int
+    set: dict[str, Any] = {}
+    delete: list[str] = []
+    author: str = ""
+
+
+class PastOperation(msgspec.Struct, frozen=True):
+    """Decided publication as snapshots carry it."""
+
+    operation: str
+    kind: VerdictKind
+    offset: int
+    base: int
+    version: int
+    entries: tuple[str, ...] = ()
+
+
+class Snapshot(msgspec.Struct, tag="snapshot"):
+    """Folded state through an offset.
+
+    Attributes:
+        through: Offset of the last record folded.
+        version: Version in force.
+        tables: All tables in force.
+        operations: Remembered verdicts, oldest first.
+    """
+
+    through: int
+    version: int
+    tables: dict[str, dict[str, dict[str, Any]]]
+    operations: list[PastOperation] = []
+
+
+def publication(
+    operation: str,
+    base: int,
+    set_entries: dict[str, dict[str, Any]],
+    delete: list[str],
+    author: str,
+) -> dict[str, Any]:
+    """Returns the record of a publication, as it is appended to the log."""
+    return msgspec.to_builtins(
+        Publication(operation, base, set_entries, delete, author)
+    )
+
+
+class ConfigurationLog:
+    """Fold of the stream `config`.
+
+    Attributes:
+        version: Offset of the last accepted publication, -1 at first.
+        through: Offset of the last record folded, -1 at first.
+        configuration: Configuration in force, or None before the first.
+        tables: Tables in force.
+        ignored: Records and snapshots that were malformed or contradicted
+            the state.
+    """
+
+    def __init__(self):
+        self.version = -1
+        self.through = -1
+        self.configuration: declarations.Configuration | None = None
+        self.tables: declarations.Tables = {}
+        self.ignored = 0
+        self._verdicts: collections.OrderedDict[str, Verdict] = (
+            collections.OrderedDict()
+        )
+        self._details = 0
+        self._pending: collections.deque[tuple[int, Any]] = collections.deque()
+        self._times: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
+        self._snapshot_time_ms: int | None = None
+
+    @property
+    def waiting(self) -> bool:
+        """Whether a snapshot is needed before later records count."""
+        return bool(self._pending)
+
+    def apply(
+        self, offset: int, record: Any, time_ms: int | None = None
+    ) -> Verdict | None:
+        """Folds one record; records at or before `through` are ignored.
+
+        Args:
+            offset: Its offset in the stream.
+            record: Its data, untrusted.
+            time_ms: Unix milliseconds at which the log took it, if known.
+
+        Returns:
+            The verdict if the record is a publication that is decided now.
+        """
+        if offset <= self.through:
+            return None
+        if time_ms is not None:
+            self._remember_time(offset, time_ms)
+        if offset == self.through + 1:
+            self._pending.clear()
+            return self._fold(offset, record)
+        self._wait(offset, record)
+        return None
+
+    def verdict(self, operation: str) -> Verdict | None:
+        """Returns the verdict of a recent operation, or None."""
+        return self._verdicts.get(operation)
+
+    def snapshot(self) -> dict[str, Any]:
+        """Returns the record of a snapshot of the present state."""
+        operations = [
+            PastOperation(
+                item.operation,
+                item.kind,
+                item.offset,
+                item.base,
+                item.version,
+                item.entries if item.kind is VerdictKind.ACCEPTED else (),
+            )
+            for item in self._verdicts.values()
+        ]
+        return msgspec.to_builtins(
+            Snapshot(
+                self.through,
+                self.version,
+                self.tables,
+                operations,
+            )
+        )
+
+    def adopt(self, snapshot: Any) -> bool:
+        """Takes over a peer's snapshot if it is newer than the own state.
+
+        Args:
+            snapshot: Record of a snapshot, untrusted.
+
+        Returns:
+            Whether the state changed.
+        """
+        taken = _convert(snapshot, Snapshot)
+        if taken is None:
+            self.ignored += 1
+            return False
+        return self._adopt(taken)
+
+    def snapshot_due(self, now_ms: int, retention_seconds: float) -> bool:
+        """Tells whether a snapshot should be appended.
+
+        The age of a snapshot is that of the first record after its state,
+        since it helps a new reader only while that record is kept.
+
+        Args:
+            now_ms: Unix milliseconds now.
+            retention_seconds: How long the log keeps records.
+        """
+        if self.version < 0 or self.waiting:
+            return False
+        if self._snapshot_time_ms is None:
+            return True
+        age_seconds = (now_ms - self._snapshot_time_ms) / 1000
+        return age_seconds > retention_seconds / 3
+
+    def _fold(self, offset: int, record: Any) -> Verdict | None:
+        self.through = offset
+        publication = _convert(record, Publication)
+        if publication is not None:
+            return self._decide(offset, publication)
+        snapshot = _convert(record, Snapshot)
+        if snapshot is None or not self._consistent(offset, snapshot):
+            self.ignored += 1
+        else:
+            self._note_snapshot(snapshot)
+        return None
+
+    def _consistent(self, offset: int, snapshot: Snapshot) -> bool:
+        if not snapshot.version <= snapshot.through < offset:
+            return False
+        if snapshot.version == self.version:
+            return snapshot.tables == self.tables
+        return snapshot.version < self.version
+
+    def _note_snapshot(self, snapshot: Snapshot) -> None:
+        time_ms = self._times.get(snapshot.through + 1)
+        if time_ms is not None:
+            self._snapshot_time_ms = max(time_ms, self._snapshot_time_ms or 0)
+
+    def _decide(self, offset: int, publication: Publication) -> Verdict | None:
+        known = self._verdicts.get(publication.operation)
+        if known is not None:
+            return known
+        # A base at or after the record itself cannot have been seen by its
+        # author; taking it would let one operation be decided twice.
+        if (
+            not publication.operation
+            or len(publication.operation) > _MAX_NAME_CHARACTERS
+            or publication.base >= offset
+        ):
+            self.ignored += 1
+            return None
+        verdict = self._judge(offset, publication)
+        self._remember(verdict)
+        return verdict
+
+    def _judge(self, offset: int, publication: Publication) -> Verdict:
+        verdict = functools.partial(
+            Verdict,
+            publication.operation,
+            offset=offset,
+            base=publication.base,
+        )
+        if publication.base != self.version:
+            entries, complete = self._changed_since(publication.base)
+            return verdict(
+                kind=VerdictKind.CONFLICT,
+                version=self.version,
+                entries=entries,
+                complete=complete,
+            )
+        changed = apply_delta(self.tables, publication.set, publication.delete)
+        if changed.is_error():
+            return verdict(
+                kind=VerdictKind.INVALID,
+                version=self.version,
+                errors=tuple(str(error) for error in changed.error),
+            )
+        self.tables, self.configuration = changed.ok
+        self.version = offset
+        return verdict(
+            kind=VerdictKind.ACCEPTED,
+            version=offset,
+            entries=tuple(sorted({*publication.set, *publication.delete})),
+        )
+
+    def _changed_since(self, base: int) -> tuple[tuple[str, ...], bool]:
+        accepted = {
+            item.offset: item
+            for item in self._verdicts.values()
+            if item.kind is VerdictKind.ACCEPTED
+        }
+        entries: set[str] = set()
+        version = self.version
+        while version > base:
+            if version not in accepted:
+                return tuple(sorted(entries)), False
+            entries.update(accepted[version].entries)
+            version = accepted[version].base
+        return tuple(sorted(entries)), True
+
+    def _remember(self, verdict: Verdict) -> None:
+        self._verdicts[verdict.operation] = verdict
+        self._details += len(verdict.entries) + len(verdict.errors)
+        while len(self._verdicts) > _MAX_VERDICTS or (
+            self._details > _MAX_DETAILS and len(self._verdicts) > 1
+        ):
+            _, oldest = self._verdicts.popitem(last=False)
+            self._details -= len(oldest.entries) + len(oldest.errors)
+
+    def _remember_time(self, offset: int, time_ms: int) -> None:
+        self._times[offset] = time_ms
+        if len(self._times) > _MAX_TIMES:
+            self._times.popitem(last=False)
+
+    def _wait(self, offset: int, record: Any) -> None:
+        if self._pending and offset <= self._pending[-1][0]:
+            return
+        if self._pending and offset > self._pending[-1][0] + 1:
+            self._pending.clear()
+        self._pending.append((offset, record))
+        if len(self._pending) > _MAX_PENDING:
+            self._pending.popleft()
+        snapshot = _convert(record, Snapshot)
+        if snapshot is None:
+            return
+        # A snapshot that leaves a part of the gap open may be superseded by
+        # lost records, so a reader does not start from it.
+        closes = snapshot.through + 1 >= self._pending[0][0]
+        if closes and snapshot.through < offset:
+            self._adopt(snapshot)
+
+    def _adopt(self, snapshot: Snapshot) -> bool:
+        if snapshot.through <= self.through:
+            return False
+        # A version never goes back, whatever a peer claims.
+        if not max(self.version, -1) <= snapshot.version <= snapshot.through:
+            self.ignored += 1
+            return False
+        if snapshot.version >= 0:
+            checked = declarations.parse(snapshot.tables)
+            same_version = snapshot.version == self.version
+            if checked.is_error() or (
+                same_version and snapshot.tables != self.tables
+            ):
+                self.ignored += 1
+                return False
+            self.configuration = checked.ok
+            self.tables = snapshot.tables
+        self.version = snapshot.version
+        self.through = snapshot.through
+        self._adopt_operations(snapshot.operations)
+        self._fold_pending()
+        return True
+
+    def _adopt_operations(self, operations: list[PastOperation]) -> None:
+        for item in operations:
+            if item.operation not in self._verdicts:
+                self._remember(
+                    Verdict(
+                        item.operation,
+                        item.kind,
+                        item.offset,
+                        item.base,
+                        item.version,
+                        item.entries,
+                    )
+                )
+
+    def _fold_pending(self) -> None:
+        pending, self._pending = self._pending, collections.deque()
+        for offset, record in pending:
+            self.apply(offset, record)
+
+
+def apply_delta(
+    tables: declarations.Tables, changes: dict[str, Any], delete: list[str]
+) -> expression.Result[
+    tuple[declarations.Tables, declarations.Configuration],
+    list[declarations.ConfigError],
+]:
+    """Applies a delta to tables and checks the result.
+
+    Args:
+        tables: Tables in force; they are not changed.
+        changes: New tables by address `section/name`.
+        delete: Addresses to remove.
+
+    Returns:
+        New tables and the configuration that they declare, or all errors:
+        bad addresses, entries that are both set and deleted, deleted entries
+        that do not exist, and every error that `declarations.parse` finds.
+    """
+    merged = {section: dict(entries) for section, entries in tables.items()}
+    errors = []
+    for address in delete:
+        section, _, name = address.partition("/")
+        if address in changes:
+            errors.append(_delta_error(address, "is both set and deleted"))
+        elif merged.get(section, {}).pop(name, None) is None:
+            errors.append(_delta_error(address, "is deleted but not declared"))
+    for address, table in changes.items():
+        section, _, name = address.partition("/")
+        if not section or not name:
+            errors.append(_delta_error(address, "is not a section/name"))
+        else:
+            merged.setdefault(section, {})[name] = table
+    checked = declarations.parse(merged)
+    if checked.is_error():
+        errors.extend(checked.error)
+    if errors:
+        return expression.Error(errors)
+    return expression.Ok((merged, checked.ok))
+
+
+def _delta_error(address: str, problem: str) -> declarations.ConfigError:
+    shown = address[:_MAX_NAME_CHARACTERS]
+    return declarations.ConfigError(
+        f'entry "{shown}"', problem, "read the version in force and correct it"
+    )
+
+
+def _convert(record: Any, schema: type) -> Any | None:
+    try:
+        return msgspec.convert(record, schema)
+    except (msgspec.ValidationError, RecursionError, OverflowError):
+        return None
