--- a/standins/src/baobabmux_standins/cache.py
+++ b/standins/src/baobabmux_standins/cache.py
@@ -9,7 +9,15 @@
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
-    """A prefix was stored or evicted."""
+    """A prefix was stored or evicted.
+
+    Attributes:
+        sequence: Number of the event.
+        kind: "stored" or "evicted".
+        digest: Digest of the prefix.
+        tokens: Tokens that it adds to the next shorter prefix.
+        time: When it happened, in seconds.
+    """
 
     sequence: int
     kind: str
@@ -54,7 +62,7 @@
             else:
                 self._kept[digest] = length - before
                 self._used_tokens += length - before
-                self._publish("stored", digest, length, now)
+                self._publish("stored", digest, length - before, now)
             before = length
         while self._used_tokens > self._capacity_tokens and self._kept:
             digest, tokens = self._kept.popitem(last=False)
--- a/standins/src/baobabmux_standins/client.py
+++ b/standins/src/baobabmux_standins/client.py
@@ -44,10 +44,12 @@
     Attributes:
         number: Its id, or "" without one.
         data: Its data.
+        kind: Its type, or "" for the default.
     """
 
     number: str
     data: str
+    kind: str = ""
 
 
 class Exchange:
@@ -201,5 +203,6 @@
         fields = dict(
             line.split(": ", 1) for line in block.split("\n") if ": " in line
         )
-        events.append(Event(fields.get("id", ""), fields.get("data", "")))
+        names = ("id", "data", "event")
+        events.append(Event(*(fields.get(name, "") for name in names)))
     return events
--- a/standins/src/baobabmux_standins/cluster.py
+++ b/standins/src/baobabmux_standins/cluster.py
@@ -174,7 +174,10 @@
                 self.relays[data_centre, name] = relay
 
     def start_nodes(
-        self, places: dict[str, str], announce_seconds: float = 1.0
+        self,
+        places: dict[str, str],
+        announce_seconds: float = 1.0,
+        limits: dict[str, Any] | None = None,
     ) -> list[Node]:
         """Starts nodes and puts them into the VM list.
 
@@ -182,9 +185,14 @@
             places: Data centre of each node by name.
             announce_seconds: Time between the announcement of a node's stop
                 and its refusal of callers.
+            limits: Section `limits` of their settings.
         """
+        options = {
+            "shutdown": {"announce_seconds": announce_seconds},
+            "limits": limits or {},
+        }
         started = [
-            self._start_node(name, data_centre, announce_seconds)
+            self._start_node(name, data_centre, options)
             for name, data_centre in places.items()
         ]
         for node in started:
@@ -283,7 +291,7 @@
         return started.announcement()["control"]
 
     def _start_node(
-        self, name: str, data_centre: str, announce_seconds: float
+        self, name: str, data_centre: str, options: dict[str, Any]
     ) -> Node:
         any_port = "127.0.0.1:0"
         settings = {
@@ -297,7 +305,7 @@
                 "log": self.relays[data_centre, "log"].address,
                 "vms": self.relays[data_centre, "vms"].address,
             },
-            "shutdown": {"announce_seconds": announce_seconds},
+            **options,
         }
         file = self.write_tables(name, settings)
         command = [str(_COMMANDS / "baobabmux"), "--settings", str(file)]
--- a/standins/src/baobabmux_standins/ledger.py
+++ b/standins/src/baobabmux_standins/ledger.py
@@ -31,7 +31,8 @@
     @property
     def is_whole(self) -> bool:
         """Whether the call has its good answer, whole."""
-        return self.answered and 200 <= self.status < 300
+        good = 200 <= self.status < 300
+        return self.answered and good and not self.kind
 
     @property
     def is_not_run(self) -> bool:
--- a/standins/src/baobabmux_standins/load.py
+++ b/standins/src/baobabmux_standins/load.py
@@ -88,16 +88,16 @@
 def judge(call: workload.Call, response: client.Response) -> ledger.Outcome:
     """Tells what the caller knows after a response."""
     is_good = response.whole and 200 <= response.status < 300
-    problem = {} if is_good else _problem(response)
+    problem = _find_problem(response, is_good)
     told = response.headers.get("baobabmux-run-status", "")
     return ledger.Outcome(
         marker=call.marker,
         connected=response.connected,
         answered=response.whole,
         status=response.status,
-        run_status=problem.get("run_status", told),
-        kind=problem.get("kind", ""),
-        own=not is_good or is_own(call, response.body),
+        run_status=problem.run_status or told,
+        kind=problem.kind,
+        own=not is_good or bool(problem.kind) or is_own(call, response.body),
     )
 
 
@@ -125,9 +125,15 @@
     run_status: str = ""
 
 
-def _problem(response: client.Response) -> dict[str, str]:
+def _find_problem(response: client.Response, is_good: bool) -> _Problem:
+    """Returns the problem details of a refusal or of a stream's last event."""
+    text = response.body
+    if is_good:
+        events = client.parse_events(response.body)
+        if not events or events[-1].kind != "error":
+            return _Problem()
+        text = events[-1].data.encode()
     try:
-        problem = msgspec.json.decode(response.body, type=_Problem)
+        return msgspec.json.decode(text, type=_Problem)
     except msgspec.DecodeError:
-        return {}
-    return {"kind": problem.kind, "run_status": problem.run_status}
+        return _Problem()
--- a/standins/src/baobabmux_standins/log.py
+++ b/standins/src/baobabmux_standins/log.py
@@ -146,7 +146,7 @@
             await stream.grown.notify_all()
         if name.startswith(self.faults.lose_stream) and self._lose("answers"):
             raise server.HangUp
-        await reply.json({"offset": offset})
+        await reply.json({"offset": offset}, 201)
 
     async def _read(
         self, name: str, request: server.Request, reply: server.Reply
