--- a/standins/src/baobabmux_standins/process.py
+++ b/standins/src/baobabmux_standins/process.py
@@ -136,6 +136,5 @@
         if "\n" in text:
             return text.partition("\n")[0]
         if (code := self.exit_code()) is not None:
-            message = f"{self.name} ended with {code}\n{self.tail()}"
-            raise NotInTimeError(message)
+            raise NotInTimeError(f"{self.name} ended with {code}")
         return ""
