--- a/standins/src/baobabmux_standins/client.py
+++ b/standins/src/baobabmux_standins/client.py
@@ -24,12 +24,14 @@
         headers: Header fields by lower-case name.
         body: The body, as far as it arrived.
         whole: Whether the answer arrived to its end.
+        connected: Whether the connection was made at all.
     """
 
     status: int
     headers: Headers
     body: bytes
     whole: bool
+    connected: bool = True
 
     def json(self) -> Any:
         """Returns the body as JSON; raises ValueError if it is none."""
@@ -42,10 +44,12 @@
     Attributes:
         number: Its id, or "" without one.
         data: Its data.
+        kind: Its type, or "" for the default.
     """
 
     number: str
     data: str
+    kind: str = ""
 
 
 class Exchange:
@@ -148,17 +152,18 @@
     A refused or broken connection is told by the status 0 and by `whole`;
     so is an answer that has not ended after `timeout_seconds`.
     """
-    exchange: Exchange | None = None
+    try:
+        exchange = Exchange(await connect(address))
+    except OSError:
+        return Response(0, {}, b"", False, connected=False)
     received = bytearray()
     try:
         async with curio.timeout_after(timeout_seconds):
-            exchange = await open_exchange(address, method, path, body, headers)
+            await exchange.send(address, method, path, headers or {}, body)
             async for part in exchange.parts():
                 received += part
     except (OSError, curio.TaskTimeout):
         pass
-    if exchange is None:
-        return Response(0, {}, b"", False)
     await exchange.close()
     return Response(
         exchange.status, exchange.headers, bytes(received), exchange.whole
@@ -198,5 +203,6 @@
         fields = dict(
             line.split(": ", 1) for line in block.split("\n") if ": " in line
         )
-        events.append(Event(fields.get("id", ""), fields.get("data", "")))
+        names = ("id", "data", "event")
+        events.append(Event(*(fields.get(name, "") for name in names)))
     return events
--- a/standins/src/baobabmux_standins/cluster.py
+++ b/standins/src/baobabmux_standins/cluster.py
@@ -174,7 +174,10 @@
                 self.relays[data_centre, name] = relay
 
     def start_nodes(
-        self, places: dict[str, str], announce_seconds: float = 1.0
+        self,
+        places: dict[str, str],
+        announce_seconds: float = 1.0,
+        limits: dict[str, Any] | None = None,
     ) -> list[Node]:
         """Starts nodes and puts them into the VM list.
 
@@ -182,9 +185,14 @@
             places: Data centre of each node by name.
             announce_seconds: Time between the announcement of a node's stop
                 and its refusal of callers.
+            limits: Section `limits` of their settings.
         """
+        options = {
+            "shutdown": {"announce_seconds": announce_seconds},
+            "limits": limits or {},
+        }
         started = [
-            self._start_node(name, data_centre, announce_seconds)
+            self._start_node(name, data_centre, options)
             for name, data_centre in places.items()
         ]
         for node in started:
@@ -254,11 +262,11 @@
         names = [str(file) for file in files]
         self._ctl_done("publish", "--log", _started(self.log).address, *names)
 
-    def publish_tables(self, name: str, tables: dict[str, Any]) -> None:
-        """Writes declarations to a file of a name and publishes it."""
+    def write_tables(self, name: str, tables: dict[str, Any]) -> pathlib.Path:
+        """Writes declarations to a temporary file, for `publish`."""
         file = self.directory / f"{name}.toml"
         file.write_text(tomli_w.dumps(tables))
-        self.publish(file)
+        return file
 
     def use_preset(self, name: str) -> None:
         """Switches the preset.
@@ -283,7 +291,7 @@
         return started.announcement()["control"]
 
     def _start_node(
-        self, name: str, data_centre: str, announce_seconds: float
+        self, name: str, data_centre: str, options: dict[str, Any]
     ) -> Node:
         any_port = "127.0.0.1:0"
         settings = {
@@ -297,10 +305,9 @@
                 "log": self.relays[data_centre, "log"].address,
                 "vms": self.relays[data_centre, "vms"].address,
             },
-            "shutdown": {"announce_seconds": announce_seconds},
+            **options,
         }
-        file = self.directory / f"{name}.toml"
-        file.write_text(tomli_w.dumps(settings))
+        file = self.write_tables(name, settings)
         command = [str(_COMMANDS / "baobabmux"), "--settings", str(file)]
         node = Node(name, data_centre, self.start_process(name, command))
         self.nodes[name] = node
