Add the time line, its clock and the catalogue of events

The node records its own steps and, as an owner, what it does for other nodes' requests, so that a request can be followed after its holder died. Two faults were met and mended: async generators are closed by curio only inside a finalize block, so bodies and events are read by plain methods; a handler's exception closed the connection without an answer, now 500.

--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -0,0 +1,112 @@
+"""Catalogue of numbered events; docs/events.md is written from it.
+
+Numbers are never reused: 1xx process, 2xx requests, 3xx grants and
+ownership, 4xx endpoints, 5xx claims and keys, 6xx configuration, 7xx
+membership, 8xx platform, 9xx input from the network.
+"""
+
+import enum
+
+
+class EventKind(enum.Enum):
+    """Kind of an event: number and sentence.
+
+    Names in braces are fields of the event.
+    """
+
+    NODE_STARTED = (101, "The node listens at {addresses}.")
+    SHUTDOWN_STARTED = (
+        102,
+        "The node is shutting down with {held} requests held.",
+    )
+    SHUTDOWN_ENDED = (103, "The node has ended every held request.")
+    PAUSE_NOTICED = (104, "The process was paused for {seconds} s.")
+
+    REQUEST_RECEIVED = (
+        201,
+        "Request {public_id} arrived for route {route}.",
+    )
+    REQUEST_GRANTED = (202, "The request may run at {endpoint}.")
+    REQUEST_DISPATCHED = (203, "The request is being sent to {endpoint}.")
+    DISPATCH_FORBIDDEN = (
+        204,
+        "The grant for {endpoint} had expired before the first byte.",
+    )
+    ATTEMPT_ENDED = (
+        205,
+        "The attempt at {endpoint} ended: {outcome} {detail}",
+    )
+    REQUEST_REFUSED = (206, "The request ended with {error}.")
+    FIRST_TOKEN = (207, "The first token arrived from {endpoint}.")
+    REQUEST_REPEATED = (
+        208,
+        "The key belongs to attempt {winner} at node {holder}.",
+    )
+
+    OWNERSHIP_TAKEN = (301, "The node owns group {group} now.")
+    OWNERSHIP_LEFT = (302, "The node no longer owns group {group}.")
+    REQUEST_ASKED = (
+        303,
+        "Node {holder} asks for a grant in group {group}.",
+    )
+    GRANT_SENT = (304, "The owner grants {endpoint} to node {holder}.")
+    RELEASE_RECEIVED = (
+        305,
+        "Node {holder} reports the end at {endpoint}: {outcome}.",
+    )
+    REFUSAL_SENT = (306, "The owner refuses the request: {error}.")
+
+    ENDPOINT_DRAINED = (401, "Drain of {endpoint} is set to {drain}.")
+    BREAKER_CHANGED = (402, "The breaker of {endpoint} is {state}.")
+    CONTENT_SUSPECTED = (
+        403,
+        "Contents {contents} are suspected of crashing {endpoint}.",
+    )
+    CONTENT_CLEARED = (404, "Content {content} is cleared.")
+    ORDER_SENT = (405, "Order {order} was sent to {endpoint}.")
+
+    CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
+    CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
+    CLAIM_UNAVAILABLE = (503, "The log did not decide the claim in time.")
+    ANSWER_REPLAYED = (504, "The kept answer of {winner} was sent again.")
+
+    CONFIG_IN_FORCE = (
+        601,
+        "Configuration {version} with preset {preset} is in force.",
+    )
+    CONFIG_FROM_PEER = (
+        602,
+        "Configuration {version} was taken over from node {peer}.",
+    )
+    SNAPSHOT_APPENDED = (603, "A snapshot through {through} was appended.")
+
+    MEMBER_CHANGED = (701, "Node {peer} is {state}, was {previous}.")
+
+    VM_LIST_REACHED = (801, "The VM list is reachable: {reachable}.")
+    LOG_REACHED = (802, "The log service is reachable: {reachable}.")
+
+    REQUEST_MALFORMED = (901, "A request was refused at once: {error}.")
+    FRAME_REJECTED = (902, "Frames were rejected: {count}.")
+
+    @property
+    def number(self) -> int:
+        """Number of the kind."""
+        return self.value[0]
+
+    @property
+    def sentence(self) -> str:
+        """Sentence for a person, with fields in braces."""
+        return self.value[1]
+
+    @property
+    def title(self) -> str:
+        """Name of the kind in lower case."""
+        return self.name.lower()
+
+
+_BY_NUMBER = {kind.number: kind for kind in EventKind}
+
+
+def by_number(number: int) -> EventKind | None:
+    """Returns the kind with a number, or None if this version lacks it."""
+    return _BY_NUMBER.get(number)
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/hlc.py
@@ -0,0 +1,56 @@
+"""Hybrid logical clock: orders events of all nodes close to wall time."""
+
+_COUNTER_BITS = 16
+_COUNTER_MASK = (1 << _COUNTER_BITS) - 1
+
+MAX_AHEAD_MS = 60_000
+"""A peer's stamp that is further ahead of the own wall clock is not taken
+over, so that one wrong clock does not move all others."""
+
+
+def pack(wall_ms: int, counter: int) -> int:
+    """Packs Unix milliseconds and a counter into one stamp."""
+    return wall_ms << _COUNTER_BITS | counter
+
+
+def wall_ms(stamp: int) -> int:
+    """Returns the Unix milliseconds of a stamp."""
+    return stamp >> _COUNTER_BITS
+
+
+def counter(stamp: int) -> int:
+    """Returns the counter of a stamp."""
+    return stamp & _COUNTER_MASK
+
+
+class HybridClock:
+    """Gives stamps that grow, also past those received from peers.
+
+    A stamp has 48 bits of Unix milliseconds and 16 bits of a counter. A full
+    counter carries into the milliseconds.
+
+    Attributes:
+        latest: Latest stamp given or received.
+    """
+
+    def __init__(self):
+        self.latest = 0
+
+    def now(self, now_ms: int) -> int:
+        """Returns a new stamp.
+
+        Args:
+            now_ms: Unix time in milliseconds.
+        """
+        self.latest = max(self.latest + 1, pack(now_ms, 0))
+        return self.latest
+
+    def update(self, stamp: int, now_ms: int) -> None:
+        """Moves the clock past a peer's stamp.
+
+        Args:
+            stamp: Stamp of the peer.
+            now_ms: Unix time in milliseconds.
+        """
+        if wall_ms(stamp) <= now_ms + MAX_AHEAD_MS:
+            self.latest = max(self.latest, stamp)
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/timeline.py
@@ -0,0 +1,131 @@
+"""Time line: recent events of one node, and the merge over nodes."""
+
+import collections
+import heapq
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from baobabmux_core import hlc as clock
+from baobabmux_core import ids
+
+# An event in memory takes a few hundred bytes besides its fields.
+_EVENT_BYTES = 300
+
+
+class Event(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One event.
+
+    Attributes:
+        hlc: Stamp of the hybrid logical clock.
+        kind: Number in the catalogue.
+        node: Node that recorded it.
+        request: Request that it is about, or empty.
+        endpoint: Endpoint that it is about, or empty.
+        fields: Fields that the catalogue names for the kind.
+    """
+
+    hlc: int
+    kind: int
+    node: ids.NodeId
+    request: str = ""
+    endpoint: str = ""
+    fields: dict[str, Any] = {}
+
+    def size_bytes(self) -> int:
+        """Returns the estimated memory of the event in bytes."""
+        values = self.fields.values()
+        return _EVENT_BYTES + sum(len(str(value)) for value in values)
+
+
+class Timeline:
+    """Bounded ring of events.
+
+    Attributes:
+        max_events: Greatest number of events.
+        max_bytes: Greatest estimated memory in bytes.
+        dropped: Number of events that were dropped to stay in bounds.
+    """
+
+    def __init__(self, max_events: int, max_bytes: int = 8_000_000):
+        self.max_events = max_events
+        self.max_bytes = max_bytes
+        self.dropped = 0
+        self._events: collections.deque[Event] = collections.deque()
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        """Returns the number of events."""
+        return len(self._events)
+
+    def add(self, event: Event) -> None:
+        """Adds an event; the oldest ones give way."""
+        self._events.append(event)
+        self._bytes += event.size_bytes()
+        while (
+            len(self._events) > self.max_events or self._bytes > self.max_bytes
+        ):
+            self._bytes -= self._events.popleft().size_bytes()
+            self.dropped += 1
+
+    def select(
+        self,
+        *,
+        request: str = "",
+        endpoint: str = "",
+        node: str = "",
+        since_ms: int = 0,
+        kinds: frozenset[int] = frozenset(),
+    ) -> list[Event]:
+        """Returns matching events in order; empty filters match all."""
+        return [
+            event
+            for event in self._events
+            if matches(event, request, endpoint, node, since_ms, kinds)
+        ]
+
+
+def matches(
+    event: Event,
+    request: str = "",
+    endpoint: str = "",
+    node: str = "",
+    since_ms: int = 0,
+    kinds: frozenset[int] = frozenset(),
+) -> bool:
+    """Tells whether an event passes filters; empty ones match all.
+
+    A request is found by its identifier in the system and by the one that
+    its caller gave.
+    """
+    if request and request not in (
+        event.request,
+        event.fields.get("public_id"),
+    ):
+        return False
+    if endpoint and event.endpoint != endpoint:
+        return False
+    if node and event.node != node:
+        return False
+    if kinds and event.kind not in kinds:
+        return False
+    return clock.wall_ms(event.hlc) >= since_ms
+
+
+def merge(timelines: Iterable[Iterable[Event]]) -> list[Event]:
+    """Merges events of several nodes in the order of their stamps.
+
+    Args:
+        timelines: Events of each node, ordered by stamp.
+
+    Returns:
+        All events, each once; equal stamps are ordered by node.
+    """
+    merged: list[Event] = []
+    for event in heapq.merge(
+        *timelines, key=lambda event: (event.hlc, event.node)
+    ):
+        if not merged or merged[-1] != event:
+            merged.append(event)
+    return merged
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -116,7 +116,7 @@
             )
             head = await connection.head()
             await sink.head(head.status, end_to_end(head.headers))
-            async for part in connection.body():
+            while (part := await connection.next_part()) is not None:
                 await sink.data(part)
             sink.progress(1)
             return Result(states.Outcome.COMPLETED, output_tokens=1)
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/claim_service.py
@@ -0,0 +1,261 @@
+"""Claims on the log: batches of this node and of its peers.
+
+Each partition has a few batching nodes in a data centre. Other nodes send
+their claims to one of them; when it does not answer, they append themselves.
+"""
+
+import time
+from collections.abc import Callable
+
+import curio
+import msgspec
+
+from baobabmux_core import claims, ids, membership, messages, states
+from baobabmux_node import log_service
+
+PARTITIONS = 4
+"""Streams that claims are spread over, by key."""
+
+_BATCHERS = 2
+_LONG_POLL_SECONDS = 5.0
+_ASK_REPEAT_SECONDS = 1.0
+_CLAIM_TIMEOUT_SECONDS = 4.0
+_LOG_RETRY_SECONDS = 0.3
+_PAGE_RECORDS = 500
+_BATCH_POLL_SECONDS = 0.02
+
+Send = Callable[[ids.NodeId, messages.AnyMessage], None]
+
+
+class _Partition:
+    """Batcher of one partition at this node.
+
+    Attributes:
+        number: Number of the partition.
+        stream: Name of its stream.
+        batcher: Its decisions.
+        caught_up: Whether the ledger has reached the end of the stream.
+        queued: Set when entries wait for an append.
+        tasks: Running tasks.
+    """
+
+    def __init__(self, number: int, node: ids.NodeId, window_seconds: float):
+        self.number = number
+        self.stream = claims.stream(number)
+        self.batcher = claims.ClaimBatcher(node, window_seconds)
+        self.caught_up = False
+        self.queued = curio.Event()
+        self.tasks: list[curio.Task] = []
+
+
+class ClaimService:
+    """Decides claims by the log's order.
+
+    Attributes:
+        node: Name of this node.
+        window_seconds: Claim window of the configuration in force.
+    """
+
+    def __init__(
+        self,
+        node: ids.NodeId,
+        data_centre: ids.DataCentre,
+        log: log_service.LogService,
+        members: membership.Membership,
+        send: Send,
+    ):
+        self.node = node
+        self.window_seconds = 3600.0
+        self._data_centre = data_centre
+        self._log = log
+        self._members = members
+        self._send = send
+        self._partitions: dict[int, _Partition] = {}
+        # Claims of this node's requests that wait for an answer.
+        self._waiting: dict[ids.AttemptId, curio.Queue] = {}
+        # Claims of other nodes that this node batches.
+        self._asked: dict[ids.AttemptId, ids.NodeId] = {}
+
+    def known(self, key: ids.KeyHash) -> claims.ClaimState | None:
+        """Returns the state of a key as far as this node has read it."""
+        partition = self._partitions.get(claims.partition(key, PARTITIONS))
+        return partition.batcher.ledger.state(key) if partition else None
+
+    async def claim(
+        self, entry: messages.ClaimEntry
+    ) -> messages.ClaimAnswer | None:
+        """Claims a key.
+
+        Args:
+            entry: The claim.
+
+        Returns:
+            The decision, or None if the log did not decide in time. The claim
+            must then be withdrawn, since it may be in the log.
+        """
+        answers: curio.Queue = curio.Queue()
+        self._waiting[entry.attempt] = answers
+        started = time.monotonic()
+        try:
+            for batcher in self._batchers(entry.key):
+                left = started + _CLAIM_TIMEOUT_SECONDS - time.monotonic()
+                if left <= 0:
+                    break
+                answer = await self._ask(
+                    batcher, entry, answers, min(left, _ASK_REPEAT_SECONDS)
+                )
+                if answer is not None:
+                    return answer
+            return None
+        finally:
+            del self._waiting[entry.attempt]
+
+    async def withdraw(self, key: ids.KeyHash, attempt: ids.AttemptId) -> None:
+        """Withdraws a claim that will never run; kept through an outage."""
+        partition = await self._partition(key)
+        partition.batcher.withdraw(key, attempt, time.monotonic())
+        await partition.queued.set()
+
+    async def record_outcome(
+        self,
+        key: ids.KeyHash,
+        attempt: ids.AttemptId,
+        status: states.RunStatus,
+        answer: ids.ContentDigest,
+    ) -> None:
+        """Records how a claimed request ended; kept through an outage."""
+        partition = await self._partition(key)
+        partition.batcher.record_outcome(
+            key, attempt, status, answer, time.monotonic()
+        )
+        await partition.queued.set()
+
+    async def asked(
+        self, sender: ids.NodeId, message: messages.ClaimAsk
+    ) -> None:
+        """Takes a claim of another node."""
+        self._asked[message.entry.attempt] = sender
+        partition = await self._partition(message.entry.key)
+        await self._submit(partition, message.entry)
+
+    async def answered(self, message: messages.ClaimAnswer) -> None:
+        """Takes another node's answer to a claim of this node."""
+        waiting = self._waiting.get(message.attempt)
+        if waiting is not None:
+            await waiting.put(message)
+
+    async def settle(self, timeout: float = 5.0) -> None:
+        """Waits until outcomes and withdrawals are in the log."""
+        end = time.monotonic() + timeout
+        while time.monotonic() < end and any(
+            partition.batcher.busy for partition in self._partitions.values()
+        ):
+            await curio.sleep(_BATCH_POLL_SECONDS)
+
+    def _batchers(self, key: ids.KeyHash) -> list[ids.NodeId]:
+        """Returns whom to ask, in order; this node is the last resort."""
+        number = claims.partition(key, PARTITIONS)
+        live = self._members.live(self._data_centre)
+        ranked = claims.batchers(number, live, _BATCHERS)
+        if self.node in ranked:
+            return [self.node] * 4
+        return [*ranked[:1], self.node, self.node, self.node]
+
+    async def _ask(
+        self,
+        batcher: ids.NodeId,
+        entry: messages.ClaimEntry,
+        answers: curio.Queue,
+        seconds: float,
+    ) -> messages.ClaimAnswer | None:
+        if batcher == self.node:
+            partition = await self._partition(entry.key)
+            await self._submit(partition, entry)
+        else:
+            self._send(batcher, messages.ClaimAsk(entry))
+        async with curio.ignore_after(seconds):
+            return await answers.get()
+        return None
+
+    async def _submit(
+        self, partition: _Partition, entry: messages.ClaimEntry
+    ) -> None:
+        if not partition.caught_up:
+            await self._catch_up(partition)
+        answers = partition.batcher.ask(entry, time.monotonic())
+        await partition.queued.set()
+        await self._deliver(answers)
+
+    async def _catch_up(self, partition: _Partition) -> None:
+        """Waits a bounded time for the ledger to reach the stream's end."""
+        async with curio.ignore_after(_ASK_REPEAT_SECONDS):
+            while not partition.caught_up:
+                await curio.sleep(_BATCH_POLL_SECONDS)
+
+    async def _deliver(self, answers: list[messages.ClaimAnswer]) -> None:
+        for answer in answers:
+            waiting = self._waiting.get(answer.attempt)
+            if waiting is not None:
+                await waiting.put(answer)
+            sender = self._asked.pop(answer.attempt, None)
+            if sender is not None:
+                self._send(sender, answer)
+
+    async def _partition(self, key: ids.KeyHash) -> _Partition:
+        number = claims.partition(key, PARTITIONS)
+        partition = self._partitions.get(number)
+        if partition is None:
+            partition = _Partition(number, self.node, self.window_seconds)
+            self._partitions[number] = partition
+        if not partition.tasks:
+            for job in (self._follow, self._append):
+                partition.tasks.append(
+                    await curio.spawn(job, partition, daemon=True)
+                )
+        return partition
+
+    async def _follow(self, partition: _Partition) -> None:
+        """Reads the stream while the partition is in use."""
+        ledger = partition.batcher.ledger
+        while True:
+            wait = _LONG_POLL_SECONDS if partition.caught_up else 0.0
+            try:
+                page = await self._log.read(
+                    partition.stream,
+                    ledger.next_offset,
+                    wait=wait,
+                    limit=_PAGE_RECORDS,
+                )
+            except log_service.LogError:
+                partition.caught_up = False
+                answers = partition.batcher.failed(time.monotonic())
+                await self._deliver(answers)
+                await curio.sleep(_LOG_RETRY_SECONDS)
+                continue
+            records = [msgspec.structs.asdict(item) for item in page.records]
+            if page.first > ledger.next_offset and not records:
+                ledger.restart(page.first)
+            # A full page says nothing about the end of the stream.
+            end = page.next if len(records) < _PAGE_RECORDS else None
+            answers = partition.batcher.read(records, time.monotonic(), end)
+            partition.caught_up = end is not None
+            await self._deliver(answers)
+
+    async def _append(self, partition: _Partition) -> None:
+        """Appends batches while the partition is in use."""
+        batcher = partition.batcher
+        while True:
+            record = batcher.next_batch(time.monotonic())
+            if record is None:
+                if batcher.busy:
+                    await curio.sleep(_BATCH_POLL_SECONDS)
+                else:
+                    await partition.queued.wait()
+                    partition.queued.clear()
+                continue
+            try:
+                offset = await self._log.append(partition.stream, record)
+            except log_service.LogError:
+                offset = None
+                await curio.sleep(_LOG_RETRY_SECONDS)
+            batcher.appended(offset, time.monotonic())
--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -1,7 +1,5 @@
 """HTTP/1.1 client connections on curio and h11."""
 
-from collections.abc import AsyncIterator
-
 import curio
 import h11
 import msgspec
@@ -118,22 +116,20 @@
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenError(f"{self.address}: no answer")
 
-    async def body(self) -> AsyncIterator[bytes]:
-        """Yields the body of the answer in parts, to its end.
+    async def next_part(self) -> bytes | None:
+        """Reads the next part of the body; None is its end.
 
         Raises:
             BrokenError: The body broke off.
             ProtocolError: The other side violated HTTP.
             StalledError: The other side sent nothing for too long.
         """
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise BrokenError(f"{self.address}: the answer broke off")
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise BrokenError(f"{self.address}: the answer broke off")
 
     async def read(self, max_bytes: int) -> bytes:
         """Reads the whole body of the answer.
@@ -142,7 +138,7 @@
             ProtocolError: The body is longer than `max_bytes`.
         """
         body = bytearray()
-        async for part in self.body():
+        while (part := await self.next_part()) is not None:
             body += part
             if len(body) > max_bytes:
                 raise ProtocolError(f"{self.address}: body over {max_bytes}")
--- a/packages/baobabmux-node/src/baobabmux_node/engines.py
+++ b/packages/baobabmux-node/src/baobabmux_node/engines.py
@@ -1,6 +1,6 @@
 """How a request is run at a model engine: streaming, resuming, cancelling."""
 
-from collections.abc import AsyncIterator
+import collections
 
 import curio
 import msgspec
@@ -137,7 +137,8 @@
 
     async def _relay(self, connection, sink, attempt) -> None:
         """Passes events on, each number once."""
-        async for event in read_events(connection):
+        reader = EventReader(connection)
+        while (event := await reader.next_event()) is not None:
             if event.data == _DONE:
                 attempt.ended = True
                 await sink.data(event.encode())
@@ -191,24 +192,37 @@
         return
 
 
-async def read_events(
-    connection: client.ClientConnection,
-) -> AsyncIterator[StreamEvent]:
-    """Yields the server-sent events of an answer.
-
-    Raises:
-        ProtocolError: An event is too long or has a malformed number.
-    """
-    buffer = b""
-    async for part in connection.body():
-        buffer += part.replace(b"\r\n", b"\n")
-        while (end := buffer.find(b"\n\n")) >= 0:
-            event = _parse_event(buffer[:end])
-            buffer = buffer[end + 2 :]
-            if event is not None:
-                yield event
-        if len(buffer) > _MAX_EVENT_BYTES:
+class EventReader:
+    """Reads server-sent events from an answer."""
+
+    def __init__(self, connection: client.ClientConnection):
+        self._connection = connection
+        self._buffer = b""
+        self._ready: collections.deque[StreamEvent] = collections.deque()
+
+    async def next_event(self) -> StreamEvent | None:
+        """Reads the next event; None is the end of the answer.
+
+        Raises:
+            ProtocolError: An event is too long or malformed.
+            ClientError: The answer broke off.
+        """
+        while not self._ready:
+            part = await self._connection.next_part()
+            if part is None:
+                return None
+            self._take(part)
+        return self._ready.popleft()
+
+    def _take(self, part: bytes) -> None:
+        blocks = (self._buffer + part).replace(b"\r\n", b"\n").split(b"\n\n")
+        self._buffer = blocks.pop()
+        if len(self._buffer) > _MAX_EVENT_BYTES:
             raise client.ProtocolError("an event is too long")
+        for block in blocks:
+            event = _parse_event(block)
+            if event is not None:
+                self._ready.append(event)
 
 
 def _parse_event(block: bytes) -> StreamEvent | None:
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -9,6 +9,10 @@
 from baobabmux_node import status
 
 
+# The time of creation of each counter is of no use here and doubles the page.
+prometheus_client.disable_created_metrics()
+
+
 class Metrics:
     """All metrics; docs/metrics.md describes them for operators.
 
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -26,6 +26,7 @@
     callers,
     claim_service,
     config_follower,
+    endpoint_reports,
     events,
     held,
     intake,
@@ -46,6 +47,9 @@
 _METRICS_SECONDS = 1.0
 _SNAPSHOT_SECONDS = 30.0
 _LEAVE_GRACE_SECONDS = 0.3
+_CONFIG_ASK_SECONDS = 0.5
+# Shorter delays happen on a busy VM and mean nothing.
+_PAUSE_SECONDS = 1.0
 
 Kind = catalogue.EventKind
 
@@ -91,9 +95,14 @@
             seed,
         )
         self.claims = claim_service.ClaimService(
-            node_settings.node, self.log, self, seed
+            node_settings.node,
+            node_settings.data_centre,
+            self.log,
+            self.membership,
+            self.peers.enqueue,
         )
         self.answers = answers.AnswerService(self)
+        self.reports = endpoint_reports.EndpointReports(self)
         self._pending: list[effects.Effect] = []
         self._stop_requested = False
         self._callers = self._listener(node_settings.callers, self._serve)
@@ -114,12 +123,16 @@
 
     async def _serve(self, exchange: server.Exchange) -> None:
         """Serves one request of a caller."""
-        public_id = exchange.headers.get(intake.REQUEST_ID, "")
+        # A refused request needs a name too, so that its refusal can be found.
+        public_id = (
+            exchange.headers.get(intake.REQUEST_ID)
+            or self.intake.next_request()
+        )
         try:
             caller = await self._accept(exchange)
         except server.RequestError as error:
             self.metrics.refused.labels("none", error.kind.value).inc()
-            self.events.record(Kind.REQUEST_MALFORMED, kind=error.kind.value)
+            self.events.record(Kind.REQUEST_MALFORMED, error=error.kind.value)
             await exchange.respond(
                 *responses.problem(
                     error.kind, public_id, error.detail, retry_after=1.0
@@ -248,7 +261,7 @@
         """Counts and records a refusal."""
         self.metrics.refused.labels(request.caller.route.tier, kind.value).inc()
         self.events.record(
-            Kind.REQUEST_REFUSED, request.caller.request, kind=kind.value
+            Kind.REQUEST_REFUSED, request.caller.request, error=kind.value
         )
 
     def _count(self, request, result, now) -> None:
@@ -282,12 +295,16 @@
             effect = queue.popleft()
             match effect:
                 case effects.Send(to=to) if to == self.settings.node:
+                    self._record_message(to, to, effect.message)
                     queue.extend(
                         self.scheduler.receive(
                             to, effect.message, time.monotonic()
                         )
                     )
                 case effects.Send():
+                    self._record_message(
+                        self.settings.node, effect.to, effect.message
+                    )
                     self.peers.enqueue(effect.to, effect.message)
                 case effects.Claim():
                     await self._claim(effect.request)
@@ -335,6 +352,55 @@
 
     # Messages from other nodes.
 
+    def _record_message(
+        self,
+        sender: ids.NodeId,
+        to: ids.NodeId,
+        message: messages.AnyMessage,
+    ) -> None:
+        """Records what the owner of a group does about a request.
+
+        These events tell of a request whose holder has died.
+        """
+        own = self.settings.node
+        match message:
+            case messages.Ask() if to == own and message.waited_ms == 0:
+                self.events.record(
+                    Kind.REQUEST_ASKED,
+                    message.request,
+                    group=message.group,
+                    holder=sender,
+                )
+            case messages.Grant() if sender == own:
+                self.events.record(
+                    Kind.GRANT_SENT,
+                    message.request,
+                    message.endpoint,
+                    holder=to,
+                )
+            case messages.Refusal() if sender == own:
+                self.events.record(
+                    Kind.REFUSAL_SENT, message.request, error=message.kind
+                )
+            case messages.Release() if to == own:
+                self.events.record(
+                    Kind.RELEASE_RECEIVED,
+                    message.request,
+                    message.endpoint,
+                    holder=sender,
+                    outcome=message.outcome,
+                )
+            case messages.Suspect():
+                self.events.record(
+                    Kind.CONTENT_SUSPECTED,
+                    endpoint=message.endpoint,
+                    contents=[f"{item:x}" for item in message.contents],
+                )
+            case messages.Cleared():
+                self.events.record(
+                    Kind.CONTENT_CLEARED, content=f"{message.content:x}"
+                )
+
     async def _receive(self, frame: messages.Frame) -> None:
         now = time.monotonic()
         self.events.heard(frame.hlc)
@@ -355,6 +421,7 @@
         )
         decided: list[effects.Effect] = []
         for message in frame.messages:
+            self._record_message(frame.sender, self.settings.node, message)
             if not await self._receive_own(frame.sender, message):
                 decided += self.scheduler.receive(frame.sender, message, now)
         await self.apply(decided)
@@ -431,7 +498,7 @@
         for change in changes:
             self.events.record(
                 Kind.MEMBER_CHANGED,
-                node_name=change.node,
+                peer=change.node,
                 state=change.state.value,
                 previous=change.previous.value,
             )
@@ -474,25 +541,33 @@
         self.timers.every(_TICK_SECONDS, now, self._tick_scheduler)
         self.timers.every(_MEMBERSHIP_SECONDS, now, self._tick_membership)
         self.timers.every(_METRICS_SECONDS, now, self._update_gauges)
-        self.timers.every(0.5, now, self._ask_for_configuration)
-        while not self._stop_requested:
-            self.timers.run_due(time.monotonic())
-            await self.apply([])
-            left = (self.timers.next_due() or 0.0) - time.monotonic()
-            await curio.sleep(max(left, 0.001))
-        await curio.spawn(self._shut_down, daemon=True)
+        self.timers.every(_CONFIG_ASK_SECONDS, now, self._ask_for_configuration)
+        stopping = False
         while True:
-            self.timers.run_due(time.monotonic())
+            started = time.monotonic()
+            self.timers.run_due(started)
             await self.apply([])
-            await curio.sleep(_TICK_SECONDS)
+            if self._stop_requested and not stopping:
+                stopping = True
+                await curio.spawn(self._shut_down, daemon=True)
+            due = self.timers.next_due() or started
+            await curio.sleep(max(due - time.monotonic(), 0.001))
+            pause = time.monotonic() - max(due, started)
+            if pause > _PAUSE_SECONDS:
+                self.events.record(Kind.PAUSE_NOTICED, seconds=round(pause, 1))
 
     async def _append_snapshots(self) -> None:
         while True:
             await curio.sleep(_SNAPSHOT_SECONDS)
             live = self.membership.reachable()
             first = rendezvous.owner(config_follower.STREAM, live)
-            if first == self.settings.node:
-                await self.config.append_snapshot()
+            if (
+                first == self.settings.node
+                and await self.config.append_snapshot()
+            ):
+                self.events.record(
+                    Kind.SNAPSHOT_APPENDED, through=self.config.state.through
+                )
 
     # Start and stop.
 
@@ -515,7 +590,7 @@
                 self.peers.send_frames,
                 self._poll_vms,
                 self.config.follow,
-                self.claims.run,
+                self.reports.run,
                 self._run_timers,
                 self._append_snapshots,
             ):
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server on curio and h11, for callers and for operators."""
 
+import logging
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -10,6 +11,7 @@
 from baobabmux_node import responses
 
 _READ_BYTES = 65_536
+_LOG = logging.getLogger(__name__)
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -198,6 +200,13 @@
             except RequestError as error:
                 if not exchange.answered:
                     await self._refuse(error.kind, error.detail)
+            except PeerGoneError:
+                return
+            except Exception:
+                _LOG.exception("a handler failed")
+                if exchange.answered:
+                    return
+                await self._refuse(errors.ErrorKind.INTERNAL, None)
             if not await self._reusable():
                 return
 
@@ -308,7 +317,7 @@
         except OSError as error:
             raise PeerGoneError from error
 
-    async def _refuse(self, kind: errors.ErrorKind, detail: str) -> None:
+    async def _refuse(self, kind: errors.ErrorKind, detail: str | None) -> None:
         """Answers a request that cannot be read and ends the connection."""
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
