--- a/packages/baobabmux-core/tests/timeline_test.py
+++ b/packages/baobabmux-core/tests/timeline_test.py
@@ -15,7 +15,7 @@
     for stamp in range(10):
         line.add(_event(stamp))
     assert [event.hlc for event in line.select()] == [7, 8, 9]
-    line.add(_event(10, detail="x" * 1900))
+    line.add(_event(10, detail="x" * 1600))
     assert len(line) == 1
 
 
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -8,7 +8,6 @@
 
 from baobabmux_node import status
 
-
 # The time of creation of each counter is of no use here and doubles the page.
 prometheus_client.disable_created_metrics()
 
