Forget a paused owner's counts; check invariants by the shared queries

Cause: after a pause an owner went on with the queue and the counts of before, although another node had granted meanwhile. It now starts anew and waits for the holders to register. The state machine records facts and calls the shared queries; a query for the order of shedding is new.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -7,8 +7,6 @@
 import math
 import statistics
 
-import msgspec
-
 from baobabmux_core import (
     breakers,
     capacity,
@@ -90,50 +88,6 @@
         self.kept_for: ids.RequestId | None = None
 
 
-class EndpointStatus(msgspec.Struct, frozen=True):
-    """State of an endpoint for operators.
-
-    Attributes:
-        endpoint: Identifier.
-        open: Whether it may get new work.
-        breaker: State of its circuit breaker.
-        limit: Requests that it may run at its present speed.
-        outstanding_requests: Requests granted and not released.
-        outstanding_tokens: Their tokens.
-        prefill_tokens_per_second: Learned prefill rate.
-        decode_tokens_per_second: Learned decode rate of one request.
-    """
-
-    endpoint: ids.EndpointId
-    open: bool
-    breaker: str
-    limit: int
-    outstanding_requests: int
-    outstanding_tokens: int
-    prefill_tokens_per_second: float
-    decode_tokens_per_second: float
-
-
-class GroupState(msgspec.Struct, frozen=True):
-    """State of a group for operators.
-
-    Attributes:
-        group: Identifier.
-        queue_requests: Requests that wait.
-        queue_tokens: Tokens that wait.
-        queue_by_tier: Requests that wait, by tier rank.
-        wait_seconds: Predicted wait of a request of the lowest tier.
-        endpoints: Its endpoints.
-    """
-
-    group: ids.GroupId
-    queue_requests: int
-    queue_tokens: int
-    queue_by_tier: dict[int, int]
-    wait_seconds: float
-    endpoints: tuple[EndpointStatus, ...]
-
-
 class GroupOwner:
     """Grants the endpoints of one group to requests of all holders.
 
@@ -278,29 +232,6 @@
                     counts[rank] += len(queue)
         return dict(counts)
 
-    def state(self, now: float) -> GroupState:
-        """Returns the state of the group for operators."""
-        return GroupState(
-            self.group,
-            self.queue_length(),
-            self.queued_tokens(),
-            self.queued_by_tier(),
-            self.wait(now),
-            tuple(
-                EndpointStatus(
-                    name,
-                    member.open,
-                    member.breaker.state.value,
-                    member.model.limit(),
-                    len(member.model.running),
-                    member.model.tokens,
-                    member.model.prefill_rate,
-                    member.model.decode_rate,
-                )
-                for name, member in self._members.items()
-            ),
-        )
-
     def wait(self, now: float) -> float:
         """Predicts how long a request behind the queue waits, in seconds."""
         usable = self._usable(now)
--- a/packages/baobabmux-core/src/baobabmux_core/invariants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/invariants.py
@@ -164,6 +164,20 @@
     lease_until: float
 
 
+class Shed(Fact, frozen=True):
+    """An owner refused a request because its queue was full.
+
+    Attributes:
+        request: The request.
+        tier: Rank of its tier, 0 is the highest.
+        lowest_held: Rank of the lowest tier that still waited, or None.
+    """
+
+    request: ids.RequestId
+    tier: int
+    lowest_held: int | None
+
+
 def dispatched_at_most_once(facts: Iterable[Fact]) -> list[str]:
     """Checks invariant 1: no request is dispatched twice."""
     counts = collections.Counter(
@@ -176,6 +190,16 @@
     ]
 
 
+def lower_tiers_are_shed_first(facts: Iterable[Fact]) -> list[str]:
+    """Checks invariant 2: no tier is shed while a lower one waits."""
+    return [
+        f"request {fact.request} of tier {fact.tier} was shed while tier "
+        f"{fact.lowest_held} waited"
+        for fact in _of(facts, Shed)
+        if fact.lowest_held is not None and fact.lowest_held > fact.tier
+    ]
+
+
 def answers_are_own_and_complete(facts: Iterable[Fact]) -> list[str]:
     """Checks invariant 3: an answer is that of the attempt asked for."""
     facts = list(facts)
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -34,6 +34,9 @@
 # Waits of another data centre change between heartbeats; a spill must leave
 # this much of a margin before the deadline.
 _SPILL_MARGIN_SECONDS = 0.5
+# A gap between ticks that lets other nodes suspect this one; then another
+# node has owned its groups, and its own counts are out of date.
+_PAUSE_SECONDS = 1.5
 
 
 class _RemoteLoad(msgspec.Struct, frozen=True):
@@ -72,7 +75,9 @@
         self._owned: dict[ids.GroupId, grants.GroupOwner] = {}
         self._owners: dict[ids.GroupId, ids.NodeId | None] = {}
         self._live: set[ids.NodeId] = set()
+        self._near: set[ids.NodeId] = {node}
         self._quarantine = quarantine.Quarantine()
+        self._last_tick: float | None = None
         self._drained: set[ids.EndpointId] = set()
         self._drain_repeats: dict[ids.EndpointId, tuple[int, float]] = {}
         self._loads: dict[ids.GroupId, _RemoteLoad] = {}
@@ -170,6 +175,7 @@
         self, sender: ids.NodeId, message: messages.AnyMessage, now: float
     ) -> list[effects.Effect]:
         """Handles a message of a node; unknown kinds have no effect."""
+        self._check_pause(now)
         match message:
             case messages.Ask():
                 found = self._asked(message, sender, now)
@@ -202,15 +208,14 @@
 
     def members_changed(self, now: float) -> list[effects.Effect]:
         """Adapts to the membership: owners, dead holders, endpoints' VMs."""
-        live = set(self._membership.live(self.data_centre))
-        live.add(self.node)
-        reachable = live | set(self._membership.reachable())
+        self._near = {*self._membership.live(self.data_centre), self.node}
+        reachable = self._near | set(self._membership.reachable())
         lost = self._live - reachable
         self._live = reachable
         for owner in self._owned.values():
             for holder in lost:
                 owner.holder_lost(holder, now)
-        found = self._update_owners(now, live)
+        found = self._update_owners(now)
         self._update_endpoints()
         return found + self._pump(now)
 
@@ -279,6 +284,8 @@
 
     def tick(self, now: float) -> list[effects.Effect]:
         """Does what is due; called several times a second."""
+        self._check_pause(now)
+        self._last_tick = now
         self._update_endpoints()
         found = self._holder.tick(now) + self._pump(now)
         for endpoint, (left, due) in list(self._drain_repeats.items()):
@@ -359,30 +366,28 @@
                 return owner.model(endpoint)
         return None
 
-    def group_states(self, now: float) -> list[grants.GroupState]:
-        """Returns the states of the owned groups for operators."""
-        return [owner.state(now) for owner in self._owned.values()]
-
     def drained(self) -> frozenset[ids.EndpointId]:
         """Returns the endpoints that operators drain."""
         return frozenset(self._drained)
 
-    def loads(self, now: float) -> tuple[messages.ServiceLoad, ...]:
-        """Returns the waits of groups for a heartbeat.
+    def loads(
+        self, now: float, peer: ids.NodeId
+    ) -> tuple[messages.ServiceLoad, ...]:
+        """Returns the waits of groups for a heartbeat to a peer.
 
         They are those of the owned groups, and what this node heard first
-        hand: from owners in its data centre for delegates elsewhere, and
-        from delegates elsewhere for nodes in its data centre.
+        hand and the peer did not: waits of its own data centre for peers
+        elsewhere, and waits of other data centres for peers in its own. Thus
+        two delegates of each data centre inform all nodes.
         """
         waits = {group: owner.wait(now) for group, owner in self._owned.items()}
-        fresh = {
-            group: load
-            for group, load in self._loads.items()
-            if load.first_hand and now - load.heard <= _LOAD_SECONDS
-        }
-        is_delegate = any(not self._is_local(group) for group in fresh)
-        if is_delegate:
-            for group, load in fresh.items():
+        near = peer in self._membership.live(self.data_centre)
+        for group, load in self._loads.items():
+            if (
+                load.first_hand
+                and now - load.heard <= _LOAD_SECONDS
+                and self._is_local(group) != near
+            ):
                 waits.setdefault(group, load.wait)
         return tuple(
             messages.ServiceLoad(group, round(wait * 1000))
@@ -552,9 +557,7 @@
             self._drained.discard(endpoint)
         self._update_endpoints()
 
-    def _update_owners(
-        self, now: float, live: set[ids.NodeId]
-    ) -> list[effects.Effect]:
+    def _update_owners(self, now: float) -> list[effects.Effect]:
         if self._configuration is None:
             return []
         groups = {
@@ -568,17 +571,32 @@
         for group in sorted(groups | self._holder.groups()):
             owner = self._owner(group)
             if group in groups:
-                self._take_or_drop(group, owner, live, now)
+                self._take_or_drop(group, owner, now)
             if owner != self._owners.get(group):
                 self._owners[group] = owner
                 found += self._holder.owner_changed(group, now)
         return found
 
+    def _check_pause(self, now: float) -> None:
+        """Forgets the queues and counts of before a pause."""
+        last = self._last_tick
+        if last is None or now - last <= _PAUSE_SECONDS:
+            return
+        self._last_tick = now
+        for group in list(self._owned):
+            self._own(group, now)
+
+    def _own(self, group: ids.GroupId, now: float) -> None:
+        taken = grants.GroupOwner(group, self._quarantine, now)
+        taken.configure(self._configuration, now)
+        taken.await_registers(self._near, now)
+        self._owned[group] = taken
+        self._update_endpoints()
+
     def _take_or_drop(
         self,
         group: ids.GroupId,
         owner: ids.NodeId | None,
-        live: set[ids.NodeId],
         now: float,
     ) -> None:
         if owner != self.node:
@@ -586,10 +604,7 @@
             return
         if group in self._owned:
             return
-        taken = grants.GroupOwner(group, self._quarantine, now)
-        taken.configure(self._configuration, now)
-        taken.await_registers(live, now)
-        self._owned[group] = taken
+        self._own(group, now)
 
     def _update_endpoints(self) -> None:
         if self._configuration is None:
--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -10,6 +10,8 @@
 from baobabmux_core import (
     declarations,
     effects,
+    errors,
+    invariants,
     messages,
     rendezvous,
     scheduler,
@@ -84,9 +86,11 @@
         self.paused = set()
         self.lost = set()  # Names of message types that get lost.
         self.holder_of = {}
+        self.tiers = {}
         self.pending = {}  # Dispatch effects that the driver has not begun.
         self.running = {}
-        self.dispatches = collections.Counter()
+        self.written = {}  # Facts of dispatches that were not taken back.
+        self.shed = []
         self.finals = collections.defaultdict(list)
         self.refusals = {}
         self.granted = set()
@@ -102,6 +106,8 @@
                 self.network.append((node, effect.to, effect.message))
                 if isinstance(effect.message, messages.Grant):
                     self.check_grant(node, effect.message)
+                elif isinstance(effect.message, messages.Refusal):
+                    self.note_shed(node, effect.message)
             elif isinstance(effect, effects.Dispatch | effects.Claim):
                 self.pending[effect.request] = effect
             elif isinstance(effect, effects.Refuse):
@@ -122,6 +128,15 @@
             self.beyond_limits.append(key)
         self.granted.add(key)
 
+    def note_shed(self, node, refusal):
+        if refusal.kind == errors.ErrorKind.OVERLOADED.value:
+            tier = self.tiers[refusal.request]
+            held = self.nodes[node].owned_group(_GROUP).queued_by_tier()
+            fact = invariants.Shed(
+                refusal.request, tier, max(held, default=None)
+            )
+            self.shed.append(fact)
+
     def deliver(self, index=0):
         sender, to, message = self.network[index]
         del self.network[index]
@@ -150,6 +165,7 @@
         }  # fmt: skip
         values.update(fields)
         self.holder_of[request] = name
+        self.tiers[request] = values["tier"]
         core = self.nodes[name]
         work = effects.Work(request=request, **values)
         self.carry_out(name, core.submit(work, self.now))
@@ -162,7 +178,8 @@
             found = core.claim_decided(request, True, self.now)
             self.carry_out(self.holder_of[request], found)
         elif core.start_dispatch(request, self.now):
-            self.dispatches[request] += 1
+            fact = invariants.Dispatched(request, request)
+            self.written.setdefault(request, []).append(fact)
             self.running[request] = effect.endpoint
 
     def step_all(self):
@@ -173,7 +190,7 @@
         node = self.holder_of[request]
         del self.running[request]
         if outcome is states.Outcome.NOT_SENT:
-            self.dispatches[request] -= 1  # No byte was written.
+            self.written[request].pop()  # No byte was written.
         else:
             self.finals[request].append(outcome.value)
         found = self.nodes[node].finished(
@@ -215,10 +232,18 @@
             for endpoint, counts in core.outstanding().items()
         }
 
-    # Invariants, each written once.
-
-    def dispatched_twice(self):
-        return [r for r, count in self.dispatches.items() if count > 1]
+    def violations(self):
+        facts = [fact for facts in self.written.values() for fact in facts]
+        facts += [
+            invariants.Refused(request, states.RunStatus.NOT_RUN)
+            for request in self.refusals
+        ]
+        facts += self.shed
+        return [
+            *invariants.dispatched_at_most_once(facts),
+            *invariants.not_run_is_true(facts),
+            *invariants.lower_tiers_are_shed_first(facts),
+        ]
 
     def without_single_final(self):
         return [r for r in self.holder_of if len(self.finals[r]) != 1]
@@ -245,7 +270,7 @@
     cluster.step_all()
     cluster.finish("r1", states.Outcome.REJECTED)
     cluster.settle(10)
-    assert cluster.dispatches["r1"] == 1
+    assert len(cluster.written["r1"]) == 1
     assert cluster.finals["r1"] == ["rejected"]
 
 
@@ -272,7 +297,7 @@
 
     def __init__(self):
         super().__init__()
-        self.cluster = Cluster()
+        self.cluster = Cluster(max_queue_requests=5)
         self.count = 0
 
     @st.rule(
@@ -353,8 +378,8 @@
         self.cluster.members_changed()
 
     @st.invariant()
-    def at_most_one_dispatch(self):
-        assert not self.cluster.dispatched_twice()
+    def invariants_hold(self):
+        assert not self.cluster.violations()
 
     @st.invariant()
     def limits_hold(self):
@@ -364,7 +389,7 @@
         self.cluster.members.centres[_CENTRE] = list(self.cluster.nodes)
         self.cluster.settle()
         assert not self.cluster.without_single_final()
-        assert not self.cluster.dispatched_twice()
+        assert not self.cluster.violations()
         waiting = [c.queue_length() for c in self.cluster.nodes.values()]
         assert sum(waiting) == 0
         assert sum(n for n, _ in self.cluster.outstanding().values()) == 0
