--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -65,6 +65,7 @@
         holder: ids.NodeId,
         now: float,
         short_tokens: int,
+        order: int,
     ):
         self.ask = ask
         self.holder = holder
@@ -79,7 +80,7 @@
         self.queued = False
         self.suspect = False
         self.passed: float | None = None
-        self.key = (self.deadline, self.arrival, ask.request)
+        self.key = (self.deadline, self.arrival, order)
 
 
 class _Share:
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -260,7 +260,9 @@
         refusal = self._admission(ask, holder, now)
         if refusal is not None:
             return [refusal]
-        entry = fairness.QueueEntry(ask, holder, now, self._short_tokens())
+        entry = fairness.QueueEntry(
+            ask, holder, now, self._short_tokens(), next(self._order)
+        )
         entry.suspect = self._is_suspect(ask.content, now)
         self._note_present(entry, now)
         if (refused := self._check_deadline(entry, now)) is not None:
--- /dev/null
+++ b/packages/baobabmux-core/tests/prefixes_test.py
@@ -0,0 +1,44 @@
+"""Tests of prompt digests and the prefix index."""
+
+from baobabmux_core import messages, prefixes
+
+
+def _parts(*lengths, start=0):
+    return tuple(
+        messages.PrefixPart(start + length, length) for length in lengths
+    )
+
+
+def test_prompts_share_digests_up_to_their_difference():
+    """Guards against affinity by something other than the prefix."""
+    common = b"x" * 4 * 200
+    first = prefixes.digest_prompt(common + b"a" * 4000)
+    second = prefixes.digest_prompt(common + b"b" * 4000)
+    shared = [a for a, b in zip(first, second, strict=True) if a == b]
+    assert max(part.tokens for part in shared) == 192
+    assert first[-1] != second[-1]
+    assert len(prefixes.digest_prompt(b"x" * 1_000_000)) <= 8
+
+
+def test_index_is_bounded_and_forgets_the_least_recently_used():
+    """Guards against memory without bound and belief in evicted prefixes."""
+    index = prefixes.PrefixIndex(1000)
+    for start in (1000, 2000, 1000, 3000):
+        index.used(_parts(200, 400, start=start))
+    assert index.tokens <= 1000
+    assert index.cached_tokens(_parts(200, 400, start=3000)) == 400
+    assert index.cached_tokens(_parts(200, 400, start=1000)) == 400
+    assert index.cached_tokens(_parts(200, 400, start=2000)) < 400
+    for digest in range(10_000):
+        index.stored(digest, 64)
+    assert len(index) <= 64
+
+
+def test_events_of_the_endpoint_correct_the_index():
+    """Guards against sending to a cache that has dropped the prefix."""
+    index = prefixes.PrefixIndex(1000)
+    index.used(_parts(200, 400))
+    index.evicted(400)
+    assert index.cached_tokens(_parts(200, 400)) == 200
+    index.stored(400, 400)
+    assert index.cached_tokens(_parts(200, 400)) == 400
