--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -268,7 +268,7 @@
         if (refused := self._check_deadline(entry, now)) is not None:
             return [refused]
         self._enqueue(entry)
-        return self._shed(now) + self._pump(now)
+        return self._pump(now) + self._shed(now)
 
     def withdraw(
         self, request: ids.RequestId, holder: ids.NodeId, now: float
--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -131,7 +131,8 @@
     def note_shed(self, node, refusal):
         if refusal.kind == errors.ErrorKind.OVERLOADED.value:
             tier = self.tiers[refusal.request]
-            held = self.nodes[node].owned_group(_GROUP).queued_by_tier()
+            (group,) = self.nodes[node].owned_groups()
+            held = self.nodes[node].queued_by_tier(group)
             fact = invariants.Shed(
                 refusal.request, tier, max(held, default=None)
             )
@@ -292,6 +293,116 @@
     assert sum(n for n, _ in cluster.outstanding().values()) == 0
 
 
+def test_owners_death_loses_no_request():
+    """Guards against queued requests that die with their owner."""
+    cluster = Cluster(endpoints=1)
+    owner = cluster.members.owner(_GROUP)
+    holders = [i for i, n in enumerate(cluster.nodes) if n != owner]
+    for index in range(6):
+        cluster.submit(f"r{index}", node=holders[index % 2])
+    cluster.deliver_all()
+    cluster.step_all()
+    running = set(cluster.running)
+    del cluster.nodes[owner]
+    cluster.members.centres[_CENTRE].remove(owner)
+    cluster.members_changed()
+    cluster.deliver_all()
+    assert set(cluster.pending) == set()  # The slots are still occupied.
+    assert running == set(cluster.running)
+    cluster.settle()
+    assert not cluster.without_single_final()
+    assert not cluster.refusals
+
+
+def test_paused_holder_does_not_use_an_expired_grant():
+    """Guards against a dispatch by a process that was stopped meanwhile."""
+    cluster = Cluster()
+    cluster.submit("r1")
+    cluster.deliver_all()
+    cluster.now += 10.0
+    cluster.step("r1")
+    assert not cluster.running
+    cluster.settle()
+    assert cluster.finals["r1"] == ["completed"]
+
+
+def test_lost_claim_is_refused_and_frees_its_slot():
+    """Guards against slots kept for requests whose claim was lost."""
+    cluster = Cluster()
+    cluster.submit("r1", needs_claim=True)
+    cluster.deliver_all()
+    assert isinstance(cluster.pending["r1"], effects.Claim)
+    found = cluster.nodes[cluster.holder_of["r1"]].claim_decided(
+        "r1", False, cluster.now, kind=errors.ErrorKind.STILL_RUNNING
+    )
+    cluster.carry_out(cluster.holder_of["r1"], found)
+    cluster.deliver_all()
+    assert cluster.refusals["r1"].kind is errors.ErrorKind.STILL_RUNNING
+    assert sum(n for n, _ in cluster.outstanding().values()) == 0
+
+
+def test_refused_request_spills_to_another_data_centre_once():
+    """Guards against refusals while another data centre is idle."""
+    cluster = Cluster(
+        centres=("col-a", "col-b"), endpoints=1, max_queue_requests=1
+    )
+    for name, core in cluster.nodes.items():
+        for peer in cluster.nodes:
+            beat = messages.Heartbeat(
+                False, -1, core.loads(cluster.now, peer), name[:5]
+            )
+            cluster.network.append((name, peer, beat))
+    cluster.deliver_all()
+    for index in range(8):
+        cluster.submit(f"r{index}", node=index % 3)
+    cluster.deliver_all()
+    cluster.step_all()
+    ends = sorted(cluster.running.values())
+    assert ends == ["e0-col-a"] * 2 + ["e0-col-b"] * 2
+    assert len(cluster.refusals) == 2  # One waits in each data centre.
+    cluster.settle()
+    assert not cluster.without_single_final()
+
+
+def test_leaving_node_hands_over_and_ends_what_it_holds():
+    """Guards against requests cut by a planned stop."""
+    cluster = Cluster(endpoints=1)
+    owner = cluster.members.owner(_GROUP)
+    index = list(cluster.nodes).index(owner)
+    for number in range(4):
+        cluster.submit(f"r{number}", node=index)
+    cluster.deliver_all()
+    cluster.step_all()
+    cluster.carry_out(owner, cluster.nodes[owner].leave(cluster.now))
+    cluster.members.centres[_CENTRE].remove(owner)
+    cluster.members_changed()
+    cluster.submit("late", node=index)
+    kind = cluster.refusals["late"].kind
+    assert kind is errors.ErrorKind.SHUTTING_DOWN
+    assert not cluster.nodes[owner].owned_groups()
+    cluster.settle()
+    assert set(cluster.refusals) == {"late"}
+    assert not cluster.nodes[owner].held_requests()
+
+
+def test_drained_endpoint_gets_no_work_from_any_owner():
+    """Guards against a drain that only one node knows, or that is lost."""
+    cluster = Cluster()
+    owner = cluster.members.owner(_GROUP)
+    other = next(name for name in cluster.nodes if name != owner)
+    cluster.lost.add("DrainEndpoint")
+    found = cluster.nodes[other].drain_endpoint("e0-col-a", True, cluster.now)
+    cluster.carry_out(other, found)
+    cluster.deliver_all()
+    cluster.lost.clear()
+    cluster.advance(1.5)
+    for index in range(4):
+        cluster.submit(f"r{index}")
+    cluster.deliver_all()
+    cluster.step_all()
+    assert set(cluster.running.values()) == {"e1-col-a"}
+
+
 class Faults(st.RuleBasedStateMachine):
     """Submissions under lost, repeated and reordered messages and pauses."""
 
