--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -10,6 +10,8 @@
 from baobabmux_core import (
     declarations,
     effects,
+    errors,
+    invariants,
     messages,
     rendezvous,
     scheduler,
@@ -84,9 +86,11 @@
         self.paused = set()
         self.lost = set()  # Names of message types that get lost.
         self.holder_of = {}
+        self.tiers = {}
         self.pending = {}  # Dispatch effects that the driver has not begun.
         self.running = {}
-        self.dispatches = collections.Counter()
+        self.written = {}  # Facts of dispatches that were not taken back.
+        self.shed = []
         self.finals = collections.defaultdict(list)
         self.refusals = {}
         self.granted = set()
@@ -102,6 +106,8 @@
                 self.network.append((node, effect.to, effect.message))
                 if isinstance(effect.message, messages.Grant):
                     self.check_grant(node, effect.message)
+                elif isinstance(effect.message, messages.Refusal):
+                    self.note_shed(node, effect.message)
             elif isinstance(effect, effects.Dispatch | effects.Claim):
                 self.pending[effect.request] = effect
             elif isinstance(effect, effects.Refuse):
@@ -122,6 +128,16 @@
             self.beyond_limits.append(key)
         self.granted.add(key)
 
+    def note_shed(self, node, refusal):
+        if refusal.kind == errors.ErrorKind.OVERLOADED.value:
+            tier = self.tiers[refusal.request]
+            (group,) = self.nodes[node].owned_groups()
+            held = self.nodes[node].queued_by_tier(group)
+            fact = invariants.Shed(
+                refusal.request, tier, max(held, default=None)
+            )
+            self.shed.append(fact)
+
     def deliver(self, index=0):
         sender, to, message = self.network[index]
         del self.network[index]
@@ -150,6 +166,7 @@
         }  # fmt: skip
         values.update(fields)
         self.holder_of[request] = name
+        self.tiers[request] = values["tier"]
         core = self.nodes[name]
         work = effects.Work(request=request, **values)
         self.carry_out(name, core.submit(work, self.now))
@@ -162,7 +179,8 @@
             found = core.claim_decided(request, True, self.now)
             self.carry_out(self.holder_of[request], found)
         elif core.start_dispatch(request, self.now):
-            self.dispatches[request] += 1
+            fact = invariants.Dispatched(request, request)
+            self.written.setdefault(request, []).append(fact)
             self.running[request] = effect.endpoint
 
     def step_all(self):
@@ -173,7 +191,7 @@
         node = self.holder_of[request]
         del self.running[request]
         if outcome is states.Outcome.NOT_SENT:
-            self.dispatches[request] -= 1  # No byte was written.
+            self.written[request].pop()  # No byte was written.
         else:
             self.finals[request].append(outcome.value)
         found = self.nodes[node].finished(
@@ -215,10 +233,18 @@
             for endpoint, counts in core.outstanding().items()
         }
 
-    # Invariants, each written once.
-
-    def dispatched_twice(self):
-        return [r for r, count in self.dispatches.items() if count > 1]
+    def violations(self):
+        facts = [fact for facts in self.written.values() for fact in facts]
+        facts += [
+            invariants.Refused(request, states.RunStatus.NOT_RUN)
+            for request in self.refusals
+        ]
+        facts += self.shed
+        return [
+            *invariants.dispatched_at_most_once(facts),
+            *invariants.not_run_is_true(facts),
+            *invariants.lower_tiers_are_shed_first(facts),
+        ]
 
     def without_single_final(self):
         return [r for r in self.holder_of if len(self.finals[r]) != 1]
@@ -245,7 +271,7 @@
     cluster.step_all()
     cluster.finish("r1", states.Outcome.REJECTED)
     cluster.settle(10)
-    assert cluster.dispatches["r1"] == 1
+    assert len(cluster.written["r1"]) == 1
     assert cluster.finals["r1"] == ["rejected"]
 
 
@@ -267,12 +293,122 @@
     assert sum(n for n, _ in cluster.outstanding().values()) == 0
 
 
+def test_owners_death_loses_no_request():
+    """Guards against queued requests that die with their owner."""
+    cluster = Cluster(endpoints=1)
+    owner = cluster.members.owner(_GROUP)
+    holders = [i for i, n in enumerate(cluster.nodes) if n != owner]
+    for index in range(6):
+        cluster.submit(f"r{index}", node=holders[index % 2])
+    cluster.deliver_all()
+    cluster.step_all()
+    running = set(cluster.running)
+    del cluster.nodes[owner]
+    cluster.members.centres[_CENTRE].remove(owner)
+    cluster.members_changed()
+    cluster.deliver_all()
+    assert set(cluster.pending) == set()  # The slots are still occupied.
+    assert running == set(cluster.running)
+    cluster.settle()
+    assert not cluster.without_single_final()
+    assert not cluster.refusals
+
+
+def test_paused_holder_does_not_use_an_expired_grant():
+    """Guards against a dispatch by a process that was stopped meanwhile."""
+    cluster = Cluster()
+    cluster.submit("r1")
+    cluster.deliver_all()
+    cluster.now += 10.0
+    cluster.step("r1")
+    assert not cluster.running
+    cluster.settle()
+    assert cluster.finals["r1"] == ["completed"]
+
+
+def test_lost_claim_is_refused_and_frees_its_slot():
+    """Guards against slots kept for requests whose claim was lost."""
+    cluster = Cluster()
+    cluster.submit("r1", needs_claim=True)
+    cluster.deliver_all()
+    assert isinstance(cluster.pending["r1"], effects.Claim)
+    found = cluster.nodes[cluster.holder_of["r1"]].claim_decided(
+        "r1", False, cluster.now, kind=errors.ErrorKind.STILL_RUNNING
+    )
+    cluster.carry_out(cluster.holder_of["r1"], found)
+    cluster.deliver_all()
+    assert cluster.refusals["r1"].kind is errors.ErrorKind.STILL_RUNNING
+    assert sum(n for n, _ in cluster.outstanding().values()) == 0
+
+
+def test_refused_request_spills_to_another_data_centre_once():
+    """Guards against refusals while another data centre is idle."""
+    cluster = Cluster(
+        centres=("col-a", "col-b"), endpoints=1, max_queue_requests=1
+    )
+    for name, core in cluster.nodes.items():
+        for peer in cluster.nodes:
+            beat = messages.Heartbeat(
+                False, -1, core.loads(cluster.now, peer), name[:5]
+            )
+            cluster.network.append((name, peer, beat))
+    cluster.deliver_all()
+    for index in range(8):
+        cluster.submit(f"r{index}", node=index % 3)
+    cluster.deliver_all()
+    cluster.step_all()
+    ends = sorted(cluster.running.values())
+    assert ends == ["e0-col-a"] * 2 + ["e0-col-b"] * 2
+    assert len(cluster.refusals) == 2  # One waits in each data centre.
+    cluster.settle()
+    assert not cluster.without_single_final()
+
+
+def test_leaving_node_hands_over_and_ends_what_it_holds():
+    """Guards against requests cut by a planned stop."""
+    cluster = Cluster(endpoints=1)
+    owner = cluster.members.owner(_GROUP)
+    index = list(cluster.nodes).index(owner)
+    for number in range(4):
+        cluster.submit(f"r{number}", node=index)
+    cluster.deliver_all()
+    cluster.step_all()
+    cluster.carry_out(owner, cluster.nodes[owner].leave(cluster.now))
+    cluster.members.centres[_CENTRE].remove(owner)
+    cluster.members_changed()
+    cluster.submit("late", node=index)
+    kind = cluster.refusals["late"].kind
+    assert kind is errors.ErrorKind.SHUTTING_DOWN
+    assert not cluster.nodes[owner].owned_groups()
+    cluster.settle()
+    assert set(cluster.refusals) == {"late"}
+    assert not cluster.nodes[owner].held_requests()
+
+
+def test_drained_endpoint_gets_no_work_from_any_owner():
+    """Guards against a drain that only one node knows, or that is lost."""
+    cluster = Cluster()
+    owner = cluster.members.owner(_GROUP)
+    other = next(name for name in cluster.nodes if name != owner)
+    cluster.lost.add("DrainEndpoint")
+    found = cluster.nodes[other].drain_endpoint("e0-col-a", True, cluster.now)
+    cluster.carry_out(other, found)
+    cluster.deliver_all()
+    cluster.lost.clear()
+    cluster.advance(1.5)
+    for index in range(4):
+        cluster.submit(f"r{index}")
+    cluster.deliver_all()
+    cluster.step_all()
+    assert set(cluster.running.values()) == {"e1-col-a"}
+
+
 class Faults(st.RuleBasedStateMachine):
     """Submissions under lost, repeated and reordered messages and pauses."""
 
     def __init__(self):
         super().__init__()
-        self.cluster = Cluster()
+        self.cluster = Cluster(max_queue_requests=5)
         self.count = 0
 
     @st.rule(
@@ -353,8 +489,8 @@
         self.cluster.members_changed()
 
     @st.invariant()
-    def at_most_one_dispatch(self):
-        assert not self.cluster.dispatched_twice()
+    def invariants_hold(self):
+        assert not self.cluster.violations()
 
     @st.invariant()
     def limits_hold(self):
@@ -364,7 +500,7 @@
         self.cluster.members.centres[_CENTRE] = list(self.cluster.nodes)
         self.cluster.settle()
         assert not self.cluster.without_single_final()
-        assert not self.cluster.dispatched_twice()
+        assert not self.cluster.violations()
         waiting = [c.queue_length() for c in self.cluster.nodes.values()]
         assert sum(waiting) == 0
         assert sum(n for n, _ in self.cluster.outstanding().values()) == 0
