--- a/standins/src/baobabmux_standins/ledger.py
+++ b/standins/src/baobabmux_standins/ledger.py
@@ -1,11 +1,16 @@
 """Compares what callers were told with what the stand-ins have counted."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import msgspec
 
+from baobabmux_core import ids, invariants, states
+
+_OWN_CONTENT = ids.ContentDigest(1)
+_OTHER_CONTENT = ids.ContentDigest(0)
+
 
 class Outcome(msgspec.Struct, frozen=True):
     """What one caller knows at the end of its call.
@@ -62,39 +67,69 @@
 ) -> list[str]:
     """Returns every contradiction between callers and stand-ins.
 
+    The invariants are those of `baobabmux_core.invariants`, over the facts
+    that callers and stand-ins have seen.
+
     Args:
         outcomes: One outcome for each call.
         counts: Merged counts of all endpoints.
         may_lose: Whether callers may be left without an answer, as when a
             node was killed.
     """
-    runs = counts.get("by_marker", {})
-    found = [
-        f"attempt {attempt} was run {number} times"
-        for attempt, number in counts.get("by_attempt", {}).items()
-        if number > 1
+    outcomes = list(outcomes)
+    facts = list(_call_facts(outcomes, counts.get("by_marker", {})))
+    return [
+        *invariants.dispatched_at_most_once(
+            _attempt_facts(counts.get("by_attempt", {}))
+        ),
+        *invariants.keys_run_at_most_once(facts),
+        *invariants.answers_are_own_and_complete(facts),
+        *invariants.not_run_is_true(facts),
+        *(
+            f"{outcome.marker} was left without an answer: {outcome}"
+            for outcome in outcomes
+            if outcome.is_lost and not may_lose
+        ),
+        *(
+            f"{outcome.marker} was refused without a run status: {outcome}"
+            for outcome in outcomes
+            if outcome.answered
+            and not outcome.is_whole
+            and not outcome.run_status
+        ),
     ]
+
+
+def _attempt_facts(runs: dict[str, int]) -> Iterator[invariants.Fact]:
+    """Yields a dispatch for each run of each attempt."""
+    for attempt, number in runs.items():
+        for _ in range(number):
+            yield invariants.Dispatched(
+                ids.RequestId(attempt), ids.AttemptId(attempt)
+            )
+
+
+def _call_facts(
+    outcomes: list[Outcome], runs: dict[str, int]
+) -> Iterator[invariants.Fact]:
+    """Yields what the callers and the endpoints know of each call.
+
+    A marker stands for the key of its call: no workload sends one content
+    twice under two keys.
+    """
+    for number, marker in enumerate(sorted({o.marker for o in outcomes})):
+        name = ids.RequestId(marker)
+        for run in range(runs.get(marker, 0)):
+            attempt = ids.AttemptId(f"{marker} run {run + 1}")
+            yield invariants.Dispatched(name, attempt, ids.KeyHash(number))
+        if runs.get(marker):
+            produced = ids.AttemptId(marker)
+            yield invariants.Produced(produced, _OWN_CONTENT)
     for outcome in outcomes:
-        number = runs.get(outcome.marker, 0)
-        found += [
-            f"{outcome.marker}: {what}; runs: {number}, {outcome}"
-            for what in _contradictions(outcome, number, may_lose)
-        ]
-    return found
-
-
-def _contradictions(
-    outcome: Outcome, runs: int, may_lose: bool
-) -> Iterable[str]:
-    if runs > 1:
-        yield "run more than once"
-    if outcome.is_whole and runs == 0:
-        yield "answered but never run"
-    if outcome.is_whole and not outcome.own:
-        yield "answered with another or incomplete answer"
-    if outcome.is_not_run and runs > 0:
-        yield "refused as not run but run"
-    if outcome.is_lost and not may_lose:
-        yield "left without an answer"
-    if outcome.answered and not outcome.is_whole and not outcome.run_status:
-        yield "refused without a run status"
+        name = ids.RequestId(outcome.marker)
+        if outcome.is_whole:
+            content = _OWN_CONTENT if outcome.own else _OTHER_CONTENT
+            attempt = ids.AttemptId(outcome.marker)
+            yield invariants.Answered(name, attempt, content)
+        elif outcome.is_not_run:
+            yield invariants.Refused(name, states.RunStatus.NOT_RUN)
