--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/prefixes.py
@@ -0,0 +1,131 @@
+"""Prompt prefixes and where they are probably cached."""
+
+import collections
+
+import xxhash
+
+from baobabmux_core import ids, messages
+
+# An estimate that holds for common tokenizers and European text.
+_BYTES_PER_TOKEN = 4
+
+# Engines cache prompts in blocks of this many tokens.
+_BLOCK_TOKENS = 64
+_BLOCK_BYTES = _BLOCK_TOKENS * _BYTES_PER_TOKEN
+
+# Numbers of blocks at which a prefix is named. Steps of at most a half keep
+# two thirds of a shared prefix of any length; the longest 8 parts keep an Ask
+# within its byte budget.
+_BOUNDARIES = frozenset(
+    {1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256, 384, 512}
+)
+_MAX_PARTS = 8
+
+# An entry for each block that a cache can hold, and room for entries whose
+# eviction was not announced.
+_TOKENS_PER_ENTRY = _BLOCK_TOKENS // 2
+_MIN_ENTRIES = 64
+
+
+def estimate_tokens(prompt: bytes) -> int:
+    """Estimates the length of a prompt in tokens."""
+    return -(-len(prompt) // _BYTES_PER_TOKEN)
+
+
+def digest_prompt(prompt: bytes) -> tuple[messages.PrefixPart, ...]:
+    """Digests the prefixes of a prompt at fixed lengths.
+
+    The digest of a block is seeded with the digest of all before it, as
+    engines do it in their cache events.
+
+    Args:
+        prompt: Bytes of the prompt.
+
+    Returns:
+        At most 8 prefixes, the longest last.
+    """
+    digest = 0
+    parts = []
+    blocks = min(len(prompt) // _BLOCK_BYTES, max(_BOUNDARIES))
+    for block in range(1, blocks + 1):
+        end = block * _BLOCK_BYTES
+        digest = xxhash.xxh32_intdigest(
+            prompt[end - _BLOCK_BYTES : end], seed=digest
+        )
+        if block in _BOUNDARIES:
+            parts.append(
+                messages.PrefixPart(
+                    ids.PrefixDigest(digest), block * _BLOCK_TOKENS
+                )
+            )
+    return tuple(parts[-_MAX_PARTS:])
+
+
+class PrefixIndex:
+    """Prefixes that one endpoint probably has in its cache.
+
+    The index follows the owner's own dispatches and the endpoint's cache
+    events. It forgets the least recently used prefixes beyond the size of the
+    endpoint's cache, as the endpoint does.
+
+    Attributes:
+        capacity: Size of the endpoint's cache in tokens.
+        tokens: Tokens believed to be cached.
+    """
+
+    def __init__(self, capacity: int):
+        self.capacity = capacity
+        self.tokens = 0
+        # Tokens that a prefix adds to the next shorter one, by digest; the
+        # least recently used is first.
+        self._parts: collections.OrderedDict[ids.PrefixDigest, int] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._parts)
+
+    def cached_tokens(self, prefixes: tuple[messages.PrefixPart, ...]) -> int:
+        """Returns the length of the longest cached prefix."""
+        for part in reversed(prefixes):
+            if part.digest in self._parts:
+                return part.tokens
+        return 0
+
+    def used(self, prefixes: tuple[messages.PrefixPart, ...]) -> None:
+        """Notes that the endpoint computes a prompt with these prefixes."""
+        # The shortest is touched last: a cache drops the tail of a prompt
+        # before its beginning.
+        for index in range(len(prefixes) - 1, -1, -1):
+            part = prefixes[index]
+            shorter = prefixes[index - 1].tokens if index else 0
+            self._store(part.digest, max(0, part.tokens - shorter))
+
+    def stored(self, digest: ids.PrefixDigest, tokens: int) -> None:
+        """Notes the endpoint's event that it cached a prefix.
+
+        An event names the whole length of the prefix, not what it adds, so
+        a prefix that this node has not dispatched counts as nothing and is
+        bounded by the number of entries.
+        """
+        if digest not in self._parts:
+            self._store(digest, 0)
+
+    def evicted(self, digest: ids.PrefixDigest) -> None:
+        """Notes the endpoint's event that it dropped a prefix."""
+        self.tokens -= self._parts.pop(digest, 0)
+
+    def clear(self) -> None:
+        """Forgets everything, after the endpoint restarted."""
+        self._parts.clear()
+        self.tokens = 0
+
+    def _store(self, digest: ids.PrefixDigest, tokens: int) -> None:
+        self.tokens += tokens - self._parts.pop(digest, 0)
+        self._parts[digest] = tokens
+        while self._parts and (
+            self.tokens > self.capacity
+            or len(self._parts) * _TOKENS_PER_ENTRY
+            > max(self.capacity, _MIN_ENTRIES * _TOKENS_PER_ENTRY)
+        ):
+            self.tokens -= self._parts.popitem(last=False)[1]
