--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -1,5 +1,7 @@
 """Catalogue of numbered events; docs/events.md is written from it.
 
+    python -m baobabmux_core.catalogue > docs/events.md
+
 Numbers are never reused: 1xx process, 2xx requests, 3xx grants and
 ownership, 4xx endpoints, 5xx claims and keys, 6xx configuration, 7xx
 membership, 8xx platform, 9xx input from the network.
@@ -104,9 +106,47 @@
         return self.name.lower()
 
 
+PARTS = {
+    1: "Process",
+    2: "Requests",
+    3: "Grants and ownership",
+    4: "Endpoints",
+    5: "Claims and keys",
+    6: "Configuration",
+    7: "Membership",
+    8: "Platform",
+    9: "Input from the network",
+}
+"""Part of the system by the hundreds of a number."""
+
 _BY_NUMBER = {kind.number: kind for kind in EventKind}
 
 
 def by_number(number: int) -> EventKind | None:
     """Returns the kind with a number, or None if this version lacks it."""
     return _BY_NUMBER.get(number)
+
+
+def page() -> str:
+    """Returns docs/events.md: all kinds in order of their numbers."""
+    lines = [
+        "# Events",
+        "",
+        "Every event of a node is a line of its log and, for a bounded time,"
+        " an entry of its timeline. The number of a kind never changes its"
+        " meaning. This page is generated: run"
+        " `python -m baobabmux_core.catalogue > docs/events.md`.",
+    ]
+    for hundreds, part in PARTS.items():
+        lines += ["", f"## {hundreds}xx: {part}", ""]
+        lines += ["| number | name | sentence |", "| --- | --- | --- |"]
+        lines += [
+            f"| {kind.number} | `{kind.title}` | {kind.sentence} |"
+            for kind in sorted(EventKind, key=lambda kind: kind.number)
+            if kind.number // 100 == hundreds
+        ]
+    return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    print(page(), end="")
