--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/answers.py
@@ -0,0 +1,361 @@
+"""Repeated sends: each meets the first request with its key."""
+
+import time
+from typing import TYPE_CHECKING
+
+import curio
+import xxhash
+
+from baobabmux_core import (
+    catalogue,
+    claims,
+    declarations,
+    errors,
+    ids,
+    keys,
+    messages,
+    rendezvous,
+    states,
+)
+from baobabmux_node import adapters, held, sinks
+
+if TYPE_CHECKING:
+    from baobabmux_node import node
+
+_KEY_TIMEOUT_SECONDS = 0.3
+_PART_TIMEOUT_SECONDS = 0.5
+_PART_TRIES = 3
+_LOG_RETRY_SECONDS = 2.0
+
+_VERDICT_KINDS = {
+    claims.ClaimVerdict.STILL_RUNNING: errors.ErrorKind.STILL_RUNNING,
+    claims.ClaimVerdict.DONE: errors.ErrorKind.ANSWER_NOT_KEPT,
+    claims.ClaimVerdict.UNKNOWN: errors.ErrorKind.OUTCOME_UNKNOWN,
+    claims.ClaimVerdict.KEY_REUSED: errors.ErrorKind.KEY_REUSED,
+    claims.ClaimVerdict.KEY_EXPIRED: errors.ErrorKind.KEY_EXPIRED,
+}
+_STATUS_KINDS = {
+    states.RunStatus.RUNNING: errors.ErrorKind.STILL_RUNNING,
+    states.RunStatus.DONE: errors.ErrorKind.ANSWER_NOT_KEPT,
+    states.RunStatus.UNKNOWN: errors.ErrorKind.OUTCOME_UNKNOWN,
+    # The holder refused it; its withdrawal is on the way to the log.
+    states.RunStatus.NOT_RUN: errors.ErrorKind.LOG_UNAVAILABLE,
+}
+# Refusals that do not depend on what the first request led to.
+_FINAL_KINDS = frozenset(
+    {errors.ErrorKind.KEY_REUSED, errors.ErrorKind.KEY_EXPIRED}
+)
+
+Kind = catalogue.EventKind
+
+
+class AnswerService:
+    """Registers keys, claims them, and keeps answers for repeated sends.
+
+    Keys of idempotent routes are registered at a home node, in memory; keys
+    of other routes are claimed in the log.
+
+    Attributes:
+        registry: Keys whose home is this node.
+        store: Answers of attempts that this node held.
+    """
+
+    def __init__(self, host: "node.Node"):
+        limits = declarations.KeyLimits()
+        self.registry = keys.KeyRegistry(limits)
+        self.store = keys.AnswerStore(limits)
+        self._host = host
+        self._claimed: set[ids.AttemptId] = set()
+        # Replies of other nodes that requests here wait for.
+        self._key_replies: dict[ids.AttemptId, curio.Queue] = {}
+        self._part_replies: dict[ids.AttemptId, list[curio.Queue]] = {}
+
+    def configure(self, limits: declarations.KeyLimits) -> None:
+        """Takes the limits of the configuration in force."""
+        self.registry.limits = limits
+        self.store.limits = limits
+
+    async def register(self, request: held.HeldRequest) -> held.Repeat | None:
+        """Registers a request's key on its arrival.
+
+        Returns:
+            The first request with the key, or None if this one may run.
+        """
+        caller = request.caller
+        if caller.key is None:
+            return None
+        if caller.route.idempotent:
+            repeat = await self._register_at_home(caller)
+        else:
+            repeat = self._known_claim(caller)
+        if repeat is None:
+            self.store.started(caller.key, _attempt(caller))
+        return repeat
+
+    async def claim(self, request: held.HeldRequest) -> None:
+        """Claims a request's key in the log and passes on the decision."""
+        caller = request.caller
+        entry = self._entry(caller)
+        answer = await self._host.claims.claim(entry)
+        verdict = (
+            claims.ClaimVerdict.UNAVAILABLE
+            if answer is None
+            else claims.judge(answer, entry, self._alive)
+        )
+        self._host.events.record(
+            Kind.CLAIM_DECIDED, caller.request, verdict=verdict.value
+        )
+        if verdict is claims.ClaimVerdict.UNAVAILABLE:
+            await self._withdraw(caller)
+            await self._host.claim_decided(
+                caller.request,
+                False,
+                errors.ErrorKind.LOG_UNAVAILABLE,
+                _LOG_RETRY_SECONDS,
+            )
+        elif verdict is not claims.ClaimVerdict.WON:
+            await request.decide(
+                _repeat(
+                    caller,
+                    answer.winner,
+                    answer.holder,
+                    _VERDICT_KINDS[verdict],
+                )
+            )
+        elif request.finished:
+            # The request was refused while its claim was decided.
+            await self._withdraw(caller)
+        else:
+            self._claimed.add(entry.attempt)
+            await self._host.claim_decided(caller.request, True)
+
+    async def ended(
+        self,
+        request: held.HeldRequest,
+        result: adapters.Result,
+        answer: sinks.Answer | None,
+    ) -> None:
+        """Keeps the answer of a request and records its outcome."""
+        caller = request.caller
+        if caller.key is None:
+            return
+        if result.outcome is states.Outcome.REJECTED:
+            await self.released(request)
+            return
+        attempt = _attempt(caller)
+        status = states.RunStatus.UNKNOWN
+        if result.outcome is states.Outcome.COMPLETED:
+            status = states.RunStatus.DONE
+            self.store.finished(attempt, answer and _kept(answer))
+        else:
+            self.store.failed(attempt)
+        if attempt not in self._claimed:
+            return
+        self._claimed.discard(attempt)
+        digest = xxhash.xxh3_64_intdigest(answer.body) if answer else 0
+        await self._host.claims.record_outcome(
+            caller.key, attempt, status, ids.ContentDigest(digest)
+        )
+
+    async def released(self, request: held.HeldRequest) -> None:
+        """Opens the key of a request that was not run."""
+        caller = request.caller
+        if caller.key is None:
+            return
+        attempt = _attempt(caller)
+        self.store.refused(attempt)
+        self.registry.release(caller.key, attempt)
+        if attempt in self._claimed:
+            await self._withdraw(caller)
+
+    def holder_gone(self, node: ids.NodeId) -> None:
+        """Opens the keys of idempotent requests that a dead node held."""
+        self.registry.drop_holder(node)
+
+    async def fetch(
+        self, repeat: held.Repeat, request: held.HeldRequest
+    ) -> sinks.Answer | errors.ErrorKind:
+        """Returns the first request's answer, or what to say instead."""
+        self._host.events.record(
+            Kind.REQUEST_REPEATED,
+            request.caller.request,
+            winner=repeat.winner,
+            holder=repeat.holder,
+        )
+        if repeat.kind in _FINAL_KINDS:
+            return repeat.kind
+        found = await self._fetch(
+            request.caller.key, repeat.winner, repeat.holder
+        )
+        if isinstance(found, keys.KeptAnswer):
+            self._host.events.record(
+                Kind.ANSWER_REPLAYED,
+                request.caller.request,
+                winner=repeat.winner,
+            )
+            return sinks.Answer(
+                found.http_status, found.content_type, found.data
+            )
+        if found is None:
+            return repeat.kind
+        if found is states.RunStatus.UNKNOWN and (
+            repeat.kind is errors.ErrorKind.ANSWER_NOT_KEPT
+        ):
+            # A holder that was restarted knows less than the log.
+            return repeat.kind
+        return _STATUS_KINDS[found]
+
+    async def receive(
+        self, sender: ids.NodeId, message: messages.AnyMessage
+    ) -> None:
+        """Handles a message about keys, claims or answers."""
+        match message:
+            case messages.ClaimAsk():
+                await curio.spawn(
+                    self._host.claims.asked, sender, message, daemon=True
+                )
+            case messages.ClaimAnswer():
+                await self._host.claims.answered(message)
+            case messages.KeyAsk():
+                answer = self.registry.register(
+                    message, sender, time.monotonic()
+                )
+                self._host.send(sender, answer)
+            case messages.KeyAnswer():
+                waiting = self._key_replies.get(message.attempt)
+                if waiting is not None:
+                    await waiting.put(message)
+            case messages.AnswerAsk():
+                self._host.send(sender, self.store.part(message))
+            case messages.AnswerPart():
+                for waiting in self._part_replies.get(message.winner, ()):
+                    await waiting.put(message)
+
+    async def _register_at_home(
+        self, caller: held.Caller
+    ) -> held.Repeat | None:
+        ask = messages.KeyAsk(caller.key, _attempt(caller), caller.work.content)
+        first = await self._first(ask)
+        if first is None or first.winner == ask.attempt:
+            return None
+        if first.body != ask.body:
+            kind = errors.ErrorKind.KEY_REUSED
+        else:
+            status = await self._fetch(caller.key, first.winner, first.holder)
+            if status is states.RunStatus.NOT_RUN or (
+                status is None and not self._alive(first.holder)
+            ):
+                return None
+            kind = errors.ErrorKind.STILL_RUNNING
+        return _repeat(caller, first.winner, first.holder, kind)
+
+    async def _first(self, ask: messages.KeyAsk) -> messages.KeyAnswer | None:
+        """Registers a key at its home; None if the home does not answer."""
+        own = self._host.settings.node
+        reachable = self._host.membership.reachable()
+        home = rendezvous.owner(f"key-{ask.key}", reachable)
+        if home == own or home is None:
+            return self.registry.register(ask, own, time.monotonic())
+        replies: curio.Queue = curio.Queue()
+        self._key_replies[ask.attempt] = replies
+        try:
+            self._host.send(home, ask)
+            await self._host.peers.notify()
+            async with curio.ignore_after(_KEY_TIMEOUT_SECONDS):
+                return await replies.get()
+            return None
+        finally:
+            del self._key_replies[ask.attempt]
+
+    def _known_claim(self, caller: held.Caller) -> held.Repeat | None:
+        state = self._host.claims.known(caller.key)
+        if state is None:
+            return None
+        entry = self._entry(caller)
+        answer = messages.ClaimAnswer(
+            caller.key,
+            entry.attempt,
+            state.winner,
+            state.holder,
+            state.status.value,
+            state.body,
+        )
+        verdict = claims.judge(answer, entry, self._alive)
+        kind = _VERDICT_KINDS.get(verdict)
+        if kind is None:
+            return None
+        return _repeat(caller, state.winner, state.holder, kind)
+
+    async def _fetch(
+        self, key: ids.KeyHash, winner: ids.AttemptId, holder: ids.NodeId
+    ) -> keys.KeptAnswer | states.RunStatus | None:
+        """Fetches a kept answer; None if its holder does not reply."""
+        if holder == self._host.settings.node:
+            return self._own(key, winner)
+        if not self._alive(holder):
+            return None
+        fetch = keys.AnswerFetch(key, winner)
+        replies: curio.Queue = curio.Queue()
+        self._part_replies.setdefault(winner, []).append(replies)
+        try:
+            tries = 0
+            while tries < _PART_TRIES:
+                ask = fetch.next_ask()
+                if ask is None or fetch.status is not None:
+                    break
+                self._host.send(holder, ask)
+                await self._host.peers.notify()
+                tries += 1
+                async with curio.ignore_after(_PART_TIMEOUT_SECONDS):
+                    if fetch.take(await replies.get()):
+                        tries = 0
+        finally:
+            self._part_replies[winner].remove(replies)
+            if not self._part_replies[winner]:
+                del self._part_replies[winner]
+        return fetch.answer or fetch.status
+
+    def _own(
+        self, key: ids.KeyHash, winner: ids.AttemptId
+    ) -> keys.KeptAnswer | states.RunStatus | None:
+        fetch = keys.AnswerFetch(key, winner)
+        while fetch.status is None and (ask := fetch.next_ask()) is not None:
+            if not fetch.take(self.store.part(ask)):
+                return None
+        return fetch.answer or fetch.status
+
+    def _entry(self, caller: held.Caller) -> messages.ClaimEntry:
+        return messages.ClaimEntry(
+            caller.key,
+            _attempt(caller),
+            self._host.settings.node,
+            caller.work.content,
+            caller.key_time_ms,
+        )
+
+    async def _withdraw(self, caller: held.Caller) -> None:
+        attempt = _attempt(caller)
+        self._claimed.discard(attempt)
+        self._host.events.record(Kind.CLAIM_WITHDRAWN, caller.request)
+        await self._host.claims.withdraw(caller.key, attempt)
+
+    def _alive(self, node: ids.NodeId) -> bool:
+        return node in self._host.membership.reachable()
+
+
+def _attempt(caller: held.Caller) -> ids.AttemptId:
+    """Returns the attempt of a request, which has just one."""
+    return ids.AttemptId(caller.request)
+
+
+def _repeat(
+    caller: held.Caller,
+    winner: ids.AttemptId,
+    holder: ids.NodeId,
+    kind: errors.ErrorKind,
+) -> held.Repeat:
+    return held.Repeat(caller.request, winner, holder, kind)
+
+
+def _kept(answer: sinks.Answer) -> keys.KeptAnswer:
+    return keys.KeptAnswer(answer.status, answer.content_type, answer.body)
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -60,6 +60,10 @@
     async def cancel(self, request: held.HeldRequest) -> None:
         """Takes a request back that was not dispatched."""
 
+    @abc.abstractmethod
+    async def released(self, request: held.HeldRequest) -> None:
+        """Opens the key of a request that was refused without a run."""
+
     @abc.abstractmethod
     async def first_answer(
         self, repeat: held.Repeat, request: held.HeldRequest
@@ -213,6 +217,7 @@
         if self.request.dispatched:
             return
         self.request.finished = True
+        await self.host.released(self.request)
         self.host.refused(self.request, kind)
         await self._answer(
             responses.problem(
--- a/packages/baobabmux-node/src/baobabmux_node/intake.py
+++ b/packages/baobabmux-node/src/baobabmux_node/intake.py
@@ -194,10 +194,8 @@
     if parsed.is_error():
         kind = parsed.error
         raise server.RequestError(kind, f"{IDEMPOTENCY_KEY}: {text!r}")
-    hashed = xxhash.xxh3_64_intdigest(
-        f"{workspace}\x00{route_name}\x00{text.lower()}".encode()
-    )
-    return ids.KeyHash(hashed), parsed.ok
+    key = parsed.ok
+    return keys.key_hash(workspace, route_name, key), key.time_ms
 
 
 def _completion(body: bytes) -> _Completion:
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -246,9 +246,13 @@
     async def cancel(self, request: held.HeldRequest) -> None:
         """Takes a request back that was not dispatched."""
         name = request.caller.request
-        await self.answers.withdrawn(request)
+        await self.answers.released(request)
         await self.apply(self.scheduler.cancel(name, time.monotonic()))
 
+    async def released(self, request: held.HeldRequest) -> None:
+        """Opens the key of a request that was refused without a run."""
+        await self.answers.released(request)
+
     async def first_answer(
         self, repeat: held.Repeat, request: held.HeldRequest
     ) -> sinks.Answer | errors.ErrorKind:
@@ -474,6 +478,8 @@
             preset=state.configuration.active,
         )
         self.metrics.config_version.set(state.version)
+        self.answers.configure(state.configuration.keys)
+        self.claims.window_seconds = state.configuration.keys.window_seconds
         await self.apply(
             self.scheduler.configure(state.configuration, time.monotonic())
         )
@@ -504,6 +510,8 @@
             )
             if change.state is states.MemberState.GONE:
                 self.peers.forget(change.node)
+            if change.restarted or change.state is states.MemberState.GONE:
+                self.answers.holder_gone(change.node)
         if changes:
             self._pending += self.scheduler.members_changed(now)
         self._send_heartbeats(self.membership.heartbeat_targets(now))
