Learn the errors of predictions and keep reserved slots open to short requests

Cause: requests were admitted at the very edge of their deadlines, so half of those that queued were refused only after 37 s or ran in vain; and short requests of the lowest tier found the slots kept for them closed by the slots kept for higher tiers.

Change: predictions of wait and service get a learned margin; a request that no endpoint can end in time is refused when its turn comes; short requests are exempt from reservations; noisy and lagging samples of rates weigh less; asks repeat up to 8 s and registers each 5 s, to save control bytes.

--- a/packages/baobabmux-core/src/baobabmux_core/capacity.py
+++ b/packages/baobabmux-core/src/baobabmux_core/capacity.py
@@ -5,15 +5,15 @@
 
 from baobabmux_core import deadlines, declarations, ids
 
-# Weight of one sample in a learned rate; about ten samples replace the
-# declared estimate.
+# Weight in a learned rate of one sample that covers a second or more; about
+# ten such samples replace the declared estimate.
 _SAMPLE_WEIGHT = 0.2
-# One sample moves a rate by at most this factor, so that a single wrong
-# length estimate does not.
+# A sample counts as at most this many times the rate or a part of it, so that
+# a single wrong length estimate moves little.
 _MAX_STEP = 4.0
 # Progress over fewer tokens is dominated by network delays.
 _MIN_SAMPLE_TOKENS = 8
-_MIN_SAMPLE_SECONDS = 0.005
+_MIN_SAMPLE_SECONDS = 0.05
 # The usual rate follows the current one over some hundred samples: a lasting
 # change, not a bad minute.
 _USUAL_WEIGHT = 0.005
@@ -274,8 +274,11 @@
         run.produced = tokens
         run.elapsed = elapsed
         # A stalled stream counts as half a token, which keeps rates positive.
-        sample = max(gained, 0.5) / seconds
-        self._learn_decode(sample * self._batch_factor(0))
+        sample = max(gained, 0.5) / seconds * self._batch_factor(0)
+        self.decode_rate = _blend(self.decode_rate, sample, min(1.0, seconds))
+        self.usual_decode_rate += _USUAL_WEIGHT * (
+            self.decode_rate - self.usual_decode_rate
+        )
 
     def learn(
         self,
@@ -304,7 +307,9 @@
             predicted += (computed - run.uncached) / self.prefill_rate
         if predicted > _MIN_SAMPLE_SECONDS and prefill > _MIN_SAMPLE_SECONDS:
             self.prefill_rate = _blend(
-                self.prefill_rate, self.prefill_rate * predicted / prefill
+                self.prefill_rate,
+                self.prefill_rate * predicted / prefill,
+                min(1.0, predicted),
             )
         self.progress(run, output, decode, now)
 
@@ -370,13 +375,7 @@
         self._ends += run.end
         self._note_count(run.granted)
 
-    def _learn_decode(self, sample: float) -> None:
-        self.decode_rate = _blend(self.decode_rate, sample)
-        self.usual_decode_rate += _USUAL_WEIGHT * (
-            self.decode_rate - self.usual_decode_rate
-        )
-
 
-def _blend(old: float, sample: float) -> float:
+def _blend(old: float, sample: float, weight: float = 1.0) -> float:
     bounded = min(max(sample, old / _MAX_STEP), old * _MAX_STEP)
-    return old + _SAMPLE_WEIGHT * (bounded - old)
+    return old + weight * _SAMPLE_WEIGHT * (bounded - old)
--- a/packages/baobabmux-core/src/baobabmux_core/deadlines.py
+++ b/packages/baobabmux-core/src/baobabmux_core/deadlines.py
@@ -2,6 +2,15 @@
 
 import msgspec
 
+# About fifty samples replace the first guess.
+_MARGIN_WEIGHT = 0.05
+_FIRST_DEVIATION = 0.25
+# 1.5 mean absolute deviations cover about 90% of normally spread errors.
+_DEVIATIONS = 1.5
+_MAX_MARGIN = 4.0
+# Errors of shorter times are network delays.
+_MIN_PREDICTION_SECONDS = 0.05
+
 
 class Prediction(msgspec.Struct, frozen=True):
     """When a request would get its first and its last token.
@@ -38,6 +47,33 @@
     return Prediction(first_token, first_token + decode_seconds)
 
 
+class ErrorMargin:
+    """Learns by which factor predictions fall short of what happens.
+
+    Attributes:
+        mean: Mean ratio of the actual to the predicted time.
+        deviation: Mean absolute deviation of that ratio.
+    """
+
+    def __init__(self, deviation: float = _FIRST_DEVIATION):
+        self.mean = 1.0
+        self.deviation = deviation
+
+    def learn(self, predicted: float, actual: float) -> None:
+        """Takes one prediction and what came of it, both in seconds."""
+        if predicted < _MIN_PREDICTION_SECONDS:
+            return
+        ratio = min(actual / predicted, _MAX_MARGIN)
+        error = ratio - self.mean
+        self.mean += _MARGIN_WEIGHT * error
+        self.deviation += _MARGIN_WEIGHT * (abs(error) - self.deviation)
+
+    def factor(self) -> float:
+        """Returns the factor that covers most predictions, at least 1."""
+        covered = self.mean + _DEVIATIONS * self.deviation
+        return min(_MAX_MARGIN, max(1.0, covered))
+
+
 def backlog_wait(
     queued_seconds: float, running_seconds: float, slots: float
 ) -> float:
--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -39,6 +39,8 @@
         seconds: Estimated time in an endpoint's slot.
         latest_start: Time after which the deadline cannot be met.
         queued: Whether it still waits.
+        queued_at: Time at which this owner queued it.
+        predicted_wait: Seconds that it was expected to wait then.
         suspect: Whether it waits to run in isolation.
         passed: Time at which it first let a place go in favour of a warm
             endpoint, or None.
@@ -52,7 +54,9 @@
         "key",
         "latest_start",
         "passed",
+        "predicted_wait",
         "queued",
+        "queued_at",
         "seconds",
         "short",
         "suspect",
@@ -77,6 +81,8 @@
         self.short = self.tokens < short_tokens
         self.seconds = 0.0
         self.latest_start = math.inf
+        self.queued_at = now
+        self.predicted_wait = 0.0
         self.queued = False
         self.suspect = False
         self.passed: float | None = None
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -45,9 +45,6 @@
 _ORPHAN_SECONDS = 1.0
 # Slow checks of rates and backlog happen this often.
 _CHECK_SECONDS = 0.5
-# A queued request is refused when its predicted start is later than its
-# latest start by this share of the wait; predictions are not better.
-_WAIT_TOLERANCE = 0.2
 # Computing a cached prefix again also delays the others in the batch, so it
 # counts as this many times its own duration.
 _RECOMPUTE_WEIGHT = 2.0
@@ -57,7 +54,8 @@
     """Why a queued request gets no endpoint now."""
 
     CAPACITY = "capacity"
-    AFFINITY = "affinity"
+    AFFINITY = "affinity"  # A place is free, but a busy endpoint is better.
+    LATE = "late"  # No endpoint can end it before its deadline.
 
 
 class _Blocked:
@@ -129,6 +127,8 @@
         self._grants_from = now
         self._isolated: ids.RequestId | None = None
         self._check_at = now
+        self._service_margin = deadlines.ErrorMargin()
+        self._wait_margin = deadlines.ErrorMargin()
         # Contents whose standing changed and whose queued copies must move.
         self._judged: list[ids.ContentDigest] = []
 
@@ -315,6 +315,7 @@
         if run.holder != holder:
             return []
         self._judge(member, run, outcome, now)
+        self._learn_margin(run, outcome, release)
         if outcome is states.Outcome.COMPLETED:
             member.model.learn(
                 run,
@@ -470,19 +471,21 @@
             member for member in self._members.values() if member.open
         ]
         ask = entry.ask
-        entry.seconds = min(
+        seconds = [
             member.model.prefill_seconds(
                 ask.prompt_tokens - member.prefixes.cached_tokens(ask.prefixes)
             )
             + member.model.decode_seconds(ask.output_tokens)
             for member in usable
-        )
-        entry.latest_start = entry.deadline - entry.seconds
-        wait = self._wait_of(entry, now)
+        ]
+        entry.seconds = statistics.fmean(seconds)
+        wait = self._wait_of(entry, now) * self._wait_margin.factor()
+        entry.predicted_wait = wait
+        # Without a wait, an attempt costs nobody else a place.
+        margin = self._service_margin.factor() if wait > 0.0 else 1.0
+        entry.latest_start = entry.deadline - min(seconds) * margin
         late = now + wait - entry.latest_start
-        if late <= 0.0:
-            return None
-        return self._unreachable(entry, late)
+        return self._unreachable(entry, late) if late > 0.0 else None
 
     def _wait_of(self, entry: fairness.QueueEntry, now: float) -> float:
         """Predicts how long a request that waits or might wait still waits."""
@@ -561,7 +564,7 @@
         for queue in list(self._tiers.values()):
             for entry in queue.last():
                 wait = self._wait_of(entry, now)
-                late = now + wait * (1 - _WAIT_TOLERANCE) - entry.latest_start
+                late = now + wait - entry.latest_start
                 if late > 0.0:
                     self._dequeue(entry)
                     refused.append(self._unreachable(entry, late))
@@ -576,6 +579,7 @@
             if not entry.queued:
                 continue
             late = now + self._wait_of(entry, now) - entry.latest_start
+            self._wait_margin.learn(entry.predicted_wait, now - entry.queued_at)
             self._dequeue(entry)
             refused.append(self._unreachable(entry, late))
         return refused
@@ -678,7 +682,12 @@
             if queue is None or not len(queue):
                 continue
             while (found := self._next(queue, blocked, now)) is not None:
-                grants.append(self._grant(*found, now))
+                entry, member = found
+                if member is not None:
+                    grants.append(self._grant(entry, member, now))
+                    continue
+                self._dequeue(entry)
+                grants.append(self._unreachable(entry, entry.seconds))
             if blocked.short:
                 # A lower tier must not take what this one waits for.
                 break
@@ -687,8 +696,12 @@
 
     def _next(
         self, queue: fairness.TierQueue, blocked: _Blocked, now: float
-    ) -> tuple[fairness.QueueEntry, _Member] | None:
-        """Returns the next request to grant and its endpoint."""
+    ) -> tuple[fairness.QueueEntry, _Member | None] | None:
+        """Returns the next request to grant and its endpoint.
+
+        Instead of an endpoint it returns None for a request that none can
+        end in time.
+        """
         if not any(
             member.model.used(now) < member.model.limit()
             for member in self._members.values()
@@ -702,6 +715,8 @@
             choice = self._choose(entry, now)
             if isinstance(choice, _Member):
                 return entry, choice
+            if choice is _Wait.LATE:
+                return entry, None
             if choice is _Wait.CAPACITY:
                 blocked.long = True
                 if entry.short:
@@ -713,9 +728,13 @@
         """Returns the share of slots that a request must leave free."""
         if self._preset is None:
             return 0.0
+        if entry.short:
+            # It leaves its place at once; what is kept free of long requests
+            # must be open to it.
+            return 0.0
         share = 0.0
-        if not entry.short and now - self._short_seen < _PRESENT_SECONDS:
-            share += self._preset.short_share
+        if now - self._short_seen < _PRESENT_SECONDS:
+            share = self._preset.short_share
         tier = entry.ask.tier
         present = [
             rank
@@ -741,6 +760,7 @@
         best = None
         best_cost = math.inf
         busy_cost = math.inf
+        usable = in_time = has_place = False
         for name, member in self._members.items():
             model = member.model
             if (
@@ -751,19 +771,26 @@
                 continue
             reserved = math.floor(model.limit() * share)
             fits = model.fits(entry.tokens, reserved, now)
+            usable = True
+            has_place = has_place or fits
             start = now if fits else model.next_free(now)
             end = model.predict(
                 start, ask.prompt_tokens - cached[name], ask.output_tokens
             ).end
             recomputed = model.prefill_seconds(longest - cached[name])
             cost = end + _RECOMPUTE_WEIGHT * recomputed
+            if end > entry.deadline:
+                continue
+            in_time = True
             if fits and cost < best_cost:
                 best = member
                 best_cost = cost
-            elif not fits and cached[name] and end <= entry.deadline:
+            elif not fits:
                 busy_cost = min(busy_cost, cost)
         if best is None:
-            return _Wait.CAPACITY
+            if not in_time and usable:
+                return _Wait.LATE
+            return _Wait.AFFINITY if has_place else _Wait.CAPACITY
         if busy_cost >= best_cost:
             return best
         return self._patience(entry, best, now)
@@ -787,6 +814,7 @@
     ) -> effects.Effect:
         ask = entry.ask
         self._dequeue(entry, granted=True)
+        self._wait_margin.learn(entry.predicted_wait, now - entry.queued_at)
         cached = member.prefixes.cached_tokens(ask.prefixes)
         run = capacity.Running(
             ask.request,
@@ -887,6 +915,21 @@
             member.kept_for = item.request
             self._isolated = item.request
 
+    def _learn_margin(
+        self,
+        run: capacity.Running,
+        outcome: states.Outcome,
+        release: messages.Release,
+    ) -> None:
+        predicted = run.end - run.granted
+        actual = (release.prefill_ms + release.decode_ms) / 1000
+        completed = outcome is states.Outcome.COMPLETED
+        # A request cancelled at its deadline took at least so long.
+        if completed or (
+            outcome is states.Outcome.CANCELLED and actual > predicted
+        ):
+            self._service_margin.learn(predicted, actual)
+
     # Failures.
 
     def _judge(
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -18,12 +18,12 @@
 # An unanswered Ask is repeated; the interval doubles because most requests
 # without an answer are queued, not lost.
 _FIRST_REPEAT_SECONDS = 1.0
-_MAX_REPEAT_SECONDS = 4.0
+_MAX_REPEAT_SECONDS = 8.0
 # Progress is reported at least this often, so that a slowdown is known within
 # seconds.
 _PROGRESS_SECONDS = 2.0
 # A lost Release occupies a slot for at most about one interval.
-_REGISTER_SECONDS = 3.0
+_REGISTER_SECONDS = 5.0
 # Registers that say "nothing in flight", against their loss.
 _EMPTY_REGISTERS = 3
 # A longer gap between ticks means that the process was paused: owners have
@@ -70,6 +70,7 @@
         "group",
         "lease_end",
         "owner",
+        "progressed",
         "repeat",
         "reported",
         "spilled",
@@ -102,6 +103,7 @@
         self.first_token: float | None = None
         self.tokens = 0
         self.reported = 0.0
+        self.progressed = 0.0
 
 
 class Holder:
@@ -174,6 +176,7 @@
             return []
         held.state = states.RequestState.STREAMING
         held.first_token = now
+        held.progressed = now
         return []
 
     def progress(
@@ -185,6 +188,7 @@
             return []
         self.first_token(request, now)
         held.tokens = max(held.tokens, tokens)
+        held.progressed = now
         return self._report(held, now)
 
     def claim_decided(
@@ -520,7 +524,11 @@
         owner = self._owner_of(held.group)
         if owner is None:
             return []
-        elapsed = round((now - held.first_token) * 1000)
+        # Tokens and time must belong together for the owner to learn a rate,
+        # unless the stream stands still.
+        stands = now - held.progressed > _PROGRESS_SECONDS
+        until = now if stands else held.progressed
+        elapsed = round((until - held.first_token) * 1000)
         return [
             effects.Send(
                 owner,
