--- /dev/null
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
@@ -0,0 +1,182 @@
+"""Client of the nodes' admin API."""
+
+import concurrent.futures
+import urllib.parse
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+
+from baobabmux_core import timeline
+from baobabmux_ctl import exits, output, transport
+
+_PARALLEL_CALLS = 16
+
+Result = TypeVar("Result")
+
+
+class EndpointStatus(msgspec.Struct, frozen=True):
+    """State of an endpoint as the owner of its group sees it."""
+
+    endpoint: str
+    outstanding_requests: int = 0
+    outstanding_tokens: int = 0
+    breaker: str = ""
+    drained: bool = False
+    decode_tokens_per_second: float = 0.0
+    prefill_tokens_per_second: float = 0.0
+
+
+class GroupStatus(msgspec.Struct, frozen=True):
+    """State of a group that a node owns."""
+
+    group: str
+    queue_requests: int = 0
+    queue_tokens: int = 0
+    queue_by_tier: dict[str, int] = {}
+    wait_seconds: float = 0.0
+    endpoints: list[EndpointStatus] = []
+
+
+class NodeStatus(msgspec.Struct, frozen=True):
+    """Answer of GET /status; a newer node may add members."""
+
+    node: str
+    data_centre: str
+    state: str
+    ready: bool = True
+    config_version: int = -1
+    config_through: int = -1
+    preset: str | None = None
+    log_reachable: bool = True
+    members: dict[str, str] = {}
+    groups: list[GroupStatus] = []
+    held: int = 0
+    timeline_events: int = 0
+
+
+class NodeTimeline(msgspec.Struct, frozen=True):
+    """Answer of GET /timeline."""
+
+    node: str
+    events: list[timeline.Event]
+
+
+class Answers(NamedTuple):
+    """Answers of several nodes.
+
+    Attributes:
+        found: Answers by address.
+        missing: Reason by address of the nodes that did not answer.
+    """
+
+    found: dict[str, Any]
+    missing: dict[str, str]
+
+
+class _AnswerError(Exception):
+    """A node answered something else than asked for."""
+
+
+def statuses(addresses: Sequence[transport.Address]) -> Answers:
+    """Reads the status of nodes."""
+    return _ask_all(addresses, lambda address: _get(address, "/status"))
+
+
+def timelines(
+    addresses: Sequence[transport.Address],
+    request: str = "",
+    endpoint: str = "",
+    since_ms: int = 0,
+) -> Answers:
+    """Reads the matching events of nodes; empty filters match all."""
+    query = urllib.parse.urlencode(
+        {"request": request, "endpoint": endpoint, "since": since_ms}
+    )
+    target = f"/timeline?{query}"
+    return _ask_all(addresses, lambda address: _get(address, target))
+
+
+def drain(
+    addresses: Sequence[transport.Address], endpoint: str, wanted: bool
+) -> Answers:
+    """Sets or ends the drain of an endpoint at nodes.
+
+    Repeating it does no harm, and each node passes it on to the others.
+
+    Raises:
+        exits.CommandError: A node refused it.
+    """
+    body = msgspec.json.encode({"endpoint": endpoint, "drain": wanted})
+    return _ask_all(addresses, lambda address: _post(address, "/drain", body))
+
+
+def require_some(answers: Answers) -> None:
+    """Warns about missing nodes.
+
+    Raises:
+        exits.CommandError: No node answered.
+    """
+    lines = [f"node at {a}: {why}" for a, why in answers.missing.items()]
+    if answers.found:
+        for line in lines:
+            output.error(f"{line} (the result lacks it)")
+        return
+    raise exits.CommandError(
+        exits.ExitCode.UNREACHABLE,
+        f"{'; '.join(lines)} (check --nodes: it takes admin addresses)",
+    )
+
+
+def _ask_all(
+    addresses: Sequence[transport.Address],
+    ask: Callable[[transport.Address], Result],
+) -> Answers:
+    answers = Answers({}, {})
+    workers = min(len(addresses), _PARALLEL_CALLS)
+    with (
+        output.progress(f"asking {len(addresses)} nodes"),
+        concurrent.futures.ThreadPoolExecutor(workers) as pool,
+    ):
+        calls = {str(a): pool.submit(ask, a) for a in addresses}
+        for address, pending in calls.items():
+            try:
+                answers.found[address] = pending.result()
+            except (
+                transport.NotSentError,
+                transport.AnswerLostError,
+                _AnswerError,
+            ) as error:
+                answers.missing[address] = str(error)
+    return answers
+
+
+def _get(address: transport.Address, target: str) -> Any:
+    schema = NodeStatus if target == "/status" else NodeTimeline
+    answer = transport.call(address, "GET", target)
+    if answer.status != 200:
+        raise _AnswerError(f"answered {answer.status}")
+    try:
+        return msgspec.json.decode(answer.body, type=schema)
+    except msgspec.DecodeError as error:
+        raise _AnswerError(f"bad answer: {error}") from error
+
+
+def _post(address: transport.Address, target: str, body: bytes) -> bool:
+    answer = transport.call(address, "POST", target, body)
+    if answer.status == 200:
+        return True
+    if 400 <= answer.status < 500:
+        raise exits.CommandError(
+            exits.ExitCode.INVALID,
+            f"node at {address}: {_detail(answer)}",
+        )
+    raise _AnswerError(f"answered {answer.status}")
+
+
+def _detail(answer: transport.Response) -> str:
+    try:
+        problem = msgspec.json.decode(answer.body)
+        return str(problem.get("detail") or problem["title"])
+    except (msgspec.DecodeError, AttributeError, KeyError):
+        return f"answered {answer.status}"
--- /dev/null
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/status.py
@@ -0,0 +1,137 @@
+"""Command `status`: what nodes say about themselves."""
+
+import collections
+from collections.abc import Iterable, Iterator
+
+from baobabmux_ctl import command, exits, nodes, output
+
+
+class Status(command.Command):
+    """Shows nodes, groups, endpoints and what does not fit together."""
+
+    name = "status"
+    usage = "--nodes IP:PORT,… [--json]"
+    summary = "Shows nodes, queues, endpoints and disagreements."
+
+    def __init__(self):
+        super().__init__()
+        self._define_nodes()
+
+    def run(self, arguments: list[str]) -> exits.ExitCode:
+        """Prints the status."""
+        if arguments:
+            raise self.usage_error("expected no argument")
+        answers = nodes.statuses(self._node_addresses())
+        nodes.require_some(answers)
+        found = sorted(answers.found.values(), key=lambda one: one.node)
+        warnings = list(find_warnings(found))
+        if self.flags.json:
+            output.result_json(
+                {
+                    "nodes": found,
+                    "unreachable": answers.missing,
+                    "warnings": warnings,
+                }
+            )
+            return exits.ExitCode.DONE
+        output.result(_node_table(found))
+        groups = [(one, group) for one in found for group in one.groups]
+        if groups:
+            output.result("\n" + _group_table(groups))
+            output.result("\n" + _endpoint_table(groups))
+        for line in warnings:
+            output.result(f"\nwarning: {line}")
+        return exits.ExitCode.DONE
+
+
+def find_warnings(found: Iterable[nodes.NodeStatus]) -> Iterator[str]:
+    """Finds what an operator should look at."""
+    found = list(found)
+    versions = {one.config_version for one in found}
+    if len(versions) > 1:
+        listed = ", ".join(f"{n.node} {n.config_version}" for n in found)
+        yield f"configuration versions differ: {listed}"
+    owners = collections.defaultdict(list)
+    for one in found:
+        for group in one.groups:
+            owners[group.group].append(one.node)
+    for group, names in sorted(owners.items()):
+        if len(names) > 1:
+            yield f"group {group} has several owners: {', '.join(names)}"
+    for one in found:
+        if not one.ready and one.state == "live":
+            yield f"node {one.node} is not ready"
+        if not one.log_reachable:
+            yield f"node {one.node} does not reach the log service"
+        for group in one.groups:
+            for endpoint in group.endpoints:
+                if endpoint.breaker not in ("closed", ""):
+                    yield (
+                        f"breaker of {endpoint.endpoint} is {endpoint.breaker}"
+                    )
+
+
+def _node_table(found: Iterable[nodes.NodeStatus]) -> str:
+    heads = (
+        "NODE",
+        "DATA CENTRE",
+        "STATE",
+        "READY",
+        "CONFIG",
+        "PRESET",
+        "HELD",
+        "MEMBERS",
+        "LOG",
+    )
+    rows = [
+        (
+            one.node,
+            one.data_centre,
+            one.state,
+            "yes" if one.ready else "no",
+            one.config_version,
+            one.preset or "-",
+            one.held,
+            len(one.members),
+            "reached" if one.log_reachable else "out of reach",
+        )
+        for one in found
+    ]
+    return output.table(heads, rows)
+
+
+def _group_table(
+    groups: Iterable[tuple[nodes.NodeStatus, nodes.GroupStatus]],
+) -> str:
+    heads = ("GROUP", "OWNER", "QUEUED", "BY TIER", "TOKENS", "WAIT")
+    rows = [
+        (
+            group.group,
+            owner.node,
+            group.queue_requests,
+            " ".join(f"{t}:{n}" for t, n in group.queue_by_tier.items()) or "-",
+            group.queue_tokens,
+            f"{group.wait_seconds:.1f} s",
+        )
+        for owner, group in groups
+    ]
+    return output.table(heads, rows)
+
+
+def _endpoint_table(
+    groups: Iterable[tuple[nodes.NodeStatus, nodes.GroupStatus]],
+) -> str:
+    heads = ("ENDPOINT", "GROUP", "RUNNING", "TOKENS", "BREAKER", "DRAIN")
+    rows = [
+        (
+            one.endpoint,
+            group.group,
+            one.outstanding_requests,
+            one.outstanding_tokens,
+            one.breaker,
+            "yes" if one.drained else "no",
+        )
+        for _, group in groups
+        for one in group.endpoints
+    ]
+    return output.table(heads, rows)
--- /dev/null
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/timeline.py
@@ -0,0 +1,131 @@
+"""Command `timeline`: events of several nodes in one order."""
+
+import datetime
+import pathlib
+import re
+import time
+
+from absl import flags
+
+from baobabmux_core import timeline
+from baobabmux_ctl import command, exits, lanes, nodes, output, sentences
+
+_UNITS = {"s": 1, "m": 60, "h": 3600, "d": 86_400}
+_AGO = re.compile(r"(\d+)([smhd])")
+
+
+class ShowTimeline(command.Command):
+    """Prints the merged events of nodes."""
+
+    name = "timeline"
+    usage = (
+        "--nodes IP:PORT,… [--request ID] [--endpoint ID] [--node NAME] "
+        "[--since 5m] [--html FILE] [--json]"
+    )
+    summary = "Shows the recent events of nodes in one order."
+    details = (
+        "Each node keeps a bounded number of recent events, so old ones are\n"
+        "missing. docs/events.md lists all kinds."
+    )
+
+    def __init__(self):
+        super().__init__()
+        self._define_nodes()
+        text = flags.DEFINE_string
+        self._define(text, "request", "", "Only events of this request.")
+        self._define(text, "endpoint", "", "Only events of this endpoint.")
+        self._define(text, "node", "", "Only events that this node recorded.")
+        self._define(
+            text,
+            "since",
+            "",
+            "Only events since this long ago (90s, 5m, 2h, 1d) or since this "
+            "time in UTC (2026-12-03T20:15).",
+        )
+        self._define(text, "html", "", "Write a page with lanes to this file.")
+
+    def run(self, arguments: list[str]) -> exits.ExitCode:
+        """Prints the events, or writes the page."""
+        if arguments:
+            raise self.usage_error("expected no argument")
+        since_ms = parse_since(self.flags.since, time.time())
+        answers = nodes.timelines(
+            self._node_addresses(),
+            self.flags.request,
+            self.flags.endpoint,
+            since_ms,
+        )
+        nodes.require_some(answers)
+        events = [
+            event
+            for event in merged(answers)
+            if not self.flags.node or event.node == self.flags.node
+        ]
+        if self.flags.html:
+            self._write_page(events)
+        if self.flags.json:
+            output.result_json(
+                {"events": events, "unreachable": answers.missing}
+            )
+        elif not self.flags.html:
+            for event in events:
+                output.result(_line(event))
+        return exits.ExitCode.DONE
+
+    def _write_page(self, events: list[timeline.Event]) -> None:
+        about = self.flags.request or self.flags.endpoint or self.flags.node
+        heading = f"Timeline of {about}" if about else "Timeline"
+        path = pathlib.Path(self.flags.html)
+        try:
+            path.write_text(lanes.page(events, heading), encoding="utf-8")
+        except OSError as error:
+            raise exits.CommandError(
+                exits.ExitCode.FAILED,
+                f"--html: {path} cannot be written: {error.strerror}",
+            ) from error
+        output.note(f"{len(events)} events written to {path}")
+
+
+def merged(answers: nodes.Answers) -> list[timeline.Event]:
+    """Returns the events of all nodes, each once, in one order."""
+    return timeline.merge(one.events for one in answers.found.values())
+
+
+def parse_since(text: str, now: float) -> int:
+    """Reads a time.
+
+    Args:
+        text: Span before now, or a time in UTC; empty means the beginning.
+        now: Unix time in seconds.
+
+    Returns:
+        Unix milliseconds.
+
+    Raises:
+        exits.CommandError: The text is neither.
+    """
+    if not text:
+        return 0
+    ago = _AGO.fullmatch(text)
+    if ago:
+        return int((now - int(ago[1]) * _UNITS[ago[2]]) * 1000)
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+    except ValueError:
+        raise exits.CommandError(
+            exits.ExitCode.INVALID,
+            f'--since: "{text}" is neither a span nor a time '
+            "(write it like 5m or 2026-12-03T20:15)",
+        ) from None
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return int(moment.timestamp() * 1000)
+
+
+def _line(event: timeline.Event) -> str:
+    about = [part for part in (event.request, event.endpoint) if part]
+    suffix = f"  [{' '.join(about)}]" if about else ""
+    return (
+        f"{sentences.clock_time(event)}  {event.node}  {event.kind}  "
+        f"{sentences.sentence(event)}{suffix}"
+    )
