--- a/packages/baobabmux-core/src/baobabmux_core/claims.py
+++ b/packages/baobabmux-core/src/baobabmux_core/claims.py
@@ -474,6 +474,13 @@
         """Records how the winning attempt ended; kept until read back."""
         self._keep(Outcome(key, attempt, status, answer))
 
+    @property
+    def busy(self) -> bool:
+        """Whether an entry waits for its append or its read-back."""
+        return bool(
+            self._queue or self._in_flight is not None or self._unresolved
+        )
+
     def next_batch(self, now: float) -> dict[str, Any] | None:
         """Returns the next record to append, or None.
 
--- a/packages/baobabmux-core/src/baobabmux_core/keys.py
+++ b/packages/baobabmux-core/src/baobabmux_core/keys.py
@@ -194,14 +194,21 @@
             attempt, _Attempt(key, states.RunStatus.RUNNING)
         )
 
-    def finished(self, attempt: ids.AttemptId, answer: KeptAnswer) -> None:
-        """Keeps the complete answer of an attempt; evicts the oldest ones."""
+    def finished(
+        self, attempt: ids.AttemptId, answer: KeptAnswer | None
+    ) -> None:
+        """Keeps the complete answer of an attempt; evicts the oldest ones.
+
+        Args:
+            attempt: Attempt that was completed.
+            answer: Its answer, or None if it was too large to be copied.
+        """
         known = self._attempts.get(attempt)
         if known is None or known.status is not states.RunStatus.RUNNING:
             return
         known.status = states.RunStatus.DONE
-        size = len(answer.data)
-        if size <= self.limits.kept_answer_bytes:
+        size = len(answer.data) if answer else 0
+        if answer and size <= self.limits.kept_answer_bytes:
             known.answer = answer
             self._kept[attempt] = size
             self.kept_bytes += size
