Wait for the connection's watcher before its socket is closed

Cause: the node died in the demo with FileNotFoundError from epoll when a graceful stop began. The watcher of a caller's connection was cancelled without waiting; its deferred unregistration then removed the registration of a later socket with the same number. Ruled out: the shutdown itself, which exits 0 on an idle node.

Change: the cancellation is awaited.

--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -109,8 +109,10 @@
             while not self.request.finished:
                 await self._act(await self.request.next_decision())
         finally:
-            await timer.cancel(blocking=False)
-            await watcher.cancel(blocking=False)
+            await timer.cancel()
+            # The watcher must have let go of the socket before it is closed:
+            # curio would otherwise unregister a later socket with its number.
+            await watcher.cancel()
 
     async def _act(self, decision: held.Decision) -> None:
         match decision:
