Send orders to endpoints under a lease with a growing number

A holder that was paused must not undo a newer holder's orders, also at endpoints that ignore fencing numbers. The offset of the lease record is the number; the holder counts its lease from before the append, checks it again immediately before the first byte, and a new holder waits 10 s at endpoints that ignore the number, sends the desired state and reads it back. Loads keep the weight store's rate, from an empty bucket at each hand-over.

--- /dev/null
+++ b/packages/baobabmux-core/tests/orders_test.py
@@ -0,0 +1,464 @@
+"""Tests of orders to endpoints under a lease."""
+
+import collections
+from typing import ClassVar
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from baobabmux_core import declarations, invariants, orders
+
+_ENDPOINTS = {
+    name: declarations.Endpoint(
+        "s", "col-a", "vm", "127.0.0.1:1", checks_fencing=checks
+    )
+    for name, checks in [("checks", True), ("ignores", False)]
+}
+_ROLE = orders.OrderKind.SET_ROLE
+_LOAD = orders.OrderKind.LOAD_ADAPTER
+
+
+def _desired(endpoint, version, kind=_LOAD):
+    name = "decode" if kind is _ROLE else "a"
+    record = {"type": "desired", "endpoint": endpoint, "kind": kind.value}
+    return {**record, "name": name, "version": version}
+
+
+def _desk(node="n1", rate=100.0, desk_class=orders.OrderDesk):
+    bucket = orders.TokenBucket(rate, 2.0)
+    desk = desk_class(node, "col-a", bucket)
+    desk.configure(_ENDPOINTS)
+    return desk
+
+
+def _lease(desk, now=0.0):
+    desk.apply(desk.next_offset, desk.ask_lease(now), int(now * 1000), now)
+
+
+def test_lease_ends_earlier_for_its_holder_than_in_the_log():
+    """Guards against a holder that trusts a lease that others may take."""
+    desk = _desk()
+    record = desk.ask_lease(0.0)
+    desk.apply(0, record, 3000, 5.0)
+    assert desk.holds_lease(14.9)
+    assert not desk.holds_lease(15.0)
+
+
+def test_lease_is_refused_while_another_one_runs():
+    """Guards against two holders at a time."""
+    first, second = _desk("n1"), _desk("n2")
+    records = [(first.ask_lease(0.0), 0), (second.ask_lease(0.0), 14_999)]
+    for desk in (first, second):
+        for offset, (record, time_ms) in enumerate(records):
+            desk.apply(offset, record, time_ms, 1.0)
+    assert (first.fence, second.fence) == (0, -1)
+
+
+def test_fence_grows_with_each_lease():
+    """Guards against an endpoint that refuses the present holder."""
+    desk = _desk()
+    _lease(desk)
+    desk.apply(1, _desired("checks", "1"), 0, 0.0)
+    _lease(desk, 9.0)
+    assert (desk.fence, desk.lease_until) == (2, 24.0)
+
+
+def test_new_holder_waits_where_numbers_are_ignored():
+    """Guards against an old holder's order that arrives after a new one."""
+    desk = _desk()
+    desk.apply(0, _desired("checks", "1", _ROLE), 0, 0.0)
+    desk.apply(1, _desired("ignores", "1", _ROLE), 0, 0.0)
+    _lease(desk, 1.0)
+    assert [item.endpoint for item in desk.actions(1.0)] == ["checks"]
+    assert desk.actions(10.9) == []
+    _lease(desk, 10.9)
+    (order,) = desk.actions(11.0)
+    assert (order.endpoint, order.fence) == ("ignores", 3)
+
+
+def test_state_is_read_back_and_repaired():
+    """Guards against an order that was lost or overwritten unseen."""
+    desk = _desk()
+    desk.apply(0, _desired("checks", "", _ROLE), 0, 0.0)
+    _lease(desk)
+    (order,) = desk.actions(0.0)
+    assert desk.start(order, 0.0)
+    desk.applied(order, 1.0)
+    (read,) = desk.actions(1.0)
+    desk.state_read(read, {"set_role": "other"}, 1.0)
+    assert desk.actions(1.0) == [order]
+    desk.failed(order, 2.0)
+    assert desk.actions(9.9) == []
+    assert desk.actions(10.0) == [order]
+
+
+def test_nothing_is_sent_after_the_lease_or_a_refusal():
+    """Guards against orders of a paused or replaced holder."""
+    desk = _desk()
+    desk.apply(0, _desired("checks", "", _ROLE), 0, 0.0)
+    _lease(desk)
+    (order,) = desk.actions(14.9)
+    assert not desk.start(order, 15.0)
+    _lease(desk, 16.0)
+    (order,) = desk.actions(16.0)
+    desk.fence_refused(order, 16.0)
+    assert not desk.holds_lease(16.0)
+    assert desk.actions(16.0) == []
+
+
+def test_release_waits_for_outstanding_orders():
+    """Guards against a shutdown that leaves an order under way."""
+    desk, other = _desk(), _desk("n2")
+    desk.apply(0, _desired("ignores", "", _ROLE), 0, 0.0)
+    _lease(desk)
+    _lease(desk, 9.0)
+    (order,) = desk.actions(10.0)
+    assert desk.release(10.0) is None
+    desk.applied(order, 11.0)
+    record = desk.release(11.0)
+    assert desk.actions(11.0) == []
+    for offset, data in enumerate(
+        [
+            _desired("ignores", "", _ROLE),
+            {
+                "type": "lease",
+                "scope": "col-a",
+                "holder": "n1",
+                "seconds": 15.0,
+                "attempt": "x",
+            },
+            {**record, "fence": 1},
+        ]
+    ):
+        other.apply(offset, data, 0, 11.0)
+    _lease(other, 11.0)
+    assert other.fence == 3
+    assert [item.endpoint for item in other.actions(11.0)] == ["ignores"]
+
+
+def test_weight_store_rate_is_kept():
+    """Guards against loads that the weight store refuses."""
+    desk = _desk(rate=0.5)
+    for number in range(20):
+        record = {**_desired("checks", "1"), "name": f"a{number}"}
+        desk.apply(number, record, 0, 0.0)
+    loads, state = [], {}
+    for second in range(40):
+        if second % 5 == 0:
+            _lease(desk, float(second))
+        for action in desk.actions(float(second)):
+            if isinstance(action, orders.Order):
+                loads.append(second)
+                desk.applied(action, float(second))
+                state[f"load_adapter/{action.name}"] = f"{action.name}@1"
+            else:
+                desk.state_read(action, state, float(second))
+    assert len(loads) == 19  # 0.5 a second, from an empty bucket.
+    throttled = desk.actions(41.0)[0]
+    desk.throttled(throttled, 5.0, 41.0)
+    assert desk.actions(46.0) == []
+
+
+def test_reader_that_lost_records_waits_for_a_whole_snapshot():
+    """Guards against an older version sent to an endpoint."""
+    desk = _desk()
+    for offset, version in enumerate(["1", "2"]):
+        desk.apply(offset, _desired("checks", version, _ROLE), 0, 0.0)
+    whole = desk.snapshot()
+    late = _desk("n2")
+    late.apply(5, {**whole, "through": 3}, 0, 0.0)
+    _lease(late)
+    assert late.actions(0.0) == []
+    late.apply(7, {**whole, "through": 4}, 0, 0.0)
+    assert [item.version for item in late.actions(0.0)] == ["2"]
+    assert desk.snapshot_due(101_000, 300.0)
+    desk.apply(2, whole, 101_000, 0.0)
+    assert not desk.snapshot_due(101_000, 300.0)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        None,
+        {"type": "lease"},
+        {"type": "desired", "kind": "x"},
+        [],
+        7,
+        {"type": "snapshot", "through": 10**400, "entries": [7]},
+    ],
+)
+def test_garbage_is_counted_and_not_fatal(data):
+    """Guards against one bad record that stops every holder."""
+    desk = _desk()
+    desk.apply(0, data, 0, 0.0)
+    assert desk.ignored == 1
+
+
+class OrderMachine(stateful.RuleBasedStateMachine):
+    """Holders that pause and lose answers, over endpoints of both kinds.
+
+    An order that was started arrives at any time before the driver's timeout,
+    or never; its answer may be lost. A paused holder acts only when it
+    returns.
+    """
+
+    desk_class = orders.OrderDesk
+    counts: ClassVar[dict] = collections.Counter()
+
+    def __init__(self):
+        super().__init__()
+        self.counts["examples"] += 1
+        self.now = 0.0
+        self.records = []
+        self.delayed = []
+        self.leases = {}
+        self.version = 0
+        self.facts = []
+        self.under_way = []
+        self.state = {name: {} for name in _ENDPOINTS}
+        self.fences = dict.fromkeys(_ENDPOINTS, -1)
+        self.desks = [
+            _desk(f"n{number}", 100.0, self.desk_class) for number in range(2)
+        ]
+        self.held = [[], []]
+        self.want()
+
+    def append(self, record):
+        time_ms = int(self.now * 1000)
+        if record["type"] == "lease":
+            self.leases[len(self.records)] = self.now + record["seconds"]
+        self.records.append((time_ms, record))
+
+    def read(self, desk):
+        for offset in range(desk.next_offset, len(self.records)):
+            time_ms, record = self.records[offset]
+            desk.apply(offset, record, time_ms, self.now)
+
+    @stateful.initialize()
+    def start_with_a_holder(self):
+        self.run_lease(0)
+        self.pass_time(9.0)
+        self.run_lease(0)
+        self.run_lease(1)
+        self.pass_time(2.0)
+
+    def want(self):
+        self.version += 1
+        for endpoint in _ENDPOINTS:
+            self.append(_desired(endpoint, str(self.version)))
+
+    @stateful.rule(
+        number=st.sampled_from([0, 1]),
+        fate=st.sampled_from(["known", "known", "late", "never"]),
+        pause=st.sampled_from([False, False, True]),
+        seconds=st.sampled_from([0.0, 1.0]),
+        change=st.booleans(),
+    )
+    def run_node(self, number, fate, pause, seconds, change):
+        if change:
+            self.want()
+        self.run_lease(number, fate)
+        self.now += seconds
+        self.run_orders(number, pause)
+
+    def run_lease(self, number, fate="known"):
+        self.counts["steps"] += 1
+        desk = self.desks[number]
+        self.read(desk)
+        record = desk.ask_lease(self.now)
+        if record is None:
+            return
+        if fate == "known":
+            self.append(record)
+            self.read(self.desks[1 - number])
+        elif fate == "late":
+            self.delayed.append(record)
+        self.read(desk)
+        self.counts["leases"] += desk.fence == len(self.records) - 1
+
+    def run_orders(self, number, pause=False):
+        """Sends what is due; a pause lies between decision and sending."""
+        self.counts["steps"] += 1
+        desk = self.desks[number]
+        due, self.held[number] = self.held[number], []
+        due += desk.actions(self.now)
+        if pause:
+            self.held[number] = due
+            return
+        for action in due:
+            if isinstance(action, orders.ReadBack):
+                state = dict(self.state[action.endpoint])
+                desk.state_read(action, state, self.now)
+            elif desk.start(action, self.now):
+                self.counts["orders"] += 1
+                fence = desk.fence if desk.fence >= 0 else action.fence
+                until = self.leases[fence]
+                self.facts.append(
+                    invariants.OrderSent(
+                        desk.node, action.fence, self.now, until
+                    )
+                )
+                self.under_way.append((action, desk, self.now))
+
+    @stateful.rule(
+        number=st.sampled_from([0, 1, 2, 3]),
+        fate=st.sampled_from(["applied", "applied", "answer lost", "lost"]),
+    )
+    def order_arrives(self, number, fate="applied"):
+        self.counts["steps"] += 1
+        if not self.under_way:
+            return
+        index = number % len(self.under_way)
+        order, desk, started = self.under_way.pop(index)
+        if self.now - started > orders.ORDER_TIMEOUT_SECONDS or fate == "lost":
+            desk.failed(order, self.now)
+            return
+        checks = _ENDPOINTS[order.endpoint].checks_fencing
+        if checks and order.fence < self.fences[order.endpoint]:
+            self.counts["refused by fence"] += 1
+            desk.fence_refused(order, self.now)
+            return
+        self.fences[order.endpoint] = order.fence
+        self.state[order.endpoint][f"load_adapter/{order.name}"] = (
+            f"{order.name}@{order.version}"
+        )
+        self.facts.append(
+            invariants.OrderApplied(
+                order.endpoint, order.name, order.version, order.fence
+            )
+        )
+        if fate == "answer lost":
+            desk.failed(order, self.now)
+        else:
+            desk.applied(order, self.now)
+
+    @stateful.rule()
+    def late_record_arrives(self):
+        if self.delayed:
+            self.append(self.delayed.pop())
+
+    @stateful.rule(number=st.sampled_from([0, 1]))
+    def stop_gracefully(self, number):
+        self.counts["steps"] += 1
+        record = self.desks[number].release(self.now)
+        if record:
+            self.counts["releases"] += 1
+            self.append(record)
+
+    @stateful.rule()
+    def hand_over(self):
+        """The old holder is paused with orders due or under way."""
+        end = max(self.leases.values())
+        self.now = max(self.now, end - 0.5)
+        self.want()
+        self.run_orders(0)
+        self.now = max(self.now, end)
+        self.run_lease(1)
+        self.now += 1.0
+        self.run_orders(1)
+        self.desks.reverse()
+        self.held.reverse()
+
+    @stateful.rule(seconds=st.sampled_from([1.0, 1.0, 3.0, 9.0, 40.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    def settle(self):
+        """Without faults, the endpoints reach the desired state."""
+        counts = self.counts.copy()
+        for _ in range(60):
+            self.now += 1.0
+            for number in (0, 1):
+                self.read(self.desks[number])
+            self.run_lease(0)
+            self.run_orders(0)
+            while self.under_way:
+                self.order_arrives(0)
+        self.counts.clear()
+        self.counts.update(counts)  # Only steps under faults count.
+        for endpoint in _ENDPOINTS:
+            wanted = f"a@{self.version}"
+            assert self.state[endpoint] == {"load_adapter/a": wanted}
+
+    def teardown(self):
+        self.settle()
+        assert not invariants.orders_do_not_regress(self.facts)
+        assert not invariants.orders_are_sent_under_a_lease(self.facts)
+
+
+def test_orders_never_regress_and_arrive_in_the_end():
+    """Guards against paused holders, lost answers and ignored numbers."""
+    stateful.run_state_machine_as_test(
+        OrderMachine,
+        settings=hypothesis.settings(
+            derandomize=True,
+            deadline=None,
+            max_examples=200,
+            stateful_step_count=40,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        ),
+    )
+    print("orders:", dict(OrderMachine.counts))
+    assert OrderMachine.counts["steps"] > 2000
+    assert OrderMachine.counts["orders"] > 500
+
+
+class _NoMargin(orders.OrderDesk):
+    def _take_over(self, old, now):
+        super()._take_over(old, now)
+        self._wait_until = now
+
+
+class _NoCheckAtStart(orders.OrderDesk):
+    def start(self, order, now):
+        return True
+
+
+def _late_arrival(machine):
+    """An old holder's order arrives after the new holder's."""
+    machine.run_lease(0)
+    machine.pass_time(9.0)
+    machine.run_lease(0)
+    machine.run_lease(1)
+    machine.pass_time(14.5)
+    machine.run_orders(0)
+    machine.pass_time(1.0)
+    machine.run_lease(1)
+    machine.pass_time(0.5)
+    machine.run_orders(1)
+    machine.under_way.reverse()
+    while machine.under_way:
+        machine.order_arrives(0)
+
+
+def _paused_holder(machine):
+    """A holder is paused between its decision and the sending."""
+    machine.run_lease(0)
+    machine.pass_time(1.0)
+    machine.run_orders(0, pause=True)
+    machine.pass_time(16.0)
+    machine.run_orders(0)
+
+
+@pytest.mark.parametrize(
+    ("scenario", "broken"),
+    [
+        (_late_arrival, _NoMargin),
+        (_paused_holder, _NoCheckAtStart),
+    ],
+)
+def test_broken_decisions_are_caught(scenario, broken):
+    """Guards against invariants that cannot fail."""
+
+    class Machine(OrderMachine):
+        desk_class = broken
+
+    sound = OrderMachine()
+    scenario(sound)
+    sound.teardown()
+    machine = Machine()
+    scenario(machine)
+    with pytest.raises(AssertionError):
+        machine.teardown()
