Move a waiting request to a data centre with free slots; narrow the margins

Cause: in bursts on a small plain service the margins on wait and service together refused requests that would have ended in time, and requests waited although another data centre was idle.

Change: a request that waits 0.25 s asks, once, a data centre that reports no wait, and returns home if that one refuses. The margin on waits covers only their bias.

--- a/packages/baobabmux-core/src/baobabmux_core/capacity.py
+++ b/packages/baobabmux-core/src/baobabmux_core/capacity.py
@@ -11,6 +11,8 @@
 # A sample counts as at most this many times the rate or a part of it, so that
 # a single wrong length estimate moves little.
 _MAX_STEP = 4.0
+# Weight of one sample in the learned duration of a plain service.
+_PLAIN_WEIGHT = 0.05
 # Progress over fewer tokens is dominated by network delays.
 _MIN_SAMPLE_TOKENS = 8
 _MIN_SAMPLE_SECONDS = 0.05
@@ -143,6 +145,7 @@
         self.reference_rate: float | None = None
         self.stalled = False
         self._prefill_free = 0.0
+        self._samples = 0
         self._ends = 0.0
         self._foreign = 0
         self._foreign_until = 0.0
@@ -300,7 +303,12 @@
             now: Current time in seconds.
         """
         if self.plain:
-            self.plain_seconds = _blend(self.plain_seconds, prefill + decode)
+            self._samples += 1
+            # The first samples replace the guess, later ones are averaged.
+            weight = max(_PLAIN_WEIGHT, 1 / self._samples)
+            self.plain_seconds += weight * (
+                prefill + decode - self.plain_seconds
+            )
             return
         predicted = run.first_token - run.granted
         if computed >= 0:
--- a/packages/baobabmux-core/src/baobabmux_core/deadlines.py
+++ b/packages/baobabmux-core/src/baobabmux_core/deadlines.py
@@ -5,8 +5,9 @@
 # About fifty samples replace the first guess.
 _MARGIN_WEIGHT = 0.05
 _FIRST_DEVIATION = 0.25
-# 1.5 mean absolute deviations cover about 90% of normally spread errors.
-_DEVIATIONS = 1.5
+# One mean absolute deviation covers about 80% of normally spread errors; a
+# wider margin refused more than it saved in bursts on a plain service.
+_DEVIATIONS = 1.0
 _MAX_MARGIN = 4.0
 # Errors of shorter times are network delays.
 _MIN_PREDICTION_SECONDS = 0.05
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -479,7 +479,8 @@
             for member in usable
         ]
         entry.seconds = statistics.fmean(seconds)
-        wait = self._wait_of(entry, now) * self._wait_margin.factor()
+        # A margin for the spread of waits would refuse too much in bursts.
+        wait = self._wait_of(entry, now) * max(1.0, self._wait_margin.mean)
         entry.predicted_wait = wait
         # Without a wait, an attempt costs nobody else a place.
         margin = self._service_margin.factor() if wait > 0.0 else 1.0
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -15,6 +15,10 @@
 
 OwnerOf = Callable[[ids.GroupId], ids.NodeId | None]
 
+# A request that still waits after this time moves to a data centre with free
+# slots; less would move requests that are about to be granted.
+_MOVE_SECONDS = 0.25
+
 # An unanswered Ask is repeated; the interval doubles because most requests
 # without an answer are queued, not lost.
 _FIRST_REPEAT_SECONDS = 1.0
@@ -55,7 +59,10 @@
         endpoint: Endpoint that was granted, or None.
         arrival: Time of submission in seconds.
         deadline: Latest end in seconds.
+        home: Group that it asked first.
         spilled: Whether it has asked another data centre.
+        returns: Whether it asks its home group again when the other data
+            centre refuses it, because its home group did not.
     """
 
     __slots__ = (
@@ -68,11 +75,13 @@
         "failures",
         "first_token",
         "group",
+        "home",
         "lease_end",
         "owner",
         "progressed",
         "repeat",
         "reported",
+        "returns",
         "spilled",
         "state",
         "tokens",
@@ -89,11 +98,13 @@
         self.work = work
         self.state = states.RequestState.RECEIVED
         self.group = group
+        self.home = group
         self.owner: ids.NodeId | None = None
         self.endpoint: ids.EndpointId | None = None
         self.arrival = now
         self.deadline = deadline
         self.spilled = False
+        self.returns = False
         self.claimed = False
         self.ask_at = now
         self.repeat = _FIRST_REPEAT_SECONDS
@@ -294,13 +305,14 @@
         ):
             return []
         kind = errors.ErrorKind(refusal.kind)
-        if kind is not errors.ErrorKind.QUARANTINED and not held.spilled:
-            group = spill(held)
+        if kind is not errors.ErrorKind.QUARANTINED:
+            if held.returns:
+                held.returns = False
+                return self._ask_group(held, held.home, now)
+            group = None if held.spilled else spill(held)
             if group is not None:
                 held.spilled = True
-                held.group = group
-                held.repeat = _FIRST_REPEAT_SECONDS
-                return self._ask(held, now)
+                return self._ask_group(held, group, now)
         return self._refuse(
             held, kind, refusal.retry_after_ms / 1000, withdraw=False
         )
@@ -348,8 +360,16 @@
         )
         return [effects.Send(owner, messages.Register(group, in_flight))]
 
-    def tick(self, now: float) -> list[effects.Effect]:
-        """Repeats unanswered asks, refuses what is late, reports progress."""
+    def tick(
+        self, now: float, free: Callable[[Held], ids.GroupId | None]
+    ) -> list[effects.Effect]:
+        """Repeats unanswered asks, refuses what is late, reports progress.
+
+        Args:
+            now: Current time in seconds.
+            free: Returns a group of another data centre with free slots for
+                a request, or None.
+        """
         paused = self._last_tick is not None and (
             now - self._last_tick > _PAUSE_SECONDS
         )
@@ -357,6 +377,13 @@
         found = []
         for held in list(self.held.values()):
             found += self._check(held, paused, now)
+            if (
+                held.state is states.RequestState.QUEUED
+                and not held.spilled
+                and now - held.arrival >= _MOVE_SECONDS
+                and (group := free(held)) is not None
+            ):
+                found += self._move(held, group, now)
         if now >= self._register_at:
             self._register_at = now + _REGISTER_SECONDS
             found += self._register_all(now)
@@ -400,8 +427,26 @@
                 self._registers[group] = left - 1
         return found
 
+    def _move(
+        self, held: Held, group: ids.GroupId, now: float
+    ) -> list[effects.Effect]:
+        held.spilled = True
+        held.returns = True
+        found: list[effects.Effect] = []
+        if held.owner is not None:
+            withdraw = messages.Withdraw(held.group, held.work.request)
+            found.append(effects.Send(held.owner, withdraw))
+        return found + self._ask_group(held, group, now)
+
     # Steps.
 
+    def _ask_group(
+        self, held: Held, group: ids.GroupId, now: float
+    ) -> list[effects.Effect]:
+        held.group = group
+        held.repeat = _FIRST_REPEAT_SECONDS
+        return self._ask(held, now)
+
     def _ask(self, held: Held, now: float) -> list[effects.Effect]:
         work = held.work
         previous = held.owner
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -287,7 +287,8 @@
         self._check_pause(now)
         self._last_tick = now
         self._update_endpoints()
-        found = self._holder.tick(now) + self._pump(now)
+        found = self._holder.tick(now, lambda held: self._free(held, now))
+        found += self._pump(now)
         for endpoint, (left, due) in list(self._drain_repeats.items()):
             if now < due:
                 continue
@@ -456,6 +457,14 @@
         late = now + best_wait + seconds + _SPILL_MARGIN_SECONDS
         return best if late < held.deadline else None
 
+    def _free(self, held: holders.Held, now: float) -> ids.GroupId | None:
+        """Returns a group of another data centre that has free slots."""
+        own = self._loads.get(held.group)
+        if own is not None and own.wait <= 0.0:
+            return None
+        group = self._spill(held, now)
+        return group if group and self._loads[group].wait <= 0.0 else None
+
     def _service_seconds(self, work: effects.Work, group: ids.GroupId) -> float:
         """Estimates a request's time in a slot by the declared rates."""
         endpoints = self._configuration.group_endpoints(group).values()
