--- a/packages/baobabmux-ctl/src/baobabmux_ctl/explain.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/explain.py
@@ -215,7 +215,12 @@
             status, line = _ended(
                 str(event.fields.get("outcome")), event.endpoint
             )
-            return status, f"{line} {lost}".strip()
+            if lost:
+                line += (
+                    " Its holder fell silent; no node that answered knows "
+                    "whether the caller received the whole answer."
+                )
+            return status, line
         if event.kind == _Kind.REFUSAL_SENT.number:
             # The holder may have asked elsewhere before it was lost.
             status = (
--- a/packages/baobabmux-ctl/tests/nodes_test.py
+++ b/packages/baobabmux-ctl/tests/nodes_test.py
@@ -183,3 +183,20 @@
     """Guards against a drain that silently does nothing."""
     assert _run("drain", "e9", "--nodes", start("a1")) == 2
     assert "e9 is not declared" in capsys.readouterr().err
+
+
+def test_reported_end_outlives_the_holder():
+    """Guards against "lost" for a request whose end the owner knows."""
+    end = _event(
+        95,
+        _Kind.RELEASE_RECEIVED,
+        "a2",
+        "r1",
+        "e1",
+        holder="a1",
+        outcome="completed",
+    )
+    own = [*_OWNER_EVENTS[:2], end]
+    story = explain.tell("r1", own, _OWNER_EVENTS)
+    assert story.run_status == "done"
+    assert "whether the caller received" in story.conclusion
