Send orders to endpoints under the lease of a data centre

The node that rendezvous hashing ranks first in its data centre keeps the lease while any endpoint there has a desired state; baobabmuxctl order appends desired state. The engine stand-in reported every role it ever had, so a read-back could name an old one; it now reports the newest.

--- a/packages/baobabmux-core/src/baobabmux_core/orders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/orders.py
@@ -265,6 +265,13 @@
             if endpoint.data_centre == self.scope
         }
 
+    def has_desired(self) -> bool:
+        """Tells whether any endpoint of the scope has a desired state.
+
+        Without one no lease is needed, which saves its renewals on the log.
+        """
+        return any(self._desired.get(name) for name in self._endpoints)
+
     def apply(self, offset: int, record: Any, time_ms: int, now: float) -> None:
         """Folds one record; records before `next_offset` are ignored.
 
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/main.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/main.py
@@ -10,6 +10,7 @@
     drain,
     exits,
     explain,
+    order,
     output,
     preset,
     publish,
@@ -90,6 +91,7 @@
         preset.Preset(),
         status.Status(),
         drain.Drain(),
+        order.Order(),
         timeline.ShowTimeline(),
         explain.Explain(),
     ]
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -32,6 +32,7 @@
     intake,
     log_service,
     metrics,
+    order_service,
     peers,
     responses,
     server,
@@ -103,6 +104,7 @@
         )
         self.answers = answers.AnswerService(self)
         self.reports = endpoint_reports.EndpointReports(self)
+        self.orders = order_service.OrderService(self)
         self._pending: list[effects.Effect] = []
         self._stop_requested = False
         self._callers = self._listener(node_settings.callers, self._serve)
@@ -479,6 +481,7 @@
         )
         self.metrics.config_version.set(state.version)
         self.answers.configure(state.configuration.keys)
+        self.orders.desk.configure(state.configuration.endpoints)
         self.claims.window_seconds = state.configuration.keys.window_seconds
         await self.apply(
             self.scheduler.configure(state.configuration, time.monotonic())
@@ -599,6 +602,8 @@
                 self._poll_vms,
                 self.config.follow,
                 self.reports.run,
+                self.orders.follow,
+                self.orders.run,
                 self._run_timers,
                 self._append_snapshots,
             ):
@@ -651,6 +656,7 @@
         while self.held or self._callers.busy:
             await curio.sleep(_TICK_SECONDS)
         await self.claims.settle()
+        await self.orders.release()
         # Releases and answers to peers leave before the sockets close.
         await self.peers.notify()
         await curio.sleep(_LEAVE_GRACE_SECONDS)
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/order_service.py
@@ -0,0 +1,200 @@
+"""Sends orders to the endpoints of the data centre under a lease."""
+
+import time
+from typing import TYPE_CHECKING
+
+import curio
+import msgspec
+
+from baobabmux_core import catalogue, ids, orders, rendezvous
+from baobabmux_node import client, log_service
+
+if TYPE_CHECKING:
+    from baobabmux_node import node
+
+_LONG_POLL_SECONDS = 8.0
+_STEP_SECONDS = 0.5
+_LOG_RETRY_SECONDS = 1.0
+_SNAPSHOT_CHECK_SECONDS = 30.0
+# The weight store admits a few downloads a second for all data centres.
+_LOADS_PER_SECOND = 0.5
+_LOAD_BURST = 2.0
+_RETRY_AFTER_SECONDS = 5.0
+
+Kind = catalogue.EventKind
+
+
+class _OrderState(msgspec.Struct):
+    """One entry of an endpoint's state of orders."""
+
+    kind: str
+    name: str
+    version: str = ""
+
+
+class _EndpointState(msgspec.Struct):
+    """Answer of GET /v1/orders; other members are ignored."""
+
+    loaded: list[_OrderState]
+
+
+class OrderService:
+    """Follows desired state on the log and brings endpoints to it.
+
+    Attributes:
+        desk: The decisions.
+    """
+
+    def __init__(self, host: "node.Node"):
+        self._host = host
+        self.desk = orders.OrderDesk(
+            host.settings.node,
+            host.settings.data_centre,
+            orders.TokenBucket(_LOADS_PER_SECOND, _LOAD_BURST),
+        )
+
+    async def follow(self) -> None:
+        """Reads the stream until cancelled."""
+        desk = self.desk
+        while True:
+            try:
+                page = await self._host.log.read(
+                    orders.STREAM, desk.next_offset, wait=_LONG_POLL_SECONDS
+                )
+            except log_service.LogError:
+                await curio.sleep(_LOG_RETRY_SECONDS)
+                continue
+            now = time.monotonic()
+            for record in page.records:
+                desk.apply(record.offset, record.data, record.time_ms, now)
+
+    async def run(self) -> None:
+        """Keeps the lease while this node is the first of its data centre."""
+        snapshot_at = 0.0
+        while True:
+            await curio.sleep(_STEP_SECONDS)
+            now = time.monotonic()
+            if self._is_first() and self.desk.has_desired():
+                await self._append(self.desk.ask_lease(now))
+                if now >= snapshot_at:
+                    snapshot_at = now + _SNAPSHOT_CHECK_SECONDS
+                    await self._append_snapshot()
+            for action in self.desk.actions(now):
+                if isinstance(action, orders.Order):
+                    await curio.spawn(self._send, action, daemon=True)
+                else:
+                    await curio.spawn(self._read_back, action, daemon=True)
+
+    async def release(self) -> None:
+        """Gives the lease up for a graceful shutdown."""
+        await self._append(self.desk.release(time.monotonic()))
+
+    def _is_first(self) -> bool:
+        host = self._host
+        live = host.membership.live(host.settings.data_centre)
+        name = f"{orders.STREAM}@{host.settings.data_centre}"
+        return (
+            not host.draining
+            and rendezvous.owner(name, live) == host.settings.node
+        )
+
+    async def _append(self, record) -> None:
+        if record is None:
+            return
+        try:
+            await self._host.log.append(orders.STREAM, record)
+        except log_service.LogError:
+            # The desk asks again; a lease counts only once it is read back.
+            return
+
+    async def _append_snapshot(self) -> None:
+        retention = self._host.settings.log_retention_seconds
+        now_ms = time.time_ns() // 1_000_000
+        if self.desk.snapshot_due(now_ms, retention):
+            await self._append(self.desk.snapshot())
+
+    async def _send(self, order: orders.Order) -> None:
+        address = self._address(order.endpoint)
+        connection = client.ClientConnection(
+            address, orders.ORDER_TIMEOUT_SECONDS
+        )
+        try:
+            async with curio.timeout_after(orders.ORDER_TIMEOUT_SECONDS):
+                await connection.connect(2.0)
+                if not self.desk.start(order, time.monotonic()):
+                    return
+                self._host.events.record(
+                    Kind.ORDER_SENT,
+                    endpoint=order.endpoint,
+                    order=f"{order.kind.value} {order.name} {order.version}",
+                    fence=order.fence,
+                )
+                await connection.request(
+                    "POST",
+                    "/v1/orders",
+                    {"content-type": "application/json"},
+                    _body(order),
+                )
+                head = await connection.head()
+            self._conclude(order, head)
+        except (curio.TaskTimeout, client.ClientError):
+            self.desk.failed(order, time.monotonic())
+        finally:
+            await connection.close()
+
+    def _conclude(self, order: orders.Order, head: client.Head) -> None:
+        now = time.monotonic()
+        if head.status in (200, 201, 202):
+            self.desk.applied(order, now)
+        elif head.status == 409:
+            self.desk.fence_refused(order, now)
+        elif head.status == 429:
+            text = head.headers.get("retry-after", "")
+            seconds = float(text) if _is_number(text) else _RETRY_AFTER_SECONDS
+            self.desk.throttled(order, seconds, now)
+        else:
+            self.desk.failed(order, now)
+
+    async def _read_back(self, read: orders.ReadBack) -> None:
+        state = None
+        try:
+            status, body = await client.fetch(
+                self._address(read.endpoint), "GET", "/v1/orders"
+            )
+            if status == 200:
+                decoded = msgspec.json.decode(body, type=_EndpointState)
+                state = _subjects(read.endpoint, decoded)
+        except (client.ClientError, msgspec.DecodeError, ValueError):
+            state = None
+        self.desk.state_read(read, state, time.monotonic())
+
+    def _address(self, endpoint: ids.EndpointId) -> str:
+        return self._host.endpoint(endpoint)[1]
+
+
+def _body(order: orders.Order) -> bytes:
+    return msgspec.json.encode(
+        {
+            "kind": order.kind.value,
+            "name": order.name,
+            "version": order.version,
+            "fence": order.fence,
+        }
+    )
+
+
+def _subjects(
+    endpoint: ids.EndpointId, state: _EndpointState
+) -> dict[str, str]:
+    """Returns an endpoint's state by subject, as `orders` names them."""
+    desired = [
+        orders.Desired(
+            endpoint, orders.OrderKind(item.kind), item.name, item.version
+        )
+        for item in state.loaded
+    ]
+    return {item.subject(): item.value() for item in desired}
+
+
+def _is_number(text: str) -> bool:
+    return text.replace(".", "", 1).isdigit()
--- a/standins/src/baobabmux_standins/orders.py
+++ b/standins/src/baobabmux_standins/orders.py
@@ -57,10 +57,15 @@
 
     def state(self) -> dict[str, Any]:
         """Returns what is loaded and all orders taken."""
-        last = {(order.kind, order.name): order for order in self._taken}
+        last = {_replaces(order): order for order in self._taken}
         return {
             "fence": self.highest_fence(),
             "refused": self._refused,
             "loaded": msgspec.to_builtins(list(last.values())),
             "orders": msgspec.to_builtins(self._taken),
         }
+
+
+def _replaces(order: Order) -> tuple[str, str]:
+    """Returns what an order replaces: one model, one role, many adapters."""
+    return order.kind, order.name if order.kind == "load_adapter" else ""
