Append claims before kept withdrawals and find lost records in every read

After a long outage a batcher may hold many withdrawals; new claims would wait behind them, so claims now go first. A driver that restarts the ledger itself left claims pending whose records were lost; every read now refuses them.

--- a/packages/baobabmux-core/src/baobabmux_core/claims.py
+++ b/packages/baobabmux-core/src/baobabmux_core/claims.py
@@ -12,6 +12,7 @@
 
 import collections
 import enum
+import sys
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -203,6 +204,18 @@
     return batcher_count * max(needed, each / batch_entries)
 
 
+def ledger_keys(
+    claims_per_second: float, window_seconds: float, partitions: int
+) -> float:
+    """Returns how many keys a batcher holds in memory for one partition.
+
+    A key takes about 340 bytes, so the number of partitions follows from the
+    memory of a node.
+    """
+    kept_seconds = window_seconds + CLOCK_MARGIN_SECONDS
+    return claims_per_second * kept_seconds / partitions
+
+
 def retention_allows(retention_seconds: float, window_seconds: float) -> bool:
     """Tells whether a log's retention is long enough for a claim window."""
     margins = KEY_AHEAD_SECONDS + CLOCK_MARGIN_SECONDS
@@ -304,7 +317,11 @@
         state = self._states.get(claim.key)
         if state is None:
             self._states[claim.key] = ClaimState(
-                claim.attempt, claim.holder, claim.body, claim.key_time_ms
+                claim.attempt,
+                # One copy for all keys of a node.
+                sys.intern(claim.holder),
+                claim.body,
+                claim.key_time_ms,
             )
         elif claim.attempt in state.settled or claim.attempt == state.winner:
             return
@@ -412,9 +429,15 @@
         self._interval = interval_seconds
         self._next_start = float("-inf")
         self._pending: dict[ids.AttemptId, _Pending] = {}
-        # Entries that wait for an append, in order. Claims that are no
-        # longer pending are skipped when their turn comes.
-        self._queue: collections.deque[Entry] = collections.deque()
+        # Claims that wait for an append. Those that are no longer pending
+        # are skipped when their turn comes.
+        self._claims: collections.deque[Claim] = collections.deque()
+        # Withdrawals and outcomes that wait for an append. After an outage
+        # there may be many, so claims go first.
+        self._kept: collections.deque[Withdrawal | Outcome] = (
+            collections.deque()
+        )
+        self._restarts = 0
         self._refusals: list[messages.ClaimAnswer] = []
         self._caught_up = False
         # Entries of the append in flight, and of one of unknown fate.
@@ -450,7 +473,7 @@
         ):
             return [_refusal(claim, appended=False)]
         self._pending[claim.attempt] = _Pending(claim, now)
-        self._queue.append(claim)
+        self._claims.append(claim)
         return []
 
     def withdraw(
@@ -478,7 +501,10 @@
     def busy(self) -> bool:
         """Whether an entry waits for its append or its read-back."""
         return bool(
-            self._queue or self._in_flight is not None or self._unresolved
+            self._claims
+            or self._kept
+            or self._in_flight is not None
+            or self._unresolved
         )
 
     def next_batch(self, now: float) -> dict[str, Any] | None:
@@ -494,7 +520,8 @@
             or self._unresolved
         ):
             return None
-        full = len(self._queue) >= self._batch_entries
+        waiting = len(self._claims) + len(self._kept)
+        full = waiting >= self._batch_entries
         if now < self._next_start and not full:
             return None
         batch = self._take_batch()
@@ -541,6 +568,7 @@
         Returns:
             Answers to the claims that are decided now.
         """
+        self._refuse_lost()
         answers = self._take_refusals()
         for record in records:
             answers.extend(self._read_one(record))
@@ -562,42 +590,31 @@
         if self._in_flight is not None:
             self.appended(None, now)
         self._refuse(list(self._pending))
-        self._queue = collections.deque(
-            entry for entry in self._queue if not isinstance(entry, Claim)
-        )
+        self._claims.clear()
         return self._take_refusals()
 
-    def _keep(self, entry: Entry) -> None:
-        self._queue.append(entry)
-        if len(self._queue) > _MAX_KEPT_ENTRIES + _MAX_PENDING:
-            self._queue.popleft()
+    def _keep(self, entry: Withdrawal | Outcome) -> None:
+        self._kept.append(entry)
+        if len(self._kept) > _MAX_KEPT_ENTRIES:
+            self._kept.popleft()
 
     def _take_batch(self) -> list[Entry]:
         batch: list[Entry] = []
-        while self._queue and len(batch) < self._batch_entries:
-            entry = self._queue.popleft()
-            if isinstance(entry, Claim):
-                pending = self._pending.get(entry.attempt)
-                if pending is None:
-                    continue
+        while self._claims and len(batch) < self._batch_entries:
+            claim = self._claims.popleft()
+            pending = self._pending.get(claim.attempt)
+            if pending is not None:
                 pending.appended = True
-            batch.append(entry)
+                batch.append(claim)
+        while self._kept and len(batch) < self._batch_entries:
+            batch.append(self._kept.popleft())
         return batch
 
     def _read_one(self, record: dict[str, Any]) -> list[messages.ClaimAnswer]:
-        restarts = self.ledger.restarts
         entries = self.ledger.apply(
             record["offset"], record["data"], record["time_ms"]
         )
-        if self.ledger.restarts > restarts:
-            # The lost records may have decided these claims.
-            self._refuse(
-                [
-                    attempt
-                    for attempt, pending in self._pending.items()
-                    if pending.appended
-                ]
-            )
+        self._refuse_lost()
         answers = self._take_refusals()
         for entry in entries:
             if isinstance(entry, Claim) and entry.attempt in self._pending:
@@ -607,9 +624,13 @@
 
     def _retry_unresolved(self) -> None:
         unresolved, self._unresolved = self._unresolved, []
-        self._queue.extendleft(
-            entry for entry in reversed(unresolved) if self._needed(entry)
-        )
+        for entry in reversed(unresolved):
+            if not self._needed(entry):
+                continue
+            if isinstance(entry, Claim):
+                self._claims.appendleft(entry)
+            else:
+                self._kept.appendleft(entry)
 
     def _needed(self, entry: Entry) -> bool:
         """Tells whether an entry of unknown fate must be appended again."""
@@ -624,6 +645,19 @@
             and state.status is states.RunStatus.RUNNING
         )
 
+    def _refuse_lost(self) -> None:
+        """Refuses claims that records lost to expiry may have decided."""
+        if self.ledger.restarts == self._restarts:
+            return
+        self._restarts = self.ledger.restarts
+        self._refuse(
+            [
+                attempt
+                for attempt, pending in self._pending.items()
+                if pending.appended
+            ]
+        )
+
     def _refuse_silent(self, now: float) -> None:
         self._refuse(
             [
--- a/packages/baobabmux-core/src/baobabmux_core/configuration.py
+++ b/packages/baobabmux-core/src/baobabmux_core/configuration.py
@@ -158,6 +158,11 @@
         """Whether a snapshot is needed before later records count."""
         return bool(self._pending)
 
+    @property
+    def next_offset(self) -> int:
+        """Offset to read from; while waiting it moves on to find a snapshot."""
+        return self._pending[-1][0] + 1 if self._pending else self.through + 1
+
     def apply(
         self, offset: int, record: Any, time_ms: int | None = None
     ) -> Verdict | None:
--- a/packages/baobabmux-core/tests/claims_test.py
+++ b/packages/baobabmux-core/tests/claims_test.py
@@ -213,6 +213,27 @@
     assert _judge(answer, _entry("a")) is _VERDICTS.UNAVAILABLE
 
 
+def test_claims_go_before_kept_withdrawals():
+    """Guards against new requests that wait for the backlog of an outage."""
+    batcher = _ready(batch_entries=2)
+    for number in range(5):
+        batcher.withdraw(number, f"w{number}", 0.0)
+    batcher.ask(_entry("a", key=9), 0.0)
+    entries = batcher.next_batch(0.0)["entries"]
+    assert [entry[2] for entry in entries] == ["a", "w0"]
+
+
+def test_restart_by_the_driver_refuses_pending_claims():
+    """Guards against claims that wait for records that have expired."""
+    batcher = _ready()
+    batcher.ask(_entry("a"), 0.0)
+    batcher.next_batch(0.0)
+    batcher.appended(4, 0.0)
+    batcher.ledger.restart(9)
+    (answer,) = batcher.read([], 1.0, end=9)
+    assert claims.must_withdraw(answer)
+
+
 def test_silent_holder_is_not_claimed_for():
     """Guards against claims of requests that were given up long ago."""
     batcher = _ready()
@@ -245,6 +266,7 @@
     assert claims.appends_per_second(entries, 16) == 160
     assert claims.appends_per_second(entries, 16, 10, 0.1) == 620
     assert claims.appends_per_second(4, 16) == 4
+    assert claims.ledger_keys(3100, 3600, 128) == pytest.approx(94_453, abs=1)
     assert claims.retention_allows(4200, 3600)
     assert not claims.retention_allows(4199, 3600)
 
--- a/packages/baobabmux-core/tests/configuration_test.py
+++ b/packages/baobabmux-core/tests/configuration_test.py
@@ -87,7 +87,7 @@
     third = _publish("c", 1, {"workspace/b": {"weight": 3.0}})
     new.apply(2, third)
     new.apply(3, early)
-    assert (new.version, new.waiting) == (-1, True)
+    assert (new.version, new.waiting, new.next_offset) == (-1, True, 4)
     new.apply(4, late)
     assert (new.version, new.waiting, new.through) == (2, False, 4)
     assert new.verdict("first").kind is _KINDS.ACCEPTED
@@ -266,16 +266,12 @@
     )
     def read(self, number, count):
         node = self.pick(number)
-        position = getattr(node, "position", 0)
-        if position <= node.through:
-            position = node.through + 1
-        position = max(position, self.first)
+        position = max(node.next_offset, self.first)
         end = min(position + count, len(self.records))
         for offset in range(position, end):
             waiting = node.waiting
             node.apply(offset, copy.deepcopy(self.records[offset]))
             self.counts["gaps closed"] += waiting and not node.waiting
-        node.position = end
         self.observe()
 
     @stateful.rule(number=st.integers(0, 5))
--- /dev/null
+++ b/packages/baobabmux-core/tests/invariants_test.py
@@ -0,0 +1,135 @@
+"""Tests that each query reports a violation and passes a sound record."""
+
+import pytest
+
+from baobabmux_core import configuration, invariants, states
+
+_NOT_RUN = states.RunStatus.NOT_RUN
+_KINDS = configuration.VerdictKind
+
+
+def _dispatched(request, key=None):
+    return invariants.Dispatched(request, f"{request}-1", key)
+
+
+def _active(facts):
+    return invariants.configuration_is_active(facts, ["n1", "n2"], 9.0, 20.0)
+
+
+_CASES = [
+    (
+        invariants.dispatched_at_most_once,
+        [_dispatched("r1"), _dispatched("r2")],
+        [_dispatched("r1"), _dispatched("r1")],
+    ),
+    (
+        invariants.answers_are_own_and_complete,
+        [invariants.Produced("a", 1), invariants.Answered("r", "a", 1)],
+        [
+            invariants.Produced("a", 1),
+            invariants.Produced("b", 2),
+            invariants.Answered("r", "a", 2),
+        ],
+    ),
+    (
+        invariants.answers_are_own_and_complete,
+        [],
+        [invariants.Answered("r", "a", 2)],
+    ),
+    (
+        invariants.not_run_is_true,
+        [
+            _dispatched("r1"),
+            invariants.Refused("r1", states.RunStatus.UNKNOWN),
+            invariants.Refused("r2", _NOT_RUN),
+        ],
+        [invariants.Refused("r1", _NOT_RUN), _dispatched("r1")],
+    ),
+    (
+        invariants.keys_run_at_most_once,
+        [_dispatched("r1", 1), _dispatched("r2", 2), _dispatched("r3")],
+        [_dispatched("r1", 1), _dispatched("r2", 1)],
+    ),
+    (
+        invariants.claims_agree,
+        [
+            invariants.ClaimDecided(1, "a", "n1"),
+            invariants.ClaimReleased(1, "a"),
+            invariants.ClaimDecided(1, "b", "n1"),
+            invariants.ClaimDecided(1, "a", "n2"),  # Has read less.
+        ],
+        [
+            invariants.ClaimDecided(1, "a", "n1"),
+            invariants.ClaimDecided(1, "b", "n2"),
+        ],
+    ),
+    (
+        invariants.configuration_never_reverts,
+        [
+            invariants.ConfigurationApplied("n1", 1, 7),
+            invariants.ConfigurationApplied("n1", 3, 8),
+            invariants.ConfigurationApplied("n2", 1, 7),
+        ],
+        [
+            invariants.ConfigurationApplied("n1", 3, 8),
+            invariants.ConfigurationApplied("n1", 1, 7),
+        ],
+    ),
+    (
+        invariants.configuration_never_reverts,
+        [],
+        [
+            invariants.ConfigurationApplied("n1", 1, 7),
+            invariants.ConfigurationApplied("n2", 1, 8),
+        ],
+    ),
+    (
+        _active,
+        [
+            invariants.ConfigurationAccepted(1, 5.0),
+            invariants.ConfigurationApplied("n1", 1, 7, 6.0),
+            invariants.ConfigurationApplied("n2", 2, 8, 14.0),
+            invariants.ConfigurationAccepted(2, 13.0),  # Not yet due.
+        ],
+        [
+            invariants.ConfigurationAccepted(1, 5.0),
+            invariants.ConfigurationApplied("n1", 1, 7, 6.0),
+            invariants.ConfigurationApplied("n2", 1, 7, 14.1),
+        ],
+    ),
+    (
+        invariants.verdicts_agree,
+        [
+            invariants.VerdictTold("n1", "x", _KINDS.ACCEPTED),
+            invariants.VerdictTold("n2", "x", _KINDS.ACCEPTED),
+        ],
+        [
+            invariants.VerdictTold("n1", "x", _KINDS.ACCEPTED),
+            invariants.VerdictTold("n2", "x", _KINDS.CONFLICT),
+        ],
+    ),
+    (
+        invariants.orders_do_not_regress,
+        [
+            invariants.OrderApplied("e", "m", "1", 4),
+            invariants.OrderApplied("e", "m", "2", 4),
+            invariants.OrderApplied("f", "m", "1", 3),
+        ],
+        [
+            invariants.OrderApplied("e", "m", "2", 4),
+            invariants.OrderApplied("e", "m", "1", 3),
+        ],
+    ),
+    (
+        invariants.orders_are_sent_under_a_lease,
+        [invariants.OrderSent("n", 1, 14.9, 15.0)],
+        [invariants.OrderSent("n", 1, 15.0, 15.0)],
+    ),
+]
+
+
+@pytest.mark.parametrize(("query", "sound", "violated"), _CASES)
+def test_query_tells_sound_records_from_violations(query, sound, violated):
+    """Guards against an invariant that always or never holds."""
+    assert query(sound) == []
+    assert len(query(violated)) == 1
