Move waiting requests towards much shorter waits, without herding

Cause: only a reported wait of exactly zero attracted waiting requests, and then all nodes chose the same data centre between two heartbeats.

Change: a request moves when another data centre's wait is at most half of its own, after 5% of its time; each node raises the wait it knows by what it sends there.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -15,8 +15,10 @@
 
 OwnerOf = Callable[[ids.GroupId], ids.NodeId | None]
 
-# A request that still waits after this time moves to a data centre with free
-# slots; less would move requests that are about to be granted.
+# A request that still waits after this share of its time, and at least this
+# long, may move to another data centre; less would move requests that are
+# about to be granted, away from their cached prefixes.
+_MOVE_SHARE = 0.05
 _MOVE_SECONDS = 0.25
 
 # An unanswered Ask is repeated; the interval doubles because most requests
@@ -361,14 +363,14 @@
         return [effects.Send(owner, messages.Register(group, in_flight))]
 
     def tick(
-        self, now: float, free: Callable[[Held], ids.GroupId | None]
+        self, now: float, better: Callable[[Held], ids.GroupId | None]
     ) -> list[effects.Effect]:
         """Repeats unanswered asks, refuses what is late, reports progress.
 
         Args:
             now: Current time in seconds.
-            free: Returns a group of another data centre with free slots for
-                a request, or None.
+            better: Returns a group of another data centre with a much
+                shorter wait for a request, or None.
         """
         paused = self._last_tick is not None and (
             now - self._last_tick > _PAUSE_SECONDS
@@ -377,12 +379,7 @@
         found = []
         for held in list(self.held.values()):
             found += self._check(held, paused, now)
-            if (
-                held.state is states.RequestState.QUEUED
-                and not held.spilled
-                and now - held.arrival >= _MOVE_SECONDS
-                and (group := free(held)) is not None
-            ):
+            if self._may_move(held, now) and (group := better(held)):
                 found += self._move(held, group, now)
         if now >= self._register_at:
             self._register_at = now + _REGISTER_SECONDS
@@ -427,6 +424,13 @@
                 self._registers[group] = left - 1
         return found
 
+    def _may_move(self, held: Held, now: float) -> bool:
+        if held.state is not states.RequestState.QUEUED or held.spilled:
+            return False
+        whole = held.deadline - held.arrival
+        patience = max(_MOVE_SECONDS, _MOVE_SHARE * whole)
+        return now - held.arrival >= patience
+
     def _move(
         self, held: Held, group: ids.GroupId, now: float
     ) -> list[effects.Effect]:
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -34,6 +34,9 @@
 # Waits of another data centre change between heartbeats; a spill must leave
 # this much of a margin before the deadline.
 _SPILL_MARGIN_SECONDS = 0.5
+# Time that a spilled request at least takes of a slot there; plain services
+# have no declared duration.
+_SPILL_SECONDS = 1.0
 # A gap between ticks that lets other nodes suspect this one; then another
 # node has owned its groups, and its own counts are out of date.
 _PAUSE_SECONDS = 1.5
@@ -287,7 +290,7 @@
         self._check_pause(now)
         self._last_tick = now
         self._update_endpoints()
-        found = self._holder.tick(now, lambda held: self._free(held, now))
+        found = self._holder.tick(now, lambda held: self._better(held, now))
         found += self._pump(now)
         for endpoint, (left, due) in list(self._drain_repeats.items()):
             if now < due:
@@ -439,6 +442,15 @@
         )
 
     def _spill(self, held: holders.Held, now: float) -> ids.GroupId | None:
+        """Returns a group of another data centre that would end it in time."""
+        group = self._spill_target(held, now)
+        if group is not None:
+            self._note_spill(held, group)
+        return group
+
+    def _spill_target(
+        self, held: holders.Held, now: float
+    ) -> ids.GroupId | None:
         best = None
         best_wait = math.inf
         for group, load in self._loads.items():
@@ -454,16 +466,42 @@
         if best is None:
             return None
         seconds = self._service_seconds(held.work, best)
-        late = now + best_wait + seconds + _SPILL_MARGIN_SECONDS
-        return best if late < held.deadline else None
+        if now + best_wait + seconds + _SPILL_MARGIN_SECONDS >= held.deadline:
+            return None
+        return best
+
+    def _note_spill(self, held: holders.Held, group: ids.GroupId) -> None:
+        """Raises a remote wait, so that not all spill to the same group.
 
-    def _free(self, held: holders.Held, now: float) -> ids.GroupId | None:
-        """Returns a group of another data centre that has free slots."""
-        own = self._loads.get(held.group)
-        if own is not None and own.wait <= 0.0:
+        The next heartbeat replaces the estimate.
+        """
+        load = self._loads[group]
+        slots = sum(
+            endpoint.max_requests
+            for endpoint in self._configuration.group_endpoints(group).values()
+        )
+        seconds = self._service_seconds(held.work, group)
+        wait = load.wait + max(seconds, _SPILL_SECONDS) / max(1, slots)
+        self._loads[group] = msgspec.structs.replace(load, wait=wait)
+
+    def _better(self, held: holders.Held, now: float) -> ids.GroupId | None:
+        """Returns a group of another data centre with a much shorter wait."""
+        owner = self._owned.get(held.group)
+        known = self._loads.get(held.group)
+        if owner is not None:
+            own = owner.wait(now)
+        elif known is not None:
+            own = known.wait
+        else:
+            return None
+        group = self._spill_target(held, now)
+        if group is None:
+            return None
+        other = self._loads[group].wait
+        if other > own / 2 or other > own - _SPILL_MARGIN_SECONDS:
             return None
-        group = self._spill(held, now)
-        return group if group and self._loads[group].wait <= 0.0 else None
+        self._note_spill(held, group)
+        return group
 
     def _service_seconds(self, work: effects.Work, group: ids.GroupId) -> float:
         """Estimates a request's time in a slot by the declared rates."""
