Tell a batcher of expired records although none is left to read

A batcher that started on a stream whose records had all expired never caught up by itself and so never appended. read now takes the oldest offset kept. A new test shows that a retention shorter than the window lets a key run twice and that the invariant reports it, which is why retention_allows exists.

--- a/packages/baobabmux-core/src/baobabmux_core/claims.py
+++ b/packages/baobabmux-core/src/baobabmux_core/claims.py
@@ -555,6 +555,7 @@
         records: list[dict[str, Any]],
         now: float,
         end: int | None = None,
+        first: int | None = None,
     ) -> list[messages.ClaimAnswer]:
         """Takes records read from the stream.
 
@@ -564,10 +565,14 @@
             end: Offset after the last record of the stream, if known. An
                 append of unknown fate is repeated once all records up to
                 there were read without finding it.
+            first: Oldest offset that the stream still keeps, if known. It
+                tells a gap even if no record is left to read.
 
         Returns:
             Answers to the claims that are decided now.
         """
+        if first is not None and first > self.ledger.next_offset:
+            self.ledger.restart(first)
         self._refuse_lost()
         answers = self._take_refusals()
         for record in records:
--- a/packages/baobabmux-core/tests/claims_test.py
+++ b/packages/baobabmux-core/tests/claims_test.py
@@ -223,14 +223,13 @@
     assert [entry[2] for entry in entries] == ["a", "w0"]
 
 
-def test_restart_by_the_driver_refuses_pending_claims():
+def test_pending_claims_are_refused_when_nothing_is_left_to_read():
     """Guards against claims that wait for records that have expired."""
     batcher = _ready()
     batcher.ask(_entry("a"), 0.0)
     batcher.next_batch(0.0)
     batcher.appended(4, 0.0)
-    batcher.ledger.restart(9)
-    (answer,) = batcher.read([], 1.0, end=9)
+    (answer,) = batcher.read([], 1.0, end=9, first=9)
     assert claims.must_withdraw(answer)
 
 
@@ -350,7 +349,9 @@
             for offset, (time_ms, data) in enumerate(self.records)
             if start <= offset < start + count
         ]
-        return batcher.read(records, self.now, end=len(self.records))
+        return batcher.read(
+            records, self.now, end=len(self.records), first=self.first()
+        )
 
     def take(self, answers, node):
         for answer in answers:
@@ -660,3 +661,23 @@
     scenario(machine)
     with pytest.raises(AssertionError):
         machine.teardown()
+
+
+def test_short_retention_is_caught():
+    """Guards against a log that forgets claims within the window."""
+
+    class Machine(ClaimMachine):
+        retention = 100.0
+
+    assert not claims.retention_allows(Machine.retention, _WINDOW)
+    for machine_class in (ClaimMachine, Machine):
+        machine = machine_class()
+        machine.submit()
+        machine.pass_time(200.0)
+        machine.inject(0, "batcher dies")
+        machine.submit()
+        if machine_class is ClaimMachine:
+            machine.teardown()
+        else:
+            with pytest.raises(AssertionError):
+                machine.teardown()
