--- a/packages/baobabmux-core/tests/orders_test.py
+++ b/packages/baobabmux-core/tests/orders_test.py
@@ -347,9 +347,11 @@
             self.counts["releases"] += 1
             self.append(record)
 
-    @stateful.rule()
-    def hand_over(self):
+    @stateful.rule(newest_first=st.booleans())
+    def hand_over(self, newest_first):
         """The old holder is paused with orders due or under way."""
+        while self.under_way:
+            self.order_arrives(0)
         end = max(self.leases.values())
         self.now = max(self.now, end - 0.5)
         self.want()
@@ -360,6 +362,10 @@
         self.run_orders(1)
         self.desks.reverse()
         self.held.reverse()
+        if newest_first:
+            self.under_way.reverse()
+            while self.under_way:
+                self.order_arrives(0)
 
     @stateful.rule(seconds=st.sampled_from([1.0, 1.0, 3.0, 9.0, 40.0]))
     def pass_time(self, seconds):
