--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := packages/baobabmux-core packages/baobabmux-node \
 	packages/baobabmux-ctl standins bench
 
-.PHONY: setup check format test demo bench capacity
+.PHONY: setup check format test demo play bench capacity
 
 setup: $(STAMP)
 
@@ -32,6 +32,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m baobabmux_standins.demo
 
+play: $(STAMP)
+	$(BIN)/python -m baobabmux_standins.demo --hold
+
 bench: $(STAMP)
 	$(BIN)/python -m baobabmux_bench.main
 
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/explain.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/explain.py
@@ -74,15 +74,9 @@
         """Prints the story."""
         request = self._exactly(arguments, "request")
         addresses = self._node_addresses()
-        answers = nodes.timelines(addresses, request=request)
+        answers = nodes.request_timelines(addresses, request)
         nodes.require_some(answers)
         found = timelines.merged(answers)
-        # The caller's identifier is known to the holder only; the others
-        # know the request by the holder's.
-        names = {event.request for event in found} - {request, ""}
-        for name in sorted(names):
-            more = nodes.timelines(addresses, request=name)
-            found = timeline.merge([found, timelines.merged(more)])
         if not found:
             raise exits.CommandError(
                 exits.ExitCode.FAILED,
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
@@ -97,6 +97,38 @@
     return _ask_all(addresses, lambda address: _get(address, target))
 
 
+def request_timelines(
+    addresses: Sequence[transport.Address],
+    request: str,
+    endpoint: str = "",
+    since_ms: int = 0,
+) -> Answers:
+    """Reads the events of one request.
+
+    The caller's identifier is known to the holder only; the others know the
+    request by the holder's, so they are asked for that one too.
+    """
+    answers = timelines(addresses, request, endpoint, since_ms)
+    if not request:
+        return answers
+    names = {
+        event.request for one in answers.found.values() for event in one.events
+    } - {request, ""}
+    if not names and endpoint:
+        # The arrival, which names both identifiers, is about no endpoint.
+        arrivals = timelines(addresses, request, since_ms=since_ms)
+        names = {
+            event.request
+            for one in arrivals.found.values()
+            for event in one.events
+        } - {request, ""}
+    for name in sorted(names):
+        more = timelines(addresses, name, endpoint, since_ms)
+        for address, found in more.found.items():
+            answers.found[f"{address} {name}"] = found
+    return answers
+
+
 def drain(
     addresses: Sequence[transport.Address], endpoint: str, wanted: bool
 ) -> Answers:
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/timeline.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/timeline.py
@@ -49,7 +49,7 @@
         if arguments:
             raise self.usage_error("expected no argument")
         since_ms = parse_since(self.flags.since, time.time())
-        answers = nodes.timelines(
+        answers = nodes.request_timelines(
             self._node_addresses(),
             self.flags.request,
             self.flags.endpoint,
--- a/packages/baobabmux-ctl/tests/nodes_test.py
+++ b/packages/baobabmux-ctl/tests/nodes_test.py
@@ -172,6 +172,13 @@
     assert len(lines) == 6
 
 
+def test_timeline_of_a_callers_identifier_has_the_whole_life(start, capsys):
+    """Guards against a filter that finds only the arrival of a request."""
+    nodes = f"{start('a2', _OWNER_EVENTS)},{start('a1', _HOLDER_EVENTS)}"
+    assert _run("timeline", "--nodes", nodes, "--request", "order-7") == 0
+    assert len(capsys.readouterr().out.splitlines()) == 5
+
+
 def test_since_takes_spans_and_times():
     """Guards against a filter that hides the events asked for."""
     assert timelines.parse_since("5m", 1000.0) == 700_000
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server on curio and h11, for callers and for operators."""
 
+import http
 import logging
 from collections.abc import Awaitable, Callable
 
@@ -11,6 +12,7 @@
 from baobabmux_node import responses
 
 _READ_BYTES = 65_536
+_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 _LOG = logging.getLogger(__name__)
 
 
@@ -113,9 +115,7 @@
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Sends the status line and the headers of an answer."""
         self.answered = True
-        await self._connection.send(
-            h11.Response(status_code=status, headers=list(headers.items()))
-        )
+        await self._connection.send(_response(status, headers))
 
     async def send(self, data: bytes) -> None:
         """Sends a part of the body."""
@@ -324,9 +324,7 @@
         status, headers, body = responses.problem(kind, "", detail)
         headers["connection"] = "close"
         headers["content-length"] = str(len(body))
-        await self.send(
-            h11.Response(status_code=status, headers=list(headers.items()))
-        )
+        await self.send(_response(status, headers))
         await self.send(h11.Data(data=body))
         await self.send(h11.EndOfMessage())
         await self._drain()
@@ -354,6 +352,14 @@
         return True
 
 
+def _response(status: int, headers: dict[str, str]) -> h11.Response:
+    return h11.Response(
+        status_code=status,
+        headers=list(headers.items()),
+        reason=_REASONS.get(status, ""),
+    )
+
+
 def _too_large(max_bytes: int) -> RequestError:
     return RequestError(
         errors.ErrorKind.BODY_TOO_LARGE,
--- a/standins/src/baobabmux_standins/demo.py
+++ b/standins/src/baobabmux_standins/demo.py
@@ -23,6 +23,9 @@
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the load.")
 _CALLS = flags.DEFINE_integer("calls", 400, "Number of calls.")
 _SECONDS = flags.DEFINE_float("seconds", 20.0, "Length of the load.")
+_HOLD = flags.DEFINE_bool(
+    "hold", False, "Start everything, send nothing, run until interrupted."
+)
 _EXAMPLES = flags.DEFINE_string(
     "examples", "examples", "Directory of the example declarations."
 )
@@ -191,6 +194,19 @@
     return "not run" if outcome.is_not_run else "unknown"
 
 
+def _hold(started: cluster.Cluster) -> int:
+    """Prints the addresses and waits for an interrupt."""
+    for node in started.nodes.values():
+        print(f"{node.name}: callers {node.callers}, admin {node.admin}")
+    print(f"log service: {started.log.address}")
+    print("press Ctrl-C to end", flush=True)
+    try:
+        signal.pause()
+    except KeyboardInterrupt:
+        return 0
+    return 0
+
+
 def main(arguments: list[str]) -> int:
     """Runs the demonstration; returns the exit code."""
     if len(arguments) > 1:
@@ -201,6 +217,8 @@
         demo = Demo(started, _SEED.value)
         try:
             demo.prepare(pathlib.Path(_EXAMPLES.value))
+            if _HOLD.value:
+                return _hold(started)
             now_ms = time.time_ns() // 10**6
             calls = workload.plan(
                 _SEED.value, _CALLS.value, _SECONDS.value, now_ms
