Measure capacity at the size in two years; judge fewer members in a tick

At 340 nodes a tick of the membership took 1.5 ms of CPU time, ten times a second, because it judged every member and ranked every data centre.

--- /dev/null
+++ b/bench/tests/capacity_test.py
@@ -0,0 +1,28 @@
+"""Tests of the capacity measurements; only counted figures have bounds."""
+
+import pytest
+
+from baobabmux_bench import capacity, roles, slopes
+
+
+def test_slope_needs_three_sizes():
+    """Guards against a target extrapolated from two points."""
+    with pytest.raises(ValueError, match="three"):
+        slopes.fit((1, 2), float)
+    line = slopes.fit((1, 2, 4), lambda size: 10.0 + 3 * size)
+    assert (line.at(100), line.each) == (pytest.approx(310), pytest.approx(3))
+
+
+def test_cycle_counts_whole_requests():
+    """Guards against measuring requests that were refused on the way."""
+    once, twice = roles.cycles(1), roles.cycles(2)
+    # Ask, grant, three reports of progress and a release.
+    assert (once.frames, twice.frames) == (6, 12)
+    assert twice.owner_bytes == 2 * once.owner_bytes
+
+
+def test_cost_between_sizes_follows_the_measured_points():
+    """Guards against a straight line through a cost that grows faster."""
+    slope = slopes.Slope((100, 200, 400), (1.0, 4.0, 16.0), -6.5, 0.05)
+    assert capacity._interpolate(slope, 150) == 2.5
+    assert capacity._interpolate(slope, 0) == 0.0
--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -27,6 +27,10 @@
 # until a list received this much later still lacks it.
 _LIST_LAG_SECONDS = 30.0
 
+# Who gets heartbeats is looked up anew after this time or a change; looking it
+# up at each tick would take most of a tick at hundreds of nodes.
+_TARGETS_SECONDS = 0.5
+
 # Members that are gone are remembered so that a late frame does not bring
 # them back, and forgotten so that replaced VMs do not fill the memory.
 _FORGET_SECONDS = 600.0
@@ -149,8 +153,13 @@
         self._changes: list[MemberChange] = []
         self._send_at: dict[ids.NodeId, float] = {}
         self._due: list[ids.NodeId] = []
+        self._targets: list[ids.NodeId] = []
+        self._targets_until = now
+        self._centre_heard: dict[ids.DataCentre, float] = {}
+        self._heard_before: frozenset[ids.DataCentre] = frozenset()
         self._live = functools.cache(self._find_live)
         self._owner = functools.cache(self._find_owner)
+        self._delegates = functools.cache(self._find_delegates)
         self._sizes: dict[ids.DataCentre, int] = {data_centre: 1}
 
     def vm_list(self, entries: list[VmEntry], as_of: float, now: float) -> None:
@@ -174,6 +183,8 @@
         for member in self._members.values():
             if member.node not in nodes:
                 _mark_absent(member, now)
+        self._count_sizes()
+        self._forget_answers()
         self._judge_all(now)
 
     def heard(
@@ -213,6 +224,8 @@
         member.leaving = member.leaving or leaving
         if member.data_centre is None:
             member.data_centre = data_centre
+        if member.data_centre is not None:
+            self._centre_heard[member.data_centre] = now
         self._judge(member, now, restarted)
 
     def leave(self, now: float) -> None:
@@ -231,12 +244,10 @@
             All changes since the last tick, in order.
         """
         if now - self._ticked_at > _PAUSE_SECONDS:
-            for member in self._members.values():
-                member.since = now
+            self._restart_silence(now)
         self._ticked_at = now
         self._note_delegation(now)
-        self._judge_all(now)
-        self._forget_gone(now)
+        self._judge_watched(now)
         self._schedule_heartbeats(now)
         changes, self._changes = self._changes, []
         return changes
@@ -265,13 +276,7 @@
 
     def delegates(self, data_centre: ids.DataCentre) -> list[ids.NodeId]:
         """Returns the nodes that speak for a data centre to the others."""
-        members = self._live(data_centre) or tuple(
-            member.node
-            for member in self._members.values()
-            if member.data_centre == data_centre
-            and member.state is not states.MemberState.GONE
-        )
-        return rendezvous.rank(f"delegates@{data_centre}", members)[:DELEGATES]
+        return list(self._delegates(data_centre))
 
     def heartbeat_targets(self, now: float) -> list[ids.NodeId]:
         """Returns the nodes to which a heartbeat is due as of the last tick.
@@ -335,6 +340,8 @@
             # it owns nothing before its first frame.
             member = _Member(node, now, presumed=first)
             self._members[node] = member
+        if entry.data_centre != member.data_centre:
+            self._centre_heard.setdefault(entry.data_centre, now)
         member.entry = entry
         member.data_centre = entry.data_centre
         member.listed = True
@@ -356,26 +363,56 @@
             del gone[vm]
         self._endpoint_vms = gone | listed
 
+    def _restart_silence(self, now: float) -> None:
+        """Lets the silence of all members count from now on."""
+        for member in self._members.values():
+            member.since = now
+        self._centre_heard = dict.fromkeys(self._centre_heard, now)
+
     def _note_delegation(self, now: float) -> None:
-        delegate = self.node in self.delegates(self.data_centre)
-        if delegate and not self._was_delegate:
+        delegate = self.node in self._delegates(self.data_centre)
+        if delegate == self._was_delegate:
+            return
+        self._was_delegate = delegate
+        if delegate:
             for member in self._members.values():
                 if member.data_centre != self.data_centre:
                     member.since = now
-        self._was_delegate = delegate
+            self._centre_heard = dict.fromkeys(self._centre_heard, now)
+        self._forget_answers()
+        self._judge_all(now)
 
     def _judge_all(self, now: float) -> None:
-        # Cached answers hold states of members of both data centres, so all
-        # members are judged by one view before the caches are dropped.
-        self._count_sizes()
-        heard = self._heard_data_centres(now)
-        delegates = {dc: frozenset(self.delegates(dc)) for dc in self._sizes}
-        for member in self._members.values():
+        self._heard_before = self._heard_data_centres(now)
+        self._judge_each(list(self._members.values()), now)
+        self._forget_gone(now)
+
+    def _judge_watched(self, now: float) -> None:
+        """Judges the members whose silence may count.
+
+        The others change only with the list, their data centre or a frame.
+        """
+        if self._heard_data_centres(now) != self._heard_before:
+            self._judge_all(now)
+            return
+        watched = [
+            member
+            for member in self._members.values()
+            if member.data_centre == self.data_centre
+            or member.heard_at is not None
+            or not member.listed
+        ]
+        self._judge_each(watched, now)
+
+    def _judge_each(self, members: list[_Member], now: float) -> None:
+        # All are judged by one view of the delegates, which depends on the
+        # states that change meanwhile.
+        delegates = {dc: self._delegates(dc) for dc in self._sizes}
+        for member in members:
             dc = member.data_centre
-            expected = member.node in delegates.get(dc, frozenset())
-            self._set_state(
-                member, self._state(member, now, dc in heard, expected)
-            )
+            expected = member.node in delegates.get(dc, ())
+            heard = dc in self._heard_before
+            self._set_state(member, self._state(member, now, heard, expected))
 
     def _judge(self, member: _Member, now: float, restarted: bool) -> None:
         self._set_state(member, self._state(member, now, True, True), restarted)
@@ -431,19 +468,20 @@
                 member.node, state, member.state, member.incarnation, restarted
             )
         )
+        gone = states.MemberState.GONE in (state, member.state)
         member.state = state
+        if gone and not member.listed:
+            self._count_sizes()
         self._forget_answers()
 
-    def _heard_data_centres(self, now: float) -> set[ids.DataCentre]:
+    def _heard_data_centres(self, now: float) -> frozenset[ids.DataCentre]:
         if not self._was_delegate:
-            return set(self._sizes)
-        return {
-            member.data_centre
-            for member in self._members.values()
-            if member.data_centre is not None
-            and member.silence(now)
-            <= self.detection_seconds(member.data_centre)
-        }
+            return frozenset(self._sizes)
+        return frozenset(
+            name
+            for name, heard in self._centre_heard.items()
+            if now - heard <= self.detection_seconds(name)
+        )
 
     def _patience(self, member: _Member, delegate: bool) -> float:
         if delegate:
@@ -476,7 +514,10 @@
                 del self._members[member.node]
 
     def _schedule_heartbeats(self, now: float) -> None:
-        targets = self._all_targets(now)
+        if now >= self._targets_until:
+            self._targets = self._all_targets(now)
+            self._targets_until = now + _TARGETS_SECONDS
+        targets = self._targets
         interval = _interval(len(targets))
         send_at = {}
         self._due = []
@@ -502,26 +543,24 @@
             and member.state is not states.MemberState.GONE
         ]
         if self._was_delegate:
-            for data_centre in self._sizes:
-                if data_centre != self.data_centre:
-                    targets.extend(self._remote_targets(data_centre, now))
+            remote = {dc: [] for dc in self._sizes if dc != self.data_centre}
+            for member in self._members.values():
+                gone = member.state is states.MemberState.GONE
+                if member.data_centre in remote and not gone:
+                    remote[member.data_centre].append(member)
+            for data_centre, members in remote.items():
+                targets += self._remote_targets(data_centre, members, now)
         return targets
 
     def _remote_targets(
-        self, data_centre: ids.DataCentre, now: float
+        self,
+        data_centre: ids.DataCentre,
+        members: list[_Member],
+        now: float,
     ) -> list[ids.NodeId]:
         targets = self.delegates(data_centre)
         patience = self.detection_seconds(data_centre)
-        others = sorted(
-            (
-                member
-                for member in self._members.values()
-                if member.data_centre == data_centre
-                and member.state is not states.MemberState.GONE
-                and member.node not in targets
-            ),
-            key=lambda member: member.node,
-        )
+        others = [member for member in members if member.node not in targets]
         # The other side may see other delegates than we do, so whoever speaks
         # to us is answered.
         speakers = [
@@ -553,6 +592,16 @@
             leaving.append(self.node)
         return rendezvous.owner(group, leaving)
 
+    def _find_delegates(self, data_centre: ids.DataCentre) -> tuple:
+        members = self._live(data_centre) or tuple(
+            member.node
+            for member in self._members.values()
+            if member.data_centre == data_centre
+            and member.state is not states.MemberState.GONE
+        )
+        ranked = rendezvous.rank(f"delegates@{data_centre}", members)
+        return tuple(ranked[:DELEGATES])
+
     def _in_state(
         self, data_centre: ids.DataCentre, state: states.MemberState
     ) -> list[ids.NodeId]:
@@ -565,6 +614,8 @@
     def _forget_answers(self) -> None:
         self._live.cache_clear()
         self._owner.cache_clear()
+        self._delegates.cache_clear()
+        self._targets_until = self._ticked_at
 
 
 def _interval(peers: int) -> float:
