Fix the claim window for the life of a process

Cause: a ledger that ignored a claim as too old would take a later claim for the same key after a configuration had widened the window, so the key could run twice. Ruled out: rebuilding ledgers at each change, which would lose kept withdrawals. Change: the window is a setting, checked against the log's retention; the published window can only shorten it.

--- a/packages/baobabmux-node/src/baobabmux_node/claim_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/claim_service.py
@@ -53,7 +53,9 @@
 
     Attributes:
         node: Name of this node.
-        window_seconds: Claim window of the configuration in force.
+        window_seconds: Claim window. It is fixed while the process runs: a
+            ledger that had ignored a claim as too old must not take a later
+            one after the window has grown.
     """
 
     def __init__(
@@ -63,9 +65,10 @@
         log: log_service.LogService,
         members: membership.Membership,
         send: Send,
+        window_seconds: float,
     ):
         self.node = node
-        self.window_seconds = 3600.0
+        self.window_seconds = window_seconds
         self._data_centre = data_centre
         self._log = log
         self._members = members
@@ -233,11 +236,11 @@
                 await curio.sleep(_LOG_RETRY_SECONDS)
                 continue
             records = [msgspec.structs.asdict(item) for item in page.records]
-            if page.first > ledger.next_offset and not records:
-                ledger.restart(page.first)
             # A full page says nothing about the end of the stream.
             end = page.next if len(records) < _PAGE_RECORDS else None
-            answers = partition.batcher.read(records, time.monotonic(), end)
+            answers = partition.batcher.read(
+                records, time.monotonic(), end, page.first
+            )
             partition.caught_up = end is not None
             await self._deliver(answers)
 
--- a/packages/baobabmux-node/src/baobabmux_node/intake.py
+++ b/packages/baobabmux-node/src/baobabmux_node/intake.py
@@ -42,10 +42,14 @@
     Attributes:
         node: Name of this node.
         incarnation: Start time of this node in Unix milliseconds.
+        window_seconds: Greatest age of a key that the node's ledgers know.
     """
 
-    def __init__(self, node: ids.NodeId, incarnation: int):
+    def __init__(
+        self, node: ids.NodeId, incarnation: int, window_seconds: float
+    ):
         self.node = node
+        self.window_seconds = window_seconds
         self.incarnation = incarnation
         self._numbers = itertools.count(1)
 
@@ -95,8 +99,11 @@
         deadline = now + _deadline_seconds(exchange, route)
         await exchange.read_body(route.max_body_bytes)
         request = self.next_request()
+        window_seconds = min(
+            configuration.keys.window_seconds, self.window_seconds
+        )
         key, key_time_ms = _key(
-            exchange, configuration, name, workspace, now_ms
+            exchange, name, route, workspace, now_ms, window_seconds
         )
         service = configuration.services[route.service]
         completion = (
@@ -177,20 +184,21 @@
 
 def _key(
     exchange: server.Exchange,
-    configuration: declarations.Configuration,
     route_name: ids.RouteName,
+    route: declarations.Route,
     workspace: ids.Workspace,
     now_ms: int,
+    window_seconds: float,
 ) -> tuple[ids.KeyHash | None, int]:
     text = exchange.headers.get(IDEMPOTENCY_KEY)
     if text is None:
-        if not configuration.routes[route_name].idempotent:
+        if not route.idempotent:
             raise server.RequestError(
                 errors.ErrorKind.KEY_REQUIRED,
                 f"send the header {IDEMPOTENCY_KEY}",
             )
         return None, 0
-    parsed = keys.parse_key(text, now_ms, configuration.keys.window_seconds)
+    parsed = keys.parse_key(text, now_ms, window_seconds)
     if parsed.is_error():
         kind = parsed.error
         raise server.RequestError(kind, f"{IDEMPOTENCY_KEY}: {text!r}")
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -87,7 +87,11 @@
             self.membership.peer_address,
             self.events.stamp,
         )
-        self.intake = intake.Intake(node_settings.node, self.peers.incarnation)
+        self.intake = intake.Intake(
+            node_settings.node,
+            self.peers.incarnation,
+            node_settings.claim_window_seconds,
+        )
         self.log = log_service.LogService(str(node_settings.log))
         self.config = config_follower.ConfigFollower(
             self.log,
@@ -101,6 +105,7 @@
             self.log,
             self.membership,
             self.peers.enqueue,
+            node_settings.claim_window_seconds,
         )
         self.answers = answers.AnswerService(self)
         self.reports = endpoint_reports.EndpointReports(self)
@@ -482,7 +487,6 @@
         self.metrics.config_version.set(state.version)
         self.answers.configure(state.configuration.keys)
         self.orders.desk.configure(state.configuration.endpoints)
-        self.claims.window_seconds = state.configuration.keys.window_seconds
         await self.apply(
             self.scheduler.configure(state.configuration, time.monotonic())
         )
--- a/packages/baobabmux-node/src/baobabmux_node/settings.py
+++ b/packages/baobabmux-node/src/baobabmux_node/settings.py
@@ -9,7 +9,10 @@
 import msgspec
 from expression import Error, Ok
 
-from baobabmux_core import ids
+from baobabmux_core import claims, ids
+
+_RETENTION_SECONDS = 86_400.0
+_CLAIM_WINDOW_SECONDS = 3600.0
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -49,6 +52,8 @@
         send_timeout_seconds: Longest time a caller may stop reading.
         idle_timeout_seconds: Longest time between requests of a connection.
         log_retention_seconds: How long the log service keeps records.
+        claim_window_seconds: Greatest age of an idempotency key. Records of
+            claims must outlive it, so the retention is longer.
         timeline_events: Events that the time line holds.
     """
 
@@ -66,7 +71,8 @@
     receive_timeout_seconds: float = 10.0
     send_timeout_seconds: float = 20.0
     idle_timeout_seconds: float = 60.0
-    log_retention_seconds: float = 86_400.0
+    log_retention_seconds: float = _RETENTION_SECONDS
+    claim_window_seconds: float = _CLAIM_WINDOW_SECONDS
     timeline_events: int = 5_000
 
 
@@ -99,6 +105,7 @@
         "log": "address",
         "vms": "address",
         "log_retention_seconds": "seconds",
+        "claim_window_seconds": "seconds",
     },
     "peers": {"secret_file": "file"},
     "shutdown": {"announce_seconds": "seconds_or_zero"},
@@ -187,6 +194,7 @@
         or key not in tables[section]
     ]
     errors += _doubled_listeners(values, file)
+    errors += _short_retention(values, file)
     return Error(errors) if errors else Ok(Settings(**values))
 
 
@@ -249,6 +257,21 @@
     return secret
 
 
+def _short_retention(values: dict[str, Any], file: str) -> list[SettingsError]:
+    retention = values.get("log_retention_seconds", _RETENTION_SECONDS)
+    window = values.get("claim_window_seconds", _CLAIM_WINDOW_SECONDS)
+    if claims.retention_allows(retention, window):
+        return []
+    return [
+        SettingsError(
+            file,
+            "platform.claim_window_seconds",
+            f"{window:g} s is too long for a retention of {retention:g} s:"
+            " records of claims would expire while their keys are valid",
+        )
+    ]
+
+
 def _doubled_listeners(
     values: dict[str, Any], file: str
 ) -> list[SettingsError]:
--- a/packages/baobabmux-node/tests/settings_test.py
+++ b/packages/baobabmux-node/tests/settings_test.py
@@ -76,3 +76,10 @@
     assert _errors(text) == [
         "node.toml: listen.peers: 127.0.0.1:9 is already used by listen.admin"
     ]
+
+
+def test_claims_that_would_expire_within_their_window_are_refused():
+    """Guards against a second run of a key whose claim has expired."""
+    errors = _errors(_VALID + "log_retention_seconds = 4000\n")
+    assert len(errors) == 1
+    assert errors[0].startswith("node.toml: platform.claim_window_seconds: ")
