Send fewer control messages

Change: the first repeat of an ask follows the request's time, progress starts 4 s after the first token, registers repeat each 8 s, and a request spills only with a margin on the remote wait.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -21,15 +21,20 @@
 _MOVE_SHARE = 0.05
 _MOVE_SECONDS = 0.25
 
-# An unanswered Ask is repeated; the interval doubles because most requests
-# without an answer are queued, not lost.
-_FIRST_REPEAT_SECONDS = 1.0
+# An unanswered Ask is repeated after this share of the request's time, within
+# these bounds; the interval doubles because most requests without an answer
+# are queued, not lost.
+_REPEAT_SHARE = 0.1
+_MIN_REPEAT_SECONDS = 0.5
+_FIRST_REPEAT_SECONDS = 2.0
 _MAX_REPEAT_SECONDS = 8.0
 # Progress is reported at least this often, so that a slowdown is known within
 # seconds.
 _PROGRESS_SECONDS = 2.0
+# Shorter streams end before their progress would tell anything new.
+_FIRST_PROGRESS_SECONDS = 4.0
 # A lost Release occupies a slot for at most about one interval.
-_REGISTER_SECONDS = 5.0
+_REGISTER_SECONDS = 8.0
 # Registers that say "nothing in flight", against their loss.
 _EMPTY_REGISTERS = 3
 # A longer gap between ticks means that the process was paused: owners have
@@ -109,7 +114,7 @@
         self.returns = False
         self.claimed = False
         self.ask_at = now
-        self.repeat = _FIRST_REPEAT_SECONDS
+        self.repeat = self.first_repeat()
         self.lease_end = 0.0
         self.failures = 0
         self.dispatched = 0.0
@@ -118,6 +123,11 @@
         self.reported = 0.0
         self.progressed = 0.0
 
+    def first_repeat(self) -> float:
+        """Returns the seconds until an ask is repeated the first time."""
+        share = _REPEAT_SHARE * (self.deadline - self.arrival)
+        return min(_FIRST_REPEAT_SECONDS, max(_MIN_REPEAT_SECONDS, share))
+
 
 class Holder:
     """Keeps requests from submission to their end and asks for grants.
@@ -448,7 +458,7 @@
         self, held: Held, group: ids.GroupId, now: float
     ) -> list[effects.Effect]:
         held.group = group
-        held.repeat = _FIRST_REPEAT_SECONDS
+        held.repeat = held.first_repeat()
         return self._ask(held, now)
 
     def _ask(self, held: Held, now: float) -> list[effects.Effect]:
@@ -460,7 +470,7 @@
         if held.owner is None:
             return []
         if held.owner != previous:
-            held.repeat = _FIRST_REPEAT_SECONDS
+            held.repeat = held.first_repeat()
         remaining = max(0, round((held.deadline - now) * 1000))
         ask = messages.Ask(
             held.group,
@@ -488,7 +498,7 @@
         held.state = states.RequestState.QUEUED
         held.endpoint = None
         held.ask_at = now
-        held.repeat = _FIRST_REPEAT_SECONDS
+        held.repeat = held.first_repeat()
 
     def _retry(self, held: Held, now: float) -> list[effects.Effect]:
         held.failures += 1
@@ -565,9 +575,11 @@
         return effects.Send(owner, message)
 
     def _report(self, held: Held, now: float) -> list[effects.Effect]:
-        if now - held.reported < _PROGRESS_SECONDS or (
-            held.first_token is None
-        ):
+        if held.first_token is None:
+            return []
+        if now - held.first_token < _FIRST_PROGRESS_SECONDS:
+            return []
+        if now - held.reported < _PROGRESS_SECONDS:
             return []
         held.reported = now
         owner = self._owner_of(held.group)
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -34,6 +34,8 @@
 # Waits of another data centre change between heartbeats; a spill must leave
 # this much of a margin before the deadline.
 _SPILL_MARGIN_SECONDS = 0.5
+# Under overload everywhere, requests at the edge only cost messages.
+_SPILL_WAIT_FACTOR = 1.5
 # Time that a spilled request at least takes of a slot there; plain services
 # have no declared duration.
 _SPILL_SECONDS = 1.0
@@ -466,7 +468,8 @@
         if best is None:
             return None
         seconds = self._service_seconds(held.work, best)
-        if now + best_wait + seconds + _SPILL_MARGIN_SECONDS >= held.deadline:
+        wait = _SPILL_WAIT_FACTOR * best_wait + _SPILL_MARGIN_SECONDS
+        if now + wait + seconds >= held.deadline:
             return None
         return best
 
