Give each long prefix one home among the data centres

Change: a request with a cached prefix of 2048 tokens or more asks the group that weighted rendezvous hashing of the prefix names, if its data centre is in reach; it moves or spills from there as any other. When that data centre is lost, what waits for it asks the local group.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -136,10 +136,17 @@
         held: Requests that have not ended, by identifier.
     """
 
-    def __init__(self, node: ids.NodeId, owner_of: OwnerOf, seed: int):
+    def __init__(
+        self,
+        node: ids.NodeId,
+        owner_of: OwnerOf,
+        local_group: Callable[[effects.Work], ids.GroupId | None],
+        seed: int,
+    ):
         self.node = node
         self.held: dict[ids.RequestId, Held] = {}
         self._owner_of = owner_of
+        self._local_group = local_group
         self._generator = random.Random(seed)
         self._budget = retries.RetryBudget()
         self._registers: dict[ids.GroupId, int] = {}
@@ -346,6 +353,23 @@
                 held.owner = owner
         return found
 
+    def leave_group(
+        self, group: ids.GroupId, now: float
+    ) -> list[effects.Effect]:
+        """Asks the local group for what waits for one out of reach."""
+        found = []
+        for held in list(self.held.values()):
+            if held.group != group or (
+                held.state is not states.RequestState.QUEUED
+            ):
+                continue
+            local = self._local_group(held.work)
+            if local is not None and local != group:
+                held.returns = False
+                held.home = local
+                found += self._ask_group(held, local, now)
+        return found
+
     def groups(self) -> set[ids.GroupId]:
         """Returns the groups that hold requests of this node."""
         return {held.group for held in self.held.values()}
--- a/packages/baobabmux-core/src/baobabmux_core/rendezvous.py
+++ b/packages/baobabmux-core/src/baobabmux_core/rendezvous.py
@@ -1,5 +1,6 @@
 """Rendezvous hashing: the owner of a name among a changing set of members."""
 
+import math
 from collections.abc import Iterable
 
 import xxhash
@@ -29,5 +30,21 @@
     )
 
 
+def weighted_owner(key: str, weights: dict[str, float]) -> str | None:
+    """Returns the member for a key, in proportion to positive weights."""
+    return min(
+        weights,
+        key=lambda member: (_weighted_age(key, member, weights), member),
+        default=None,
+    )
+
+
+def _weighted_age(key: str, member: str, weights: dict[str, float]) -> float:
+    # Exponential draws with rates in proportion to the weights: each member
+    # has the smallest with a probability in that proportion.
+    uniform = (_weight(key, member) + 1) / 2**64
+    return -math.log(uniform) / weights[member]
+
+
 def _weight(key: str, member: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode())
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import typing
 
@@ -36,6 +37,9 @@
 _SPILL_MARGIN_SECONDS = 0.5
 # Under overload everywhere, requests at the edge only cost messages.
 _SPILL_WAIT_FACTOR = 1.5
+# A prefix of this length costs more to compute than the way to another data
+# centre and the risk of a wait there.
+_PREFIX_TOKENS = 2048
 # Time that a spilled request at least takes of a slot there; plain services
 # have no declared duration.
 _SPILL_SECONDS = 1.0
@@ -76,7 +80,12 @@
         self.leaving = False
         self._membership = members
         self._configuration: declarations.Configuration | None = None
-        self._holder = holders.Holder(node, self._owner, seed)
+        self._holder = holders.Holder(
+            node,
+            self._owner,
+            lambda work: self._home_group(work.service),
+            seed,
+        )
         self._owned: dict[ids.GroupId, grants.GroupOwner] = {}
         self._owners: dict[ids.GroupId, ids.NodeId | None] = {}
         self._live: set[ids.NodeId] = set()
@@ -94,7 +103,7 @@
         refusal = self._refusal_at_once(work, now)
         if refusal is not None:
             return [refusal]
-        group = self._home_group(work.service)
+        group = self._prefix_group(work) or self._home_group(work.service)
         if group is None:
             return [_refuse(work, errors.ErrorKind.NO_ENDPOINT, 1.0)]
         route = self._configuration.routes.get(work.route)
@@ -424,6 +433,30 @@
             return _refuse(work, errors.ErrorKind.DEADLINE_PASSED, 1.0)
         return None
 
+    def _prefix_group(self, work: effects.Work) -> ids.GroupId | None:
+        """Returns the group that caches a long prefix, or None.
+
+        Without it each data centre would compute and cache every long prefix
+        itself, and the caches together would hold fewer of them.
+        """
+        if not work.prefixes or work.prefixes[-1].tokens < _PREFIX_TOKENS:
+            return None
+        weights: dict[ids.GroupId, float] = collections.defaultdict(float)
+        for name, endpoint in self._configuration.endpoints.items():
+            if endpoint.service != work.service or name in self._drained:
+                continue
+            group = ids.group_id(work.service, endpoint.data_centre)
+            weights[group] += (
+                endpoint.max_requests * endpoint.decode_tokens_per_second
+            )
+        reachable = {
+            group: weight
+            for group, weight in weights.items()
+            if self._owner(group) is not None
+        }
+        key = str(work.prefixes[-1].digest)
+        return rendezvous.weighted_owner(key, reachable)
+
     def _home_group(self, service: ids.ServiceName) -> ids.GroupId | None:
         """Returns the local group, or else the one with the least wait."""
         centres = {
@@ -618,6 +651,9 @@
         for group in self._owned.keys() - groups:
             del self._owned[group]
         found = []
+        for group in sorted(self._holder.groups() - groups):
+            if self._owner(group) is None:
+                found += self._holder.leave_group(group, now)
         for group in sorted(groups | self._holder.groups()):
             owner = self._owner(group)
             if group in groups:
--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -364,6 +364,49 @@
     assert not cluster.without_single_final()
 
 
+def test_long_prefix_has_one_home_among_data_centres():
+    """Guards against every data centre computing the same long prefix."""
+    cluster = Cluster(centres=("col-a", "col-b", "col-c"))
+    homes = {}
+    for digest in range(12):
+        prefix = (messages.PrefixPart(digest, 2500),)
+        for node in (0, 3, 6):
+            request = f"r{digest}-{node}"
+            cluster.submit(request, node, prompt_tokens=2600, prefixes=prefix)
+            cluster.deliver_all()
+            cluster.step_all()
+            endpoint = cluster.running[request]
+            homes.setdefault(digest, set()).add(endpoint.partition("-")[2])
+            cluster.finish(request)
+            cluster.deliver_all()
+    assert all(len(centres) == 1 for centres in homes.values())
+    assert len(set.union(*homes.values())) == 3
+
+
+def test_data_centre_cut_off_serves_long_prefixes_itself():
+    """Guards against requests that wait for an unreachable home."""
+    cluster = Cluster(centres=("col-a", "col-b"))
+    cluster.lost.add("Ask")
+    for digest in range(6):
+        prefix = (messages.PrefixPart(digest, 2500),)
+        cluster.submit(f"r{digest}", prompt_tokens=2600, prefixes=prefix)
+    cluster.deliver_all()
+    cluster.lost.clear()
+    cluster.members.centres["col-b"] = []
+    name = next(iter(cluster.nodes))
+    core = cluster.nodes[name]
+    cluster.carry_out(name, core.members_changed(cluster.now))
+    cluster.advance(3.0)
+    cluster.step_all()
+    assert {e[-5:] for e in cluster.running.values()} == {"col-a"}
+    for _ in range(4):
+        for request in list(cluster.running):
+            cluster.finish(request)
+        cluster.advance(0.25)
+        cluster.step_all()
+    assert not cluster.without_single_final()
+
+
 def test_leaving_node_hands_over_and_ends_what_it_holds():
     """Guards against requests cut by a planned stop."""
     cluster = Cluster(endpoints=1)
