Check only the changed entries of a publication

Unchanged entries are now taken over from the configuration in force; references, ranks, addresses and paths are still checked as a whole.

The configuration machine compares each node's configuration with a whole parse of its tables; each slip of the declarations' tests is also found beside known entries.

--- a/packages/baobabmux-core/src/baobabmux_core/configuration.py
+++ b/packages/baobabmux-core/src/baobabmux_core/configuration.py
@@ -300,7 +300,12 @@
                 entries=entries,
                 complete=complete,
             )
-        changed = apply_delta(self.tables, publication.set, publication.delete)
+        changed = apply_delta(
+            self.tables,
+            publication.set,
+            publication.delete,
+            self.configuration,
+        )
         if changed.is_error():
             return verdict(
                 kind=VerdictKind.INVALID,
@@ -405,7 +410,10 @@
 
 
 def apply_delta(
-    tables: declarations.Tables, changes: dict[str, Any], delete: list[str]
+    tables: declarations.Tables,
+    changes: dict[str, Any],
+    delete: list[str],
+    configuration: declarations.Configuration | None = None,
 ) -> expression.Result[
     tuple[declarations.Tables, declarations.Configuration],
     list[declarations.ConfigError],
@@ -416,6 +424,7 @@
         tables: Tables in force; they are not changed.
         changes: New tables by address `section/name`.
         delete: Addresses to remove.
+        configuration: What the tables declare, to check only what changes.
 
     Returns:
         New tables and the configuration that they declare, or all errors:
@@ -436,7 +445,10 @@
             errors.append(_delta_error(address, "is not a section/name"))
         else:
             merged.setdefault(section, {})[name] = table
-    checked = declarations.parse(merged)
+    known = None
+    if configuration is not None:
+        known = declarations.Checked(tables, configuration)
+    checked = declarations.parse(merged, known=known)
     if checked.is_error():
         errors.extend(checked.error)
     if errors:
--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -244,6 +244,16 @@
     "limit": KeyLimits,
 }
 
+# Attributes of `Configuration` by section.
+_ATTRIBUTES = {
+    "tier": "tiers",
+    "workspace": "workspaces",
+    "service": "services",
+    "endpoint": "endpoints",
+    "route": "routes",
+    "preset": "presets",
+}
+
 # Looked up once, because msgspec resolves type hints anew at each call.
 _FIELDS = {
     section: {item.name: item for item in msgspec.structs.fields(schema)}
@@ -351,8 +361,15 @@
             tables.setdefault(section, {})[name] = table
 
 
+class Checked(msgspec.Struct, frozen=True):
+    """Tables that were found to be valid, and what they declare."""
+
+    tables: Tables
+    configuration: Configuration
+
+
 def parse(
-    tables: Tables, source: str = ""
+    tables: Tables, source: str = "", known: Checked | None = None
 ) -> expression.Result[Configuration, list[ConfigError]]:
     """Checks tables against the schema and against each other.
 
@@ -361,11 +378,14 @@
             safe to pass.
         source: Where they came from, for error lines; tables from
             `load_files` know the file of each entry themselves.
+        known: Earlier valid tables. Entries that are the same object in both
+            are not checked by themselves again, because a publication
+            changes few of many entries.
 
     Returns:
         The configuration, or all errors in the order of the tables.
     """
-    return _Parser(tables, source).parse()
+    return _Parser(tables, source, known).parse()
 
 
 class _Parser:
@@ -376,7 +396,8 @@
         errors: Errors found so far.
     """
 
-    def __init__(self, tables: Tables, source: str):
+    def __init__(self, tables: Tables, source: str, known: Checked | None):
+        self.known = known
         self.tables = tables
         self.source = source
         self.sources = getattr(tables, "sources", {})
@@ -443,8 +464,23 @@
                 )
             )
             return
+        same, parsed = self._known_entries(section)
         for name, table in entries.items():
-            self._parse_entry(section, name, table)
+            if name in parsed and same.get(name) is table:
+                self.parsed[section][name] = parsed[name]
+            else:
+                self._parse_entry(section, name, table)
+
+    def _known_entries(
+        self, section: str
+    ) -> tuple[dict[str, dict[str, Any]], dict[str, Any]]:
+        attribute = _ATTRIBUTES.get(section)
+        if self.known is None or attribute is None:
+            return {}, {}
+        return (
+            self.known.tables.get(section, {}),
+            getattr(self.known.configuration, attribute),
+        )
 
     def _section_source(self, section: str, entries: Any) -> str:
         for name in entries if isinstance(entries, dict) else ():
--- a/packages/baobabmux-core/tests/configuration_test.py
+++ b/packages/baobabmux-core/tests/configuration_test.py
@@ -11,7 +11,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from baobabmux_core import configuration, invariants
+from baobabmux_core import configuration, declarations, invariants
 
 _TABLES = {
     "tier/tender": {"rank": 0},
@@ -317,6 +317,10 @@
         self.observe()
 
     def teardown(self):
+        for node in self.nodes.values():
+            if node.version >= 0:
+                whole = declarations.parse(node.tables).ok
+                assert node.configuration == whole
         self.counts["accepted"] += sum(
             self.reference.verdict(f"op-{number}").kind is _KINDS.ACCEPTED
             for number in range(1, self.operations + 1)
--- a/packages/baobabmux-core/tests/declarations_test.py
+++ b/packages/baobabmux-core/tests/declarations_test.py
@@ -141,3 +141,14 @@
     (tmp_path / "routes.toml").write_text("[tier.c]\nrank = -1\n")
     tables = declarations.load_files([tmp_path / "routes.toml"]).ok
     assert lines(tables)[0].startswith('routes.toml: tier "c": rank is -1')
+
+
+@pytest.mark.parametrize(("sections", "expected"), _SLIPS)
+def test_slips_are_found_beside_known_entries(sections, expected):
+    """Guards against a change that is checked less because most is known."""
+    known = declarations.Checked(TABLES, declarations.parse(TABLES).ok)
+    tables = {section: dict(entries) for section, entries in TABLES.items()}
+    for section, entries in sections.items():
+        tables.setdefault(section, {}).update(entries)
+    (error,) = declarations.parse(tables, known=known).error
+    assert expected in str(error)
