--- a/packages/baobabmux-node/src/baobabmux_node/config_follower.py
+++ b/packages/baobabmux-node/src/baobabmux_node/config_follower.py
@@ -43,7 +43,7 @@
         while True:
             try:
                 page = await self._log.read(
-                    STREAM, self.state.through + 1, wait=_LONG_POLL_SECONDS
+                    STREAM, self.state.next_offset, wait=_LONG_POLL_SECONDS
                 )
             except log_service.LogError:
                 failures += 1
