Apply the margin on service times at the grant

Cause: a request queued before the load rose kept the small margin of its admission and ran in vain later.

Change: the margin follows the present share of refusals, those in the queue included, when a request's turn comes.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -484,23 +484,28 @@
             for member in usable
         ]
         entry.seconds = statistics.fmean(seconds)
-        # A margin for the spread of waits would refuse too much in bursts.
-        wait = self._wait_of(entry, now) * max(1.0, self._wait_margin.mean)
+        wait = self._wait_of(entry, now) * self._under_pressure(
+            self._wait_margin
+        )
         entry.predicted_wait = wait
         # Without a wait, an attempt costs nobody else a place.
-        margin = self._margin() if wait > 0.0 else 1.0
+        margin = 1.0
+        if wait > 0.0:
+            margin = self._under_pressure(self._service_margin)
         entry.latest_start = entry.deadline - min(seconds) * margin
         late = now + wait - entry.latest_start
-        self._pressure += _PRESSURE_WEIGHT * ((late > 0.0) - self._pressure)
-        return self._unreachable(entry, late) if late > 0.0 else None
+        if late > 0.0:
+            return self._unreachable(entry, late)
+        self._pressure -= _PRESSURE_WEIGHT * self._pressure
+        return None
 
-    def _margin(self) -> float:
-        """Returns the factor on service times for admission.
+    def _under_pressure(self, margin: deadlines.ErrorMargin) -> float:
+        """Returns the factor on a prediction for admission.
 
         Time lost to a late request only matters while others are refused for
         want of it, so the margin grows with the share of refusals.
         """
-        learned = self._service_margin.factor()
+        learned = margin.factor()
         return 1.0 + (learned - 1.0) * min(1.0, self._pressure / _PRESSURE)
 
     def _wait_of(self, entry: fairness.QueueEntry, now: float) -> float:
@@ -567,6 +572,7 @@
     def _unreachable(
         self, entry: fairness.QueueEntry, late: float
     ) -> effects.Effect:
+        self._pressure += _PRESSURE_WEIGHT * (1.0 - self._pressure)
         return _refusal(
             entry.holder,
             entry.ask.request,
@@ -777,6 +783,7 @@
         best_cost = math.inf
         busy_cost = math.inf
         usable = in_time = has_place = False
+        margin = self._under_pressure(self._service_margin)
         for name, member in self._members.items():
             model = member.model
             if (
@@ -795,7 +802,7 @@
             ).end
             recomputed = model.prefill_seconds(longest - cached[name])
             cost = end + _RECOMPUTE_WEIGHT * recomputed
-            if end > entry.deadline:
+            if now + (end - now) * margin > entry.deadline:
                 continue
             in_time = True
             if fits and cost < best_cost:
