--- a/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
@@ -2,7 +2,7 @@
 
 import concurrent.futures
 import urllib.parse
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NamedTuple, TypeVar
 
 import msgspec
@@ -68,16 +68,29 @@
     Attributes:
         found: Answers by address.
         missing: Reason by address of the nodes that did not answer.
+        code: Exit code if no node answered.
     """
 
     found: dict[str, Any]
     missing: dict[str, str]
+    code: exits.ExitCode = exits.ExitCode.UNREACHABLE
 
 
 class _AnswerError(Exception):
     """A node answered something else than asked for."""
 
 
+class _RefusedError(_AnswerError):
+    """A node refused the call as wrong; it had no effect."""
+
+
+_ADVICE = {
+    exits.ExitCode.UNREACHABLE: "check --nodes: it takes admin addresses",
+    exits.ExitCode.UNKNOWN: "it may have taken effect; repeat the command",
+    exits.ExitCode.INVALID: "correct the command",
+}
+
+
 def statuses(addresses: Sequence[transport.Address]) -> Answers:
     """Reads the status of nodes."""
     return _ask_all(addresses, lambda address: _get(address, "/status"))
@@ -135,12 +148,13 @@
     """Sets or ends the drain of an endpoint at nodes.
 
     Repeating it does no harm, and each node passes it on to the others.
-
-    Raises:
-        exits.CommandError: A node refused it.
     """
     body = msgspec.json.encode({"endpoint": endpoint, "drain": wanted})
-    return _ask_all(addresses, lambda address: _post(address, "/drain", body))
+    return _ask_all(
+        addresses,
+        lambda address: _post(address, "/drain", body),
+        changes=True,
+    )
 
 
 def require_some(answers: Answers) -> None:
@@ -155,16 +169,24 @@
             output.error(f"{line} (the result lacks it)")
         return
     raise exits.CommandError(
-        exits.ExitCode.UNREACHABLE,
-        f"{'; '.join(lines)} (check --nodes: it takes admin addresses)",
+        answers.code, f"{'; '.join(lines)} ({_ADVICE[answers.code]})"
     )
 
 
 def _ask_all(
     addresses: Sequence[transport.Address],
     ask: Callable[[transport.Address], Result],
+    changes: bool = False,
 ) -> Answers:
-    answers = Answers({}, {})
+    """Asks all nodes.
+
+    Args:
+        addresses: Their addresses.
+        ask: Asks one of them.
+        changes: Whether the call has an effect that a lost answer hides.
+    """
+    found: dict[str, Any] = {}
+    failed: dict[str, Exception] = {}
     workers = min(len(addresses), _PARALLEL_CALLS)
     with (
         output.progress(f"asking {len(addresses)} nodes"),
@@ -173,14 +195,27 @@
         calls = {str(a): pool.submit(ask, a) for a in addresses}
         for address, pending in calls.items():
             try:
-                answers.found[address] = pending.result()
+                found[address] = pending.result()
             except (
                 transport.NotSentError,
                 transport.AnswerLostError,
                 _AnswerError,
             ) as error:
-                answers.missing[address] = str(error)
-    return answers
+                failed[address] = error
+    missing = {address: str(error) for address, error in failed.items()}
+    return Answers(found, missing, _failure_code(failed.values(), changes))
+
+
+def _failure_code(failed: Iterable[Exception], changes: bool) -> exits.ExitCode:
+    failed = list(failed)
+    if any(isinstance(error, _RefusedError) for error in failed):
+        return exits.ExitCode.INVALID
+    sent = any(
+        not isinstance(error, transport.NotSentError) for error in failed
+    )
+    if changes and sent:
+        return exits.ExitCode.UNKNOWN
+    return exits.ExitCode.UNREACHABLE
 
 
 def _get(address: transport.Address, target: str) -> Any:
@@ -199,10 +234,7 @@
     if answer.status == 200:
         return True
     if 400 <= answer.status < 500:
-        raise exits.CommandError(
-            exits.ExitCode.INVALID,
-            f"node at {address}: {_detail(answer)}",
-        )
+        raise _RefusedError(_detail(answer))
     raise _AnswerError(f"answered {answer.status}")
 
 
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/sentences.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/sentences.py
@@ -4,6 +4,9 @@
 
 from baobabmux_core import catalogue, hlc, timeline
 
+# The last time that `datetime` can show, in the year 9999.
+_LAST_SECONDS = 253_402_300_799.0
+
 
 class _Fields(dict):
     """Fields of an event; one that the node left out is a question mark."""
@@ -32,7 +35,7 @@
 
 def clock_time(event: timeline.Event) -> str:
     """Returns an event's time in UTC, with milliseconds."""
-    moment = datetime.datetime.fromtimestamp(
-        hlc.wall_ms(event.hlc) / 1000, datetime.UTC
-    )
+    # A node with a wrong clock must not hide the events of the others.
+    seconds = min(hlc.wall_ms(event.hlc) / 1000, _LAST_SECONDS)
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
     return moment.strftime("%Y-%m-%d %H:%M:%S.%f")[:-3]
--- a/packages/baobabmux-ctl/tests/nodes_test.py
+++ b/packages/baobabmux-ctl/tests/nodes_test.py
@@ -47,6 +47,11 @@
 
     def do_POST(self):
         self.rfile.read(int(self.headers["content-length"]))
+        if self.server.node == "mute":
+            return
+        if self.server.node == "willing":
+            self._answer({})
+            return
         self._answer({"title": "x", "detail": "e9 is not declared"}, 400)
 
     def log_message(self, *arguments):
@@ -190,6 +195,23 @@
     """Guards against a drain that silently does nothing."""
     assert _run("drain", "e9", "--nodes", start("a1")) == 2
     assert "e9 is not declared" in capsys.readouterr().err
+    # A node without the newest configuration does not undo the others.
+    nodes = f"{start('a1')},{start('willing')}"
+    assert _run("drain", "e9", "--nodes", nodes) == 0
+
+
+def test_drain_whose_answer_is_lost_is_unknown(start, capsys):
+    """Guards against "nothing was changed" after an order was sent."""
+    assert _run("drain", "e1", "--nodes", start("mute")) == 4
+    assert "repeat the command" in capsys.readouterr().err
+    assert _run("drain", "e1", "--nodes", "127.0.0.1:1") == 5
+
+
+def test_wrong_clock_does_not_hide_the_timeline(start, capsys):
+    """Guards against one node's clock that ends the command."""
+    late = _event(2**48 - 1 - _START_MS, _Kind.SHUTDOWN_ENDED, "a1")
+    assert _run("timeline", "--nodes", start("a1", [late])) == 0
+    assert capsys.readouterr().out.startswith("9999-12-31")
 
 
 def test_reported_end_outlives_the_holder():
