--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import typing
 
@@ -34,6 +35,14 @@
 # Waits of another data centre change between heartbeats; a spill must leave
 # this much of a margin before the deadline.
 _SPILL_MARGIN_SECONDS = 0.5
+# Under overload everywhere, requests at the edge only cost messages.
+_SPILL_WAIT_FACTOR = 1.5
+# A prefix of this length costs more to compute than the way to another data
+# centre and the risk of a wait there.
+_PREFIX_TOKENS = 2048
+# Time that a spilled request at least takes of a slot there; plain services
+# have no declared duration.
+_SPILL_SECONDS = 1.0
 # A gap between ticks that lets other nodes suspect this one; then another
 # node has owned its groups, and its own counts are out of date.
 _PAUSE_SECONDS = 1.5
@@ -71,7 +80,12 @@
         self.leaving = False
         self._membership = members
         self._configuration: declarations.Configuration | None = None
-        self._holder = holders.Holder(node, self._owner, seed)
+        self._holder = holders.Holder(
+            node,
+            self._owner,
+            lambda work: self._home_group(work.service),
+            seed,
+        )
         self._owned: dict[ids.GroupId, grants.GroupOwner] = {}
         self._owners: dict[ids.GroupId, ids.NodeId | None] = {}
         self._live: set[ids.NodeId] = set()
@@ -89,7 +103,7 @@
         refusal = self._refusal_at_once(work, now)
         if refusal is not None:
             return [refusal]
-        group = self._home_group(work.service)
+        group = self._prefix_group(work) or self._home_group(work.service)
         if group is None:
             return [_refuse(work, errors.ErrorKind.NO_ENDPOINT, 1.0)]
         route = self._configuration.routes.get(work.route)
@@ -287,7 +301,7 @@
         self._check_pause(now)
         self._last_tick = now
         self._update_endpoints()
-        found = self._holder.tick(now, lambda held: self._free(held, now))
+        found = self._holder.tick(now, lambda held: self._better(held, now))
         found += self._pump(now)
         for endpoint, (left, due) in list(self._drain_repeats.items()):
             if now < due:
@@ -419,6 +433,30 @@
             return _refuse(work, errors.ErrorKind.DEADLINE_PASSED, 1.0)
         return None
 
+    def _prefix_group(self, work: effects.Work) -> ids.GroupId | None:
+        """Returns the group that caches a long prefix, or None.
+
+        Without it each data centre would compute and cache every long prefix
+        itself, and the caches together would hold fewer of them.
+        """
+        if not work.prefixes or work.prefixes[-1].tokens < _PREFIX_TOKENS:
+            return None
+        weights: dict[ids.GroupId, float] = collections.defaultdict(float)
+        for name, endpoint in self._configuration.endpoints.items():
+            if endpoint.service != work.service or name in self._drained:
+                continue
+            group = ids.group_id(work.service, endpoint.data_centre)
+            weights[group] += (
+                endpoint.max_requests * endpoint.decode_tokens_per_second
+            )
+        reachable = {
+            group: weight
+            for group, weight in weights.items()
+            if self._owner(group) is not None
+        }
+        key = str(work.prefixes[-1].digest)
+        return rendezvous.weighted_owner(key, reachable)
+
     def _home_group(self, service: ids.ServiceName) -> ids.GroupId | None:
         """Returns the local group, or else the one with the least wait."""
         centres = {
@@ -439,6 +477,15 @@
         )
 
     def _spill(self, held: holders.Held, now: float) -> ids.GroupId | None:
+        """Returns a group of another data centre that would end it in time."""
+        group = self._spill_target(held, now)
+        if group is not None:
+            self._note_spill(held, group)
+        return group
+
+    def _spill_target(
+        self, held: holders.Held, now: float
+    ) -> ids.GroupId | None:
         best = None
         best_wait = math.inf
         for group, load in self._loads.items():
@@ -454,16 +501,43 @@
         if best is None:
             return None
         seconds = self._service_seconds(held.work, best)
-        late = now + best_wait + seconds + _SPILL_MARGIN_SECONDS
-        return best if late < held.deadline else None
+        wait = _SPILL_WAIT_FACTOR * best_wait + _SPILL_MARGIN_SECONDS
+        if now + wait + seconds >= held.deadline:
+            return None
+        return best
 
-    def _free(self, held: holders.Held, now: float) -> ids.GroupId | None:
-        """Returns a group of another data centre that has free slots."""
-        own = self._loads.get(held.group)
-        if own is not None and own.wait <= 0.0:
+    def _note_spill(self, held: holders.Held, group: ids.GroupId) -> None:
+        """Raises a remote wait, so that not all spill to the same group.
+
+        The next heartbeat replaces the estimate.
+        """
+        load = self._loads[group]
+        slots = sum(
+            endpoint.max_requests
+            for endpoint in self._configuration.group_endpoints(group).values()
+        )
+        seconds = self._service_seconds(held.work, group)
+        wait = load.wait + max(seconds, _SPILL_SECONDS) / max(1, slots)
+        self._loads[group] = msgspec.structs.replace(load, wait=wait)
+
+    def _better(self, held: holders.Held, now: float) -> ids.GroupId | None:
+        """Returns a group of another data centre with a much shorter wait."""
+        owner = self._owned.get(held.group)
+        known = self._loads.get(held.group)
+        if owner is not None:
+            own = owner.wait(now)
+        elif known is not None:
+            own = known.wait
+        else:
             return None
-        group = self._spill(held, now)
-        return group if group and self._loads[group].wait <= 0.0 else None
+        group = self._spill_target(held, now)
+        if group is None:
+            return None
+        other = self._loads[group].wait
+        if other > own / 2 or other > own - _SPILL_MARGIN_SECONDS:
+            return None
+        self._note_spill(held, group)
+        return group
 
     def _service_seconds(self, work: effects.Work, group: ids.GroupId) -> float:
         """Estimates a request's time in a slot by the declared rates."""
@@ -577,6 +651,9 @@
         for group in self._owned.keys() - groups:
             del self._owned[group]
         found = []
+        for group in sorted(self._holder.groups() - groups):
+            if self._owner(group) is None:
+                found += self._holder.leave_group(group, now)
         for group in sorted(groups | self._holder.groups()):
             owner = self._owner(group)
             if group in groups:
--- a/packages/baobabmux-core/tests/claims_test.py
+++ b/packages/baobabmux-core/tests/claims_test.py
@@ -213,6 +213,26 @@
     assert _judge(answer, _entry("a")) is _VERDICTS.UNAVAILABLE
 
 
+def test_claims_go_before_kept_withdrawals():
+    """Guards against new requests that wait for the backlog of an outage."""
+    batcher = _ready(batch_entries=2)
+    for number in range(5):
+        batcher.withdraw(number, f"w{number}", 0.0)
+    batcher.ask(_entry("a", key=9), 0.0)
+    entries = batcher.next_batch(0.0)["entries"]
+    assert [entry[2] for entry in entries] == ["a", "w0"]
+
+
+def test_pending_claims_are_refused_when_nothing_is_left_to_read():
+    """Guards against claims that wait for records that have expired."""
+    batcher = _ready()
+    batcher.ask(_entry("a"), 0.0)
+    batcher.next_batch(0.0)
+    batcher.appended(4, 0.0)
+    (answer,) = batcher.read([], 1.0, end=9, first=9)
+    assert claims.must_withdraw(answer)
+
+
 def test_silent_holder_is_not_claimed_for():
     """Guards against claims of requests that were given up long ago."""
     batcher = _ready()
@@ -245,6 +265,7 @@
     assert claims.appends_per_second(entries, 16) == 160
     assert claims.appends_per_second(entries, 16, 10, 0.1) == 620
     assert claims.appends_per_second(4, 16) == 4
+    assert claims.ledger_keys(3100, 3600, 128) == pytest.approx(94_453, abs=1)
     assert claims.retention_allows(4200, 3600)
     assert not claims.retention_allows(4199, 3600)
 
@@ -328,7 +349,9 @@
             for offset, (time_ms, data) in enumerate(self.records)
             if start <= offset < start + count
         ]
-        return batcher.read(records, self.now, end=len(self.records))
+        return batcher.read(
+            records, self.now, end=len(self.records), first=self.first()
+        )
 
     def take(self, answers, node):
         for answer in answers:
@@ -638,3 +661,23 @@
     scenario(machine)
     with pytest.raises(AssertionError):
         machine.teardown()
+
+
+def test_short_retention_is_caught():
+    """Guards against a log that forgets claims within the window."""
+
+    class Machine(ClaimMachine):
+        retention = 100.0
+
+    assert not claims.retention_allows(Machine.retention, _WINDOW)
+    for machine_class in (ClaimMachine, Machine):
+        machine = machine_class()
+        machine.submit()
+        machine.pass_time(200.0)
+        machine.inject(0, "batcher dies")
+        machine.submit()
+        if machine_class is ClaimMachine:
+            machine.teardown()
+        else:
+            with pytest.raises(AssertionError):
+                machine.teardown()
