--- a/bench/src/baobabmux_bench/loads.py
+++ b/bench/src/baobabmux_bench/loads.py
@@ -8,7 +8,11 @@
 import msgspec
 import xxhash
 
-from baobabmux_core import ids, messages
+from baobabmux_core import ids, messages, prefixes
+
+_BYTES_PER_TOKEN = 4
+# Start of a node in Unix milliseconds, a part of the identifiers.
+_EPOCH_MS = 1_790_000_000_000
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -125,7 +129,8 @@
         times = _arrivals(rate, shape, seconds, f"{seed}/{kind.route}/times")
         draw = random.Random(f"{seed}/{kind.route}/contents")
         requests += [_request(kind, workspaces, time, draw) for time in times]
-    return sorted(requests, key=lambda r: (r.arrival, r.request))
+    requests.sort(key=lambda request: request.arrival)
+    return _number(requests)
 
 
 def sample(
@@ -137,9 +142,21 @@
     """Draws requests of the mix without times, for measuring capacity."""
     draw = random.Random(f"{seed}/sample")
     weights = [kind.weight for kind in kinds]
+    return _number(
+        [
+            _request(kind, workspaces, 0.0, draw)
+            for kind in draw.choices(kinds, weights, k=count)
+        ]
+    )
+
+
+def _number(requests: list[Request]) -> list[Request]:
+    """Gives identifiers of the length that nodes generate."""
     return [
-        _request(kind, workspaces, 0.0, draw)
-        for kind in draw.choices(kinds, weights, k=count)
+        msgspec.structs.replace(
+            request, request=ids.RequestId(f"entry-vm-0-{_EPOCH_MS:x}-{n:x}")
+        )
+        for n, request in enumerate(requests, start=1)
     ]
 
 
@@ -173,58 +190,40 @@
     totals = list(itertools.accumulate(workspaces.values()))
     index = bisect.bisect(totals, draw.random() * totals[-1])
     workspace = names[min(index, len(names) - 1)]
-    prefixes = _prefixes(kind, workspace, draw)
-    shared = prefixes[-1].tokens if prefixes else 0
+    prompt = _prompt(kind, workspace, draw)
     return Request(
-        request=_uuid(draw),
+        request=ids.RequestId(""),
         kind=kind,
         workspace=workspace,
         arrival=time,
         deadline=time + kind.deadline_seconds,
-        prompt_tokens=shared + _length(kind.prompt_tokens, kind.spread, draw),
+        prompt_tokens=prefixes.estimate_tokens(prompt),
         output_tokens=_length(kind.output_tokens, kind.spread, draw),
-        prefixes=prefixes,
+        prefixes=prefixes.digest_prompt(prompt),
         node_draw=draw.random(),
     )
 
 
-def _prefixes(
-    kind: Kind, workspace: ids.Workspace, draw: random.Random
-) -> tuple[messages.PrefixPart, ...]:
-    parts = []
-    if kind.template_tokens:
-        parts.append(_part(str(kind.route), kind.template_tokens))
+def _prompt(kind: Kind, workspace: ids.Workspace, draw: random.Random) -> bytes:
+    """Draws a prompt: the kind's template, a file, and the rest."""
+    parts = [_text(kind.route, kind.template_tokens)]
     if kind.files:
         # A few files get most of the work; ranks follow Zipf's law.
         ranks = range(1, kind.files + 1)
-        weights = [1 / rank for rank in ranks]
-        file = draw.choices(ranks, weights)[0]
-        length = kind.template_tokens + kind.file_tokens
-        parts.append(_part(f"{kind.route}/{workspace}/{file}", length))
-    return tuple(parts)
+        file = draw.choices(ranks, [1 / rank for rank in ranks])[0]
+        parts.append(
+            _text(f"{kind.route}/{workspace}/{file}", kind.file_tokens)
+        )
+    rest = _length(kind.prompt_tokens, kind.spread, draw)
+    parts.append(_text(str(draw.getrandbits(64)), rest))
+    return b"".join(parts)
 
 
-def _part(name: str, tokens: int) -> messages.PrefixPart:
-    return messages.PrefixPart(
-        ids.PrefixDigest(xxhash.xxh32_intdigest(name.encode())), tokens
-    )
+def _text(name: str, tokens: int) -> bytes:
+    """Returns text that differs from the text of any other name early on."""
+    start = xxhash.xxh64_hexdigest(name.encode()).encode()
+    return start.ljust(_BYTES_PER_TOKEN * tokens)[: _BYTES_PER_TOKEN * tokens]
 
 
 def _length(median: int, spread: float, draw: random.Random) -> int:
     return max(1, round(median * math.exp(draw.gauss(0, spread))))
-
-
-def _uuid(draw: random.Random) -> ids.RequestId:
-    """Draws a UUID text, as callers and nodes use for identifiers."""
-    digits = f"{draw.getrandbits(128):032x}"
-    return ids.RequestId(
-        "-".join(
-            (
-                digits[:8],
-                digits[8:12],
-                digits[12:16],
-                digits[16:20],
-                digits[20:],
-            )
-        )
-    )
--- a/bench/src/baobabmux_bench/main.py
+++ b/bench/src/baobabmux_bench/main.py
@@ -5,7 +5,14 @@
 
 from absl import app, flags
 
-from baobabmux_bench import plots, policies, results, runs, scenarios
+from baobabmux_bench import (
+    plans,
+    plots,
+    registry,
+    results,
+    scenarios,
+    targets,
+)
 
 _DEPLOYMENTS = flags.DEFINE_list(
     "deployments", ["kelaniya", "lone-star"], "Deployments to run."
@@ -13,7 +20,7 @@
 _SCENARIOS = flags.DEFINE_list(
     "scenarios", [s.name for s in scenarios.ALL], "Scenarios to run."
 )
-_POLICIES = flags.DEFINE_list("policies", policies.names(), "Policies to run.")
+_POLICIES = flags.DEFINE_list("policies", registry.names(), "Policies to run.")
 _SECONDS = flags.DEFINE_float(
     "seconds", 300.0, "Virtual seconds of arrivals in each run."
 )
@@ -24,20 +31,19 @@
 
 def main(_) -> None:
     """Runs all plans, prints the tables, writes JSON and plots."""
-    out = pathlib.Path(_OUT.value)
     with concurrent.futures.ProcessPoolExecutor(_WORKERS.value) as pool:
         for deployment in _DEPLOYMENTS.value:
-            _run(deployment, out, pool)
+            _run(deployment, pool)
 
 
-def _run(
-    deployment: str,
-    out: pathlib.Path,
-    pool: concurrent.futures.Executor,
-) -> None:
-    capacities = runs.measure_capacities(deployment, _SEED.value)
-    plans = [
-        runs.Plan(
+def _run(deployment: str, pool: concurrent.futures.Executor) -> None:
+    capacities = plans.measure_capacities(deployment, _SEED.value)
+    # Only this scenario's target looks at the top tier alone.
+    lonely = scenarios.HIGH_PEAK.name
+    cases = [(name, False) for name in _SCENARIOS.value]
+    cases += [(lonely, True)] if lonely in _SCENARIOS.value else []
+    todo = [
+        plans.Plan(
             deployment,
             scenario,
             policy,
@@ -46,20 +52,32 @@
             capacities,
             alone,
         )
-        for alone in (False, True)
-        for scenario in _SCENARIOS.value
+        for scenario, alone in cases
         for policy in _POLICIES.value
     ]
-    summaries = list(pool.map(runs.Plan.run, plans))
-    mixed, alone = summaries[: len(plans) // 2], summaries[len(plans) // 2 :]
+    summaries = list(pool.map(plans.Plan.run, todo))
+    split = len(_SCENARIOS.value) * len(_POLICIES.value)
+    mixed, alone = summaries[:split], summaries[split:]
     rates = ", ".join(f"{name} {r:.2f}" for name, r in capacities.items())
     print(
         f"## {deployment}\n\nCapacity in requests a second: {rates}. "
         f"{_SECONDS.value:g} s of arrivals, seed {_SEED.value}.\n"
     )
     print(results.table(mixed), end="\n\n")
-    print("Top tier alone:\n")
-    print(results.table(alone), end="\n\n", flush=True)
+    if alone:
+        print(f"Top tier alone:\n\n{results.table(alone)}\n")
+    for check in targets.compare(mixed, alone):
+        print(f"- {check}")
+    print(flush=True)
+    _write(deployment, mixed, alone)
+
+
+def _write(
+    deployment: str,
+    mixed: list[results.Summary],
+    alone: list[results.Summary],
+) -> None:
+    out = pathlib.Path(_OUT.value)
     results.write(out / f"{deployment}.json", mixed)
     results.write(out / f"{deployment}-top-tier-alone.json", alone)
     plots.goodput(out / f"{deployment}-goodput.png", deployment, mixed)
--- /dev/null
+++ b/bench/src/baobabmux_bench/nodes.py
@@ -0,0 +1,343 @@
+"""The policy under test: one `NodeScheduler` for each node."""
+
+import collections
+import functools
+
+import msgspec
+
+from baobabmux_bench import engines, loads, policies, runs
+from baobabmux_core import (
+    effects,
+    errors,
+    ids,
+    membership,
+    messages,
+    scheduler,
+    states,
+)
+
+# The intervals at which the node program drives the decisions.
+_TICK_SECONDS = 0.05
+_MEMBERSHIP_SECONDS = 0.1
+_VM_POLL_SECONDS = 1.0
+# The authentication code is part of the control traffic; its length does not
+# depend on the secret.
+_SECRET = b"bench"
+_ENCODER = msgspec.msgpack.Encoder()
+# Milliseconds since 1970, so that frames have the size of real ones.
+_EPOCH_MS = 1_790_000_000_000
+
+
+class _Node:
+    """One node: its view of the members, its decisions and its frames."""
+
+    def __init__(self, name: ids.NodeId, centre: ids.DataCentre, run: runs.Run):
+        self.name = name
+        self.data_centre = centre
+        self.membership = membership.Membership(name, centre, run.now)
+        self.scheduler = scheduler.NodeScheduler(
+            name, centre, self.membership, run.seed
+        )
+        self.incarnation = _EPOCH_MS
+        self.sequence = 0
+
+    def frame(self, body: list[messages.AnyMessage], now: float) -> bytes:
+        """Encodes the messages of one loop turn to one peer."""
+        self.sequence += 1
+        # The hybrid clock packs milliseconds and a 16-bit counter.
+        stamp = (_EPOCH_MS + round(now * 1000)) << 16
+        frame = messages.Frame(
+            self.name, self.incarnation, self.sequence, stamp, tuple(body)
+        )
+        return messages.encode_frame(frame, _SECRET)
+
+
+class Grants(policies.Policy):
+    """Drives the decision code of all nodes as the node program does."""
+
+    name = "baobabmux"
+
+    def __init__(self):
+        self._nodes: dict[ids.NodeId, _Node] = {}
+        self._groups: dict[ids.RequestId, ids.GroupId] = {}
+
+    # What the run tells.
+
+    def start(self, run: runs.Run) -> None:
+        """Starts all nodes."""
+        super().start(run)
+        configuration = run.deployment.configuration()
+        for name, centre in run.deployment.nodes.items():
+            self._nodes[name] = _Node(name, centre, run)
+        for node in self._nodes.values():
+            self._list_vms(node)
+            decided = self._decide(node, "configure", configuration, run.now)
+            self._apply(node, decided)
+            self._tick(node)
+            self._tick_membership(node)
+
+    def submit(self, node: ids.NodeId, request: loads.Request) -> None:
+        """Takes a caller's request at a node."""
+        kind = request.kind
+        work = effects.Work(
+            request=request.request,
+            route=kind.route,
+            service=kind.service,
+            tier=kind.tier,
+            workspace=request.workspace,
+            deadline=request.deadline,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=kind.output_tokens,
+            prefixes=request.prefixes,
+            content=ids.ContentDigest(hash_content(request)),
+            needs_claim=not kind.idempotent,
+            idempotent=kind.idempotent,
+        )
+        self._call(node, "submit", work, self.run.now)
+
+    def abandon(self, node: ids.NodeId, request: ids.RequestId) -> None:
+        """Takes the request back, or tells that it was cancelled."""
+        state = self._nodes[node].scheduler.state(request)
+        running = (
+            states.RequestState.DISPATCHED,
+            states.RequestState.STREAMING,
+        )
+        if state not in running:
+            self._call(node, "cancel", request, self.run.now)
+        elif self.run.records[request].request.kind.idempotent:
+            self._call(
+                node,
+                "finished",
+                request,
+                states.Outcome.CANCELLED,
+                self.run.now,
+            )
+
+    def first_token(self, node: ids.NodeId, request: ids.RequestId) -> None:
+        """Passes the first token on."""
+        self._call(node, "first_token", request, self.run.now)
+
+    def progress(
+        self, node: ids.NodeId, request: ids.RequestId, tokens: int
+    ) -> None:
+        """Passes the output so far on."""
+        self._call(node, "progress", request, tokens, self.run.now)
+
+    def finished(
+        self,
+        node: ids.NodeId,
+        request: ids.RequestId,
+        completion: policies.Completion,
+    ) -> None:
+        """Passes the end of an attempt on."""
+        self._call(
+            node,
+            "finished",
+            request,
+            completion.outcome,
+            self.run.now,
+            computed_tokens=completion.computed_tokens,
+            output_tokens=completion.output_tokens,
+        )
+
+    def load_report(
+        self, endpoint: ids.EndpointId, report: engines.LoadReport
+    ) -> None:
+        """Passes a report to the node that owns the endpoint."""
+        for node in self._owners(endpoint):
+            self._call(
+                node.name,
+                "load_report",
+                endpoint,
+                report.running,
+                report.waiting,
+                report.tokens,
+                report.as_of,
+                self.run.now,
+            )
+
+    def cache_event(
+        self, endpoint: ids.EndpointId, event: engines.CacheEvent
+    ) -> None:
+        """Passes an event to the node that owns the endpoint."""
+        for node in self._owners(endpoint):
+            self._call(
+                node.name,
+                "cache_event",
+                endpoint,
+                "stored" if event.stored else "evicted",
+                event.digest,
+                event.tokens,
+                self.run.now,
+            )
+
+    def node_died(self, node: ids.NodeId) -> None:
+        """Loses a node's state."""
+        del self._nodes[node]
+
+    # Effects.
+
+    def _call(self, name: ids.NodeId, method: str, *args, **kwargs) -> None:
+        """Calls the decision code of a node and carries out the effects."""
+        node = self._nodes.get(name)
+        if node is not None:
+            self._apply(node, self._decide(node, method, *args, **kwargs))
+
+    def _decide(
+        self, node: _Node, method: str, *args, **kwargs
+    ) -> list[effects.Effect]:
+        self.run.control.operations[method] += 1
+        decided = getattr(node.scheduler, method)(*args, **kwargs)
+        for effect in decided:
+            if isinstance(effect, effects.Send):
+                self._note(node, effect.message)
+        return decided
+
+    def _apply(self, node: _Node, decided: list[effects.Effect]) -> None:
+        queue = collections.deque(decided)
+        frames: dict[ids.NodeId, list[messages.AnyMessage]] = {}
+        while queue:
+            match effect := queue.popleft():
+                case effects.Send(to=to) if to == node.name:
+                    queue.extend(self._receive(node, to, effect.message))
+                case effects.Send():
+                    frames.setdefault(effect.to, []).append(effect.message)
+                case effects.Claim():
+                    self._claim(node, effect.request)
+                case effects.Dispatch():
+                    self._dispatch(node, effect)
+                case effects.Refuse():
+                    self.run.refuse(effect.request, effect.kind)
+        for to, body in frames.items():
+            self._send(node, to, body)
+
+    def _dispatch(self, node: _Node, effect: effects.Dispatch) -> None:
+        self.run.control.operations["start_dispatch"] += 1
+        if node.scheduler.start_dispatch(effect.request, self.run.now):
+            self.run.dispatch(effect.request, effect.endpoint)
+
+    def _claim(self, node: _Node, request: ids.RequestId) -> None:
+        """All keys are new, so every claim wins after one append."""
+        self.run.after(
+            runs.CLAIM_SECONDS,
+            lambda: self._call(
+                node.name, "claim_decided", request, True, self.run.now
+            ),
+        )
+
+    def _send(
+        self, node: _Node, to: ids.NodeId, body: list[messages.AnyMessage]
+    ) -> None:
+        control = self.run.control
+        data = node.frame(body, self.run.now)
+        beats = [m for m in body if isinstance(m, messages.Heartbeat)]
+        if len(beats) == len(body):
+            control.heartbeats += len(beats)
+            control.heartbeat_bytes += len(data)
+        else:
+            control.frames += 1
+            control.bytes += len(data)
+            for message in body:
+                name = type(message).__name__
+                control.messages[name] += 1
+                control.message_bytes[name] += len(_ENCODER.encode(message))
+        self.run.after(
+            runs.NETWORK_SECONDS, functools.partial(self._arrive, to, data)
+        )
+
+    def _arrive(self, to: ids.NodeId, data: bytes) -> None:
+        node = self._nodes.get(to)
+        if node is None:
+            return
+        frame = messages.decode_frame(data, _SECRET)
+        now = self.run.now
+        beats = [m for m in frame.messages if isinstance(m, messages.Heartbeat)]
+        node.membership.heard(
+            frame.sender,
+            frame.incarnation,
+            any(beat.leaving for beat in beats),
+            now,
+            beats[0].data_centre if beats else None,
+        )
+        decided = []
+        for message in frame.messages:
+            decided += self._receive(node, frame.sender, message)
+        self._apply(node, decided)
+
+    def _receive(
+        self, node: _Node, sender: ids.NodeId, message: messages.AnyMessage
+    ) -> list[effects.Effect]:
+        if isinstance(message, messages.Ask):
+            self._groups[message.request] = message.group
+        return self._decide(node, "receive", sender, message, self.run.now)
+
+    def _note(self, node: _Node, message: messages.AnyMessage) -> None:
+        """Compares a refusal with what its owner still holds."""
+        if not isinstance(message, messages.Refusal):
+            return
+        group = self._groups[message.request]
+        tier = self.run.records[message.request].request.kind.tier
+        self.run.inversions.shed(
+            node.scheduler.queued_by_tier(group),
+            tier,
+            errors.ErrorKind(message.kind),
+        )
+
+    # Time.
+
+    def _tick(self, node: _Node) -> None:
+        if node.name not in self._nodes:
+            return
+        self.run.control.node_seconds += _TICK_SECONDS
+        self._call(node.name, "tick", self.run.now)
+        self.run.after(_TICK_SECONDS, functools.partial(self._tick, node))
+
+    def _tick_membership(self, node: _Node) -> None:
+        if node.name not in self._nodes:
+            return
+        now = self.run.now
+        if node.membership.tick(now):
+            self._call(node.name, "members_changed", now)
+        for target in node.membership.heartbeat_targets(now):
+            beat = messages.Heartbeat(
+                False, 1, node.scheduler.loads(now, target), node.data_centre
+            )
+            self._send(node, target, [beat])
+        self.run.after(
+            _MEMBERSHIP_SECONDS, functools.partial(self._tick_membership, node)
+        )
+
+    def _list_vms(self, node: _Node) -> None:
+        if node.name not in self._nodes:
+            return
+        deployment = self.run.deployment
+        entries = [
+            membership.VmEntry(
+                name, "node", deployment.nodes[name], "live", "127.0.0.1:1"
+            )
+            for name in self.run.listed
+        ]
+        entries += [
+            membership.VmEntry(
+                replica.declared.vm, "endpoint", replica.declared.data_centre
+            )
+            for replica in deployment.replicas.values()
+        ]
+        node.membership.vm_list(entries, self.run.now, self.run.now)
+        self.run.after(
+            _VM_POLL_SECONDS, functools.partial(self._list_vms, node)
+        )
+
+    def _owners(self, endpoint: ids.EndpointId) -> list[_Node]:
+        return [
+            node
+            for node in self._nodes.values()
+            if endpoint in node.scheduler.owned_endpoints()
+        ]
+
+
+def hash_content(request: loads.Request) -> int:
+    """Returns a 64-bit number that stands for the request's content."""
+    digits = request.request.rpartition("-")[2]
+    # An odd multiplier spreads the numbers over all 64 bits, as digests are.
+    return int(digits, 16) * 0x9E3779B97F4A7C15 % 2**64
--- a/bench/src/baobabmux_bench/policies.py
+++ b/bench/src/baobabmux_bench/policies.py
@@ -186,7 +186,6 @@
         service = request.kind.service
         queue = self._queues[node, service]
         queue.append(request)
-        self.run.held.hold(service, request.request, request.kind.tier)
         if len(queue) > _QUEUE_REQUESTS // len(self._members):
             shed = max(queue, key=lambda r: (r.kind.tier, r.arrival))
             self._refuse(node, shed, errors.ErrorKind.OVERLOADED)
@@ -211,10 +210,8 @@
 
     def node_died(self, node: ids.NodeId) -> None:
         """Loses a node's queue."""
-        for (holder, service), queue in self._queues.items():
+        for (holder, _), queue in self._queues.items():
             if holder == node:
-                for request in queue:
-                    self.run.held.drop(service, request.request)
                 queue.clear()
 
     def vm_list(self) -> None:
@@ -246,7 +243,6 @@
                 self._refuse(node, request, kind)
                 continue
             queue.pop(0)
-            self.run.held.drop(service, request.request)
             self._outstanding[node, endpoint] += 1
             self._placed[request.request] = endpoint
             for part in request.prefixes:
@@ -297,14 +293,20 @@
         kind: errors.ErrorKind,
     ) -> None:
         self._unqueue(node, request)
-        self.run.held.shed(request.kind.service, request.kind.tier, kind)
+        # All nodes' queues for a service together are the group.
+        held = collections.Counter(
+            waiting.kind.tier
+            for (_, service), queue in self._queues.items()
+            if service == request.kind.service
+            for waiting in queue
+        )
+        self.run.inversions.shed(held, request.kind.tier, kind)
         self.run.refuse(request.request, kind)
 
     def _unqueue(self, node: ids.NodeId, request: loads.Request) -> None:
         queue = self._queues[node, request.kind.service]
         if request in queue:
             queue.remove(request)
-        self.run.held.drop(request.kind.service, request.request)
 
     def _end(self, node: ids.NodeId, request: ids.RequestId) -> None:
         endpoint = self._placed.pop(request, None)
@@ -314,22 +316,3 @@
         service = self.run.records[request].request.kind.service
         # The engine frees the slot when the cancellation reaches it.
         self.run.after(0.0, functools.partial(self._pump, node, service))
-
-
-_POLICIES: dict[str, type[Policy]] = {
-    policy.name: policy for policy in (RandomChoice, LeastOutstanding, Shares)
-}
-
-
-def names() -> list[str]:
-    """Returns the names of all policies."""
-    return list(_POLICIES)
-
-
-def by_name(name: str) -> Policy:
-    """Returns a new policy of a name.
-
-    Raises:
-        KeyError: There is no such policy.
-    """
-    return _POLICIES[name]()
--- /dev/null
+++ b/bench/src/baobabmux_bench/registry.py
@@ -0,0 +1,27 @@
+"""Policies by name."""
+
+from baobabmux_bench import nodes, policies
+
+_POLICIES: dict[str, type[policies.Policy]] = {
+    policy.name: policy
+    for policy in (
+        policies.RandomChoice,
+        policies.LeastOutstanding,
+        policies.Shares,
+        nodes.Grants,
+    )
+}
+
+
+def names() -> list[str]:
+    """Returns the names of all policies."""
+    return list(_POLICIES)
+
+
+def create(name: str) -> policies.Policy:
+    """Returns a new policy of a name.
+
+    Raises:
+        KeyError: There is no such policy.
+    """
+    return _POLICIES[name]()
--- a/bench/src/baobabmux_bench/results.py
+++ b/bench/src/baobabmux_bench/results.py
@@ -14,6 +14,10 @@
 # Histograms hold milliseconds up to ten minutes with 3 digits.
 _MAX_MS = 600_000
 _DIGITS = 3
+# Calls that time and endpoints cause, not requests.
+_PERIODIC = frozenset(
+    {"cache_event", "configure", "load_report", "members_changed", "tick"}
+)
 
 
 class Ending(enum.Enum):
@@ -51,15 +55,9 @@
     computed_tokens: int = 0
     repeated_tokens: int = 0
 
-    def wasted_tokens(self) -> int:
-        """Returns the prompt tokens computed in vain or once too often."""
-        if self.ending is Ending.GOOD:
-            return self.repeated_tokens
-        return self.computed_tokens
-
 
-class HeldTiers:
-    """Which requests wait in which group, to find tier inversions.
+class Inversions:
+    """Refusals of a tier while a lower one is held.
 
     Attributes:
         inversions: Requests shed as overload while a request of a lower tier
@@ -73,25 +71,18 @@
     def __init__(self):
         self.inversions = 0
         self.deadline_inversions = 0
-        self._held: dict[str, dict[ids.RequestId, int]] = (
-            collections.defaultdict(dict)
-        )
-
-    def hold(self, group: str, request: ids.RequestId, tier: int) -> None:
-        """Notes that a request waits in a group."""
-        self._held[group][request] = tier
-
-    def drop(self, group: str, request: ids.RequestId) -> int | None:
-        """Notes that a request no longer waits; returns its tier."""
-        return self._held[group].pop(request, None)
 
-    def clear(self, group: str) -> None:
-        """Notes that a group's queue is gone."""
-        self._held.pop(group, None)
-
-    def shed(self, group: str, tier: int, kind: errors.ErrorKind) -> None:
-        """Counts a refusal; call after dropping the request itself."""
-        if not any(held > tier for held in self._held[group].values()):
+    def shed(
+        self, held: dict[int, int], tier: int, kind: errors.ErrorKind
+    ) -> None:
+        """Counts a refusal.
+
+        Args:
+            held: Requests that still wait in the group, by tier rank.
+            tier: Rank of the refused request.
+            kind: Why it is refused.
+        """
+        if not any(count and rank > tier for rank, count in held.items()):
             return
         if kind is errors.ErrorKind.OVERLOADED:
             self.inversions += 1
@@ -104,16 +95,21 @@
 
     Attributes:
         messages: Messages between nodes by type, without heartbeats.
+        message_bytes: Their encoded bytes by type, without frames.
         frames: Frames that carried them.
         bytes: Encoded bytes of these frames.
         heartbeats: Heartbeat messages.
         heartbeat_bytes: Encoded bytes of frames with nothing else.
         operations: Calls into the decision code by name.
+        node_seconds: Seconds of all nodes together.
     """
 
     messages: dict[str, int] = msgspec.field(
         default_factory=lambda: collections.defaultdict(int)
     )
+    message_bytes: dict[str, int] = msgspec.field(
+        default_factory=lambda: collections.defaultdict(int)
+    )
     frames: int = 0
     bytes: int = 0
     heartbeats: int = 0
@@ -121,6 +117,7 @@
     operations: dict[str, int] = msgspec.field(
         default_factory=lambda: collections.defaultdict(int)
     )
+    node_seconds: float = 0.0
 
 
 class TierSummary(msgspec.Struct, frozen=True):
@@ -134,6 +131,9 @@
         refused: Requests refused.
         lost: Requests lost with a node or endpoint.
         first_token_ms: Percentiles of the time to the first token.
+        computed_tokens: Prompt tokens computed.
+        repeated_tokens: Those computed again for good answers.
+        missed_tokens: Those computed for answers that were not good.
     """
 
     tier: str
@@ -143,6 +143,9 @@
     refused: int
     lost: int
     first_token_ms: dict[str, int]
+    computed_tokens: int
+    repeated_tokens: int
+    missed_tokens: int
 
     def goodput(self) -> float:
         """Returns the share of good answers among the submitted."""
@@ -168,11 +171,9 @@
         seconds: Length of the arrivals.
         tiers: Figures by tier, the highest first.
         refusals: Refusals by kind.
-        computed_tokens: Prompt tokens computed.
-        wasted_tokens: Prompt tokens computed in vain or once too often.
         repeated_dispatches: Requests written to endpoints more than once.
-        inversions: Tier inversions, see `HeldTiers`.
-        deadline_inversions: See `HeldTiers`.
+        inversions: Tier inversions, see `Inversions`.
+        deadline_inversions: See `Inversions`.
         control: Traffic and work of control.
     """
 
@@ -184,8 +185,6 @@
     seconds: float
     tiers: tuple[TierSummary, ...]
     refusals: dict[str, RefusalSummary]
-    computed_tokens: int
-    wasted_tokens: int
     repeated_dispatches: int
     inversions: int
     deadline_inversions: int
@@ -195,6 +194,10 @@
         """Returns the number of requests submitted."""
         return sum(tier.submitted for tier in self.tiers)
 
+    def wasted_tokens(self) -> int:
+        """Returns the prompt tokens computed in vain or once too often."""
+        return sum(t.repeated_tokens + t.missed_tokens for t in self.tiers)
+
     def control_bytes(self) -> float:
         """Returns the control bytes for each request, no heartbeats."""
         return self.control.bytes / max(1, self.submitted())
@@ -205,15 +208,20 @@
         return count / max(1, self.submitted())
 
     def operations(self) -> float:
-        """Returns the decision calls for each request, ticks left out."""
+        """Returns the decision calls that requests cause, for each request."""
         calls = self.control.operations
-        count = sum(n for name, n in calls.items() if name != "tick")
+        count = sum(n for name, n in calls.items() if name not in _PERIODIC)
         return count / max(1, self.submitted())
 
+    def node_bytes(self) -> float:
+        """Returns the control bytes a second of a node, with heartbeats."""
+        total = self.control.bytes + self.control.heartbeat_bytes
+        return total / self.control.node_seconds if total else 0.0
+
 
 def summarise(
     records: list[Record],
-    held: HeldTiers,
+    inversions: Inversions,
     control: Control,
     tier_names: dict[int, str],
     **labels,
@@ -222,7 +230,7 @@
 
     Args:
         records: All requests of the run.
-        held: Tier inversions.
+        inversions: Tier inversions.
         control: Traffic and work of control.
         tier_names: Name of each rank.
         **labels: Fields of `Summary` that identify the run.
@@ -246,11 +254,9 @@
             kind: RefusalSummary(len(times), percentiles(times))
             for kind, times in sorted(refused.items())
         },
-        computed_tokens=sum(r.computed_tokens for r in records),
-        wasted_tokens=sum(r.wasted_tokens() for r in records),
         repeated_dispatches=sum(r.dispatches > 1 for r in records),
-        inversions=held.inversions,
-        deadline_inversions=held.deadline_inversions,
+        inversions=inversions.inversions,
+        deadline_inversions=inversions.deadline_inversions,
         control=control,
         **labels,
     )
@@ -281,9 +287,10 @@
         f"{names[0]} first token p50/p95/p99 ms",
         "refused",
         "refused after p50/p95 ms",
-        "wasted prefill tokens",
+        "wasted prefill tokens (again + missed)",
         "control messages",
         "control bytes",
+        "bytes/s of a node",
         "operations",
         "inversions",
     ]
@@ -313,6 +320,13 @@
         refused=endings[Ending.REFUSED],
         lost=endings[Ending.LOST],
         first_token_ms=percentiles(waits),
+        computed_tokens=sum(r.computed_tokens for r in records),
+        repeated_tokens=sum(
+            r.repeated_tokens for r in records if r.ending is Ending.GOOD
+        ),
+        missed_tokens=sum(
+            r.computed_tokens for r in records if r.ending is not Ending.GOOD
+        ),
     )
 
 
@@ -328,13 +342,20 @@
         _join([slowest.after_ms["p50"], slowest.after_ms["p95"]])
         if slowest
         else "-",
-        str(summary.wasted_tokens),
+        _wasted(summary),
         f"{summary.control_messages():.1f}",
         f"{summary.control_bytes():.0f}",
+        f"{summary.node_bytes():.0f}",
         f"{summary.operations():.1f}",
         f"{summary.inversions} ({summary.deadline_inversions})",
     ]
 
 
+def _wasted(summary: Summary) -> str:
+    again = sum(tier.repeated_tokens for tier in summary.tiers)
+    missed = sum(tier.missed_tokens for tier in summary.tiers)
+    return f"{again + missed} ({again} + {missed})"
+
+
 def _join(values) -> str:
     return "/".join(str(value) for value in values) or "-"
--- a/bench/src/baobabmux_bench/runs.py
+++ b/bench/src/baobabmux_bench/runs.py
@@ -6,8 +6,6 @@
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from baobabmux_bench import (
     deployments,
     engines,
@@ -28,6 +26,9 @@
 _CACHE_EVENT_LOSS = 0.1
 # The VM list names a dead VM for this long (assumption).
 _VM_LIST_LAG_SECONDS = 5.0
+# Nodes start this long before the first arrival, so that they have heard each
+# other.
+_START_SECONDS = 5.0
 # Latency of one append to the log service and its read back (assumption).
 CLAIM_SECONDS = 0.02
 
@@ -47,7 +48,8 @@
         nodes: Nodes alive.
         engines: Endpoints by identifier.
         records: What happened to each request.
-        held: Requests that wait, by group.
+        inversions: Tier inversions.
+        listed: Nodes that the VM list names.
         control: Traffic and work of control.
     """
 
@@ -65,7 +67,7 @@
         self.policy = policy
         self.seconds = seconds
         self.seed = seed
-        self.now = 0.0
+        self.now = -_START_SECONDS
         self.draw = random.Random(f"{seed}/policy")
         self.nodes = list(deployment.nodes)
         self.engines = {
@@ -78,9 +80,11 @@
             for name, replica in deployment.replicas.items()
         }
         self.records: dict[ids.RequestId, results.Record] = {}
-        self.held = results.HeldTiers()
+        self.inversions = results.Inversions()
+        self.listed = list(deployment.nodes)
         self.control = results.Control()
         self._requests = requests
+        self._open = 0
         self._faults = random.Random(f"{seed}/faults")
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -93,11 +97,10 @@
         for request in self._requests:
             self.at(request.arrival, functools.partial(self._arrive, request))
         self._schedule_faults()
-        self.after(_REPORT_SECONDS, self._report)
+        self.at(0.0, self._report)
         self.policy.start(self)
-        end = max((r.deadline for r in self._requests), default=0.0)
-        # A little longer, so that work which callers left comes to its end.
-        while self._heap and self._heap[0][0] <= end + 1.0:
+        last = max((r.arrival for r in self._requests), default=0.0)
+        while self.now <= last or self._open:
             self.now, _, call = heapq.heappop(self._heap)
             call()
         return self._summary()
@@ -142,6 +145,7 @@
         # tries the next; so only live nodes get requests.
         node = self.nodes[int(request.node_draw * len(self.nodes))]
         self.records[request.request] = results.Record(request, node)
+        self._open += 1
         self.at(
             request.deadline, functools.partial(self._leave, request.request)
         )
@@ -160,6 +164,7 @@
             )
 
     def _end(self, record: results.Record, ending: results.Ending) -> None:
+        self._open -= 1
         record.ending = ending
         record.ended = self.now
 
@@ -311,17 +316,18 @@
                     NETWORK_SECONDS,
                     functools.partial(self._cancel, record.request.request),
                 )
-        self.after(_VM_LIST_LAG_SECONDS, self.policy.vm_list)
+        self.after(_VM_LIST_LAG_SECONDS, functools.partial(self._unlist, node))
+
+    def _unlist(self, node: ids.NodeId) -> None:
+        self.listed.remove(node)
+        self.policy.vm_list()
 
     def _summary(self) -> results.Summary:
-        for record in self.records.values():
-            if record.ending is None:
-                self._end(record, results.Ending.LATE)
         names = {r: n for n, r in self.deployment.tiers.items()}
         present = {r.kind.tier for r in self._requests}
         return results.summarise(
             list(self.records.values()),
-            self.held,
+            self.inversions,
             self.control,
             {rank: names[rank] for rank in present},
             deployment=self.deployment.name,
@@ -331,54 +337,3 @@
             seed=self.seed,
             seconds=self.seconds,
         )
-
-
-class Plan(msgspec.Struct, frozen=True):
-    """What to run; sent whole to a worker process.
-
-    Attributes:
-        deployment: Name of the deployment.
-        scenario: Name of the scenario.
-        policy: Name of the policy.
-        seconds: Length of the arrivals.
-        seed: Seed of all draws.
-        capacities: Measured capacity of each service.
-        top_tier_alone: Whether only the top tier's requests arrive.
-    """
-
-    deployment: str
-    scenario: str
-    policy: str
-    seconds: float
-    seed: int
-    capacities: dict[ids.ServiceName, float]
-    top_tier_alone: bool = False
-
-    def run(self) -> results.Summary:
-        """Runs the plan."""
-        deployment = deployments.by_name(self.deployment)
-        scenario = scenarios.by_name(self.scenario)
-        requests = scenarios.requests(
-            deployment, scenario, self.capacities, self.seconds, self.seed
-        )
-        if self.top_tier_alone:
-            requests = [r for r in requests if r.kind.tier == 0]
-        return Run(
-            deployment,
-            scenario,
-            policies.by_name(self.policy),
-            requests,
-            self.seconds,
-            self.seed,
-        ).execute()
-
-
-def measure_capacities(
-    deployment: str, seed: int
-) -> dict[ids.ServiceName, float]:
-    """Returns the capacity of each service of a deployment."""
-    where = deployments.by_name(deployment)
-    return {
-        service: scenarios.capacity(where, service, seed)
-        for service in where.services()
-    }
--- a/bench/src/baobabmux_bench/scenarios.py
+++ b/bench/src/baobabmux_bench/scenarios.py
@@ -9,6 +9,7 @@
 # which batches and caches fill.
 _CAPACITY_SECONDS = 600.0
 _WARM_UP_SECONDS = 120.0
+_SAMPLE_REQUESTS = 20_000
 
 
 class Scenario(msgspec.Struct, frozen=True):
@@ -98,7 +99,9 @@
         Completed requests a second, in virtual time.
     """
     kinds = tuple(k for k in deployment.kinds if k.service == service)
-    pool = iter(loads.sample(kinds, deployment.workspaces, 100_000, seed))
+    pool = iter(
+        loads.sample(kinds, deployment.workspaces, _SAMPLE_REQUESTS, seed)
+    )
     finished = 0
     for name in deployment.endpoints(service):
         replica = deployment.replicas[name]
--- a/bench/tests/runs_test.py
+++ b/bench/tests/runs_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from baobabmux_bench import deployments, loads, policies, runs, scenarios
+from baobabmux_bench import deployments, loads, plans, registry, scenarios
 
 _CAPACITIES = {
     "kelaniya": {"drafting": 8.0, "desk": 6.0},
@@ -11,19 +11,19 @@
 
 
 def _plan(deployment, scenario, policy, seconds=20.0, seed=3):
-    return runs.Plan(
+    return plans.Plan(
         deployment, scenario, policy, seconds, seed, _CAPACITIES[deployment]
     )
 
 
-@pytest.mark.parametrize("policy", policies.names())
+@pytest.mark.parametrize("policy", registry.names())
 @pytest.mark.parametrize("deployment", list(_CAPACITIES))
 def test_a_seed_gives_the_same_figures(deployment, policy):
     plan = _plan(deployment, "owner-killed", policy)
     assert plan.run() == plan.run()
 
 
-@pytest.mark.parametrize("policy", policies.names())
+@pytest.mark.parametrize("policy", registry.names())
 def test_every_request_ends_once_and_is_dispatched_at_most_once(policy):
     summary = _plan("kelaniya", "owner-killed", policy).run()
     for tier in summary.tiers:
