--- a/bench/src/baobabmux_bench/main.py
+++ b/bench/src/baobabmux_bench/main.py
@@ -6,12 +6,12 @@
 from absl import app, flags
 
 from baobabmux_bench import (
+    bounds,
     plans,
     plots,
     registry,
     results,
     scenarios,
-    targets,
 )
 
 _DEPLOYMENTS = flags.DEFINE_list(
@@ -66,7 +66,7 @@
     print(results.table(mixed), end="\n\n")
     if alone:
         print(f"Top tier alone:\n\n{results.table(alone)}\n")
-    for check in targets.compare(mixed, alone):
+    for check in bounds.compare(mixed, alone):
         print(f"- {check}")
     print(flush=True)
     _write(deployment, mixed, alone)
--- a/bench/tests/targets_test.py
+++ b/bench/tests/bounds_test.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from baobabmux_bench import nodes, plans, policies, scenarios, targets
+from baobabmux_bench import bounds, nodes, plans, policies, scenarios
 
 _SEED = 1
 _WORKERS = 4
@@ -64,13 +64,14 @@
     return plans.measure_capacities(deployment, _SEED)
 
 
-@functools.cache
-def _pool():
-    return concurrent.futures.ProcessPoolExecutor(_WORKERS)
+@pytest.fixture(scope="module")
+def pool():
+    with concurrent.futures.ProcessPoolExecutor(_WORKERS) as executor:
+        yield executor
 
 
 @functools.cache
-def _checks(deployment, case):
+def _checks(pool, deployment, case):
     todo = [
         plans.Plan(
             deployment,
@@ -84,8 +85,8 @@
         for scenario, alone, names in _CASES[case]
         for policy in names
     ]
-    summaries = list(_pool().map(plans.Plan.run, todo))
-    return targets.compare(
+    summaries = list(pool.map(plans.Plan.run, todo))
+    return bounds.compare(
         [
             s
             for plan, s in zip(todo, summaries, strict=True)
@@ -101,10 +102,10 @@
 
 @pytest.mark.parametrize(("case", "name"), _TARGETS)
 @pytest.mark.parametrize("deployment", ["kelaniya", "lone-star"])
-def test_target(deployment, case, name):
+def test_bound(pool, deployment, case, name):
     checks = [
         check
-        for check in _checks(deployment, case)
+        for check in _checks(pool, deployment, case)
         if check.name == name and check.scenario == case
     ]
     assert len(checks) == 1
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -15,15 +15,26 @@
 
 OwnerOf = Callable[[ids.GroupId], ids.NodeId | None]
 
-# An unanswered Ask is repeated; the interval doubles because most requests
-# without an answer are queued, not lost.
-_FIRST_REPEAT_SECONDS = 1.0
+# A request that still waits after this share of its time, and at least this
+# long, may move to another data centre; less would move requests that are
+# about to be granted, away from their cached prefixes.
+_MOVE_SHARE = 0.05
+_MOVE_SECONDS = 0.25
+
+# An unanswered Ask is repeated after this share of the request's time, within
+# these bounds; the interval doubles because most requests without an answer
+# are queued, not lost.
+_REPEAT_SHARE = 0.1
+_MIN_REPEAT_SECONDS = 0.5
+_FIRST_REPEAT_SECONDS = 2.0
 _MAX_REPEAT_SECONDS = 8.0
 # Progress is reported at least this often, so that a slowdown is known within
 # seconds.
 _PROGRESS_SECONDS = 2.0
+# Shorter streams end before their progress would tell anything new.
+_FIRST_PROGRESS_SECONDS = 4.0
 # A lost Release occupies a slot for at most about one interval.
-_REGISTER_SECONDS = 5.0
+_REGISTER_SECONDS = 8.0
 # Registers that say "nothing in flight", against their loss.
 _EMPTY_REGISTERS = 3
 # A longer gap between ticks means that the process was paused: owners have
@@ -55,7 +66,10 @@
         endpoint: Endpoint that was granted, or None.
         arrival: Time of submission in seconds.
         deadline: Latest end in seconds.
+        home: Group that it asked first.
         spilled: Whether it has asked another data centre.
+        returns: Whether it asks its home group again when the other data
+            centre refuses it, because its home group did not.
     """
 
     __slots__ = (
@@ -68,11 +82,13 @@
         "failures",
         "first_token",
         "group",
+        "home",
         "lease_end",
         "owner",
         "progressed",
         "repeat",
         "reported",
+        "returns",
         "spilled",
         "state",
         "tokens",
@@ -89,14 +105,16 @@
         self.work = work
         self.state = states.RequestState.RECEIVED
         self.group = group
+        self.home = group
         self.owner: ids.NodeId | None = None
         self.endpoint: ids.EndpointId | None = None
         self.arrival = now
         self.deadline = deadline
         self.spilled = False
+        self.returns = False
         self.claimed = False
         self.ask_at = now
-        self.repeat = _FIRST_REPEAT_SECONDS
+        self.repeat = self.first_repeat()
         self.lease_end = 0.0
         self.failures = 0
         self.dispatched = 0.0
@@ -105,6 +123,11 @@
         self.reported = 0.0
         self.progressed = 0.0
 
+    def first_repeat(self) -> float:
+        """Returns the seconds until an ask is repeated the first time."""
+        share = _REPEAT_SHARE * (self.deadline - self.arrival)
+        return min(_FIRST_REPEAT_SECONDS, max(_MIN_REPEAT_SECONDS, share))
+
 
 class Holder:
     """Keeps requests from submission to their end and asks for grants.
@@ -113,10 +136,17 @@
         held: Requests that have not ended, by identifier.
     """
 
-    def __init__(self, node: ids.NodeId, owner_of: OwnerOf, seed: int):
+    def __init__(
+        self,
+        node: ids.NodeId,
+        owner_of: OwnerOf,
+        local_group: Callable[[effects.Work], ids.GroupId | None],
+        seed: int,
+    ):
         self.node = node
         self.held: dict[ids.RequestId, Held] = {}
         self._owner_of = owner_of
+        self._local_group = local_group
         self._generator = random.Random(seed)
         self._budget = retries.RetryBudget()
         self._registers: dict[ids.GroupId, int] = {}
@@ -294,13 +324,14 @@
         ):
             return []
         kind = errors.ErrorKind(refusal.kind)
-        if kind is not errors.ErrorKind.QUARANTINED and not held.spilled:
-            group = spill(held)
+        if kind is not errors.ErrorKind.QUARANTINED:
+            if held.returns:
+                held.returns = False
+                return self._ask_group(held, held.home, now)
+            group = None if held.spilled else spill(held)
             if group is not None:
                 held.spilled = True
-                held.group = group
-                held.repeat = _FIRST_REPEAT_SECONDS
-                return self._ask(held, now)
+                return self._ask_group(held, group, now)
         return self._refuse(
             held, kind, refusal.retry_after_ms / 1000, withdraw=False
         )
@@ -322,6 +353,23 @@
                 held.owner = owner
         return found
 
+    def leave_group(
+        self, group: ids.GroupId, now: float
+    ) -> list[effects.Effect]:
+        """Asks the local group for what waits for one out of reach."""
+        found = []
+        for held in list(self.held.values()):
+            if held.group != group or (
+                held.state is not states.RequestState.QUEUED
+            ):
+                continue
+            local = self._local_group(held.work)
+            if local is not None and local != group:
+                held.returns = False
+                held.home = local
+                found += self._ask_group(held, local, now)
+        return found
+
     def groups(self) -> set[ids.GroupId]:
         """Returns the groups that hold requests of this node."""
         return {held.group for held in self.held.values()}
@@ -348,8 +396,16 @@
         )
         return [effects.Send(owner, messages.Register(group, in_flight))]
 
-    def tick(self, now: float) -> list[effects.Effect]:
-        """Repeats unanswered asks, refuses what is late, reports progress."""
+    def tick(
+        self, now: float, better: Callable[[Held], ids.GroupId | None]
+    ) -> list[effects.Effect]:
+        """Repeats unanswered asks, refuses what is late, reports progress.
+
+        Args:
+            now: Current time in seconds.
+            better: Returns a group of another data centre with a much
+                shorter wait for a request, or None.
+        """
         paused = self._last_tick is not None and (
             now - self._last_tick > _PAUSE_SECONDS
         )
@@ -357,6 +413,8 @@
         found = []
         for held in list(self.held.values()):
             found += self._check(held, paused, now)
+            if self._may_move(held, now) and (group := better(held)):
+                found += self._move(held, group, now)
         if now >= self._register_at:
             self._register_at = now + _REGISTER_SECONDS
             found += self._register_all(now)
@@ -400,8 +458,33 @@
                 self._registers[group] = left - 1
         return found
 
+    def _may_move(self, held: Held, now: float) -> bool:
+        if held.state is not states.RequestState.QUEUED or held.spilled:
+            return False
+        whole = held.deadline - held.arrival
+        patience = max(_MOVE_SECONDS, _MOVE_SHARE * whole)
+        return now - held.arrival >= patience
+
+    def _move(
+        self, held: Held, group: ids.GroupId, now: float
+    ) -> list[effects.Effect]:
+        held.spilled = True
+        held.returns = True
+        found: list[effects.Effect] = []
+        if held.owner is not None:
+            withdraw = messages.Withdraw(held.group, held.work.request)
+            found.append(effects.Send(held.owner, withdraw))
+        return found + self._ask_group(held, group, now)
+
     # Steps.
 
+    def _ask_group(
+        self, held: Held, group: ids.GroupId, now: float
+    ) -> list[effects.Effect]:
+        held.group = group
+        held.repeat = held.first_repeat()
+        return self._ask(held, now)
+
     def _ask(self, held: Held, now: float) -> list[effects.Effect]:
         work = held.work
         previous = held.owner
@@ -411,7 +494,7 @@
         if held.owner is None:
             return []
         if held.owner != previous:
-            held.repeat = _FIRST_REPEAT_SECONDS
+            held.repeat = held.first_repeat()
         remaining = max(0, round((held.deadline - now) * 1000))
         ask = messages.Ask(
             held.group,
@@ -439,7 +522,7 @@
         held.state = states.RequestState.QUEUED
         held.endpoint = None
         held.ask_at = now
-        held.repeat = _FIRST_REPEAT_SECONDS
+        held.repeat = held.first_repeat()
 
     def _retry(self, held: Held, now: float) -> list[effects.Effect]:
         held.failures += 1
@@ -516,9 +599,11 @@
         return effects.Send(owner, message)
 
     def _report(self, held: Held, now: float) -> list[effects.Effect]:
-        if now - held.reported < _PROGRESS_SECONDS or (
-            held.first_token is None
-        ):
+        if held.first_token is None:
+            return []
+        if now - held.first_token < _FIRST_PROGRESS_SECONDS:
+            return []
+        if now - held.reported < _PROGRESS_SECONDS:
             return []
         held.reported = now
         owner = self._owner_of(held.group)
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/explain.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/explain.py
@@ -74,15 +74,9 @@
         """Prints the story."""
         request = self._exactly(arguments, "request")
         addresses = self._node_addresses()
-        answers = nodes.timelines(addresses, request=request)
+        answers = nodes.request_timelines(addresses, request)
         nodes.require_some(answers)
         found = timelines.merged(answers)
-        # The caller's identifier is known to the holder only; the others
-        # know the request by the holder's.
-        names = {event.request for event in found} - {request, ""}
-        for name in sorted(names):
-            more = nodes.timelines(addresses, request=name)
-            found = timeline.merge([found, timelines.merged(more)])
         if not found:
             raise exits.CommandError(
                 exits.ExitCode.FAILED,
@@ -215,7 +209,12 @@
             status, line = _ended(
                 str(event.fields.get("outcome")), event.endpoint
             )
-            return status, f"{line} {lost}".strip()
+            if lost:
+                line += (
+                    " Its holder fell silent; no node that answered knows "
+                    "whether the caller received the whole answer."
+                )
+            return status, line
         if event.kind == _Kind.REFUSAL_SENT.number:
             # The holder may have asked elsewhere before it was lost.
             status = (
--- a/packages/baobabmux-ctl/tests/nodes_test.py
+++ b/packages/baobabmux-ctl/tests/nodes_test.py
@@ -172,6 +172,13 @@
     assert len(lines) == 6
 
 
+def test_timeline_of_a_callers_identifier_has_the_whole_life(start, capsys):
+    """Guards against a filter that finds only the arrival of a request."""
+    nodes = f"{start('a2', _OWNER_EVENTS)},{start('a1', _HOLDER_EVENTS)}"
+    assert _run("timeline", "--nodes", nodes, "--request", "order-7") == 0
+    assert len(capsys.readouterr().out.splitlines()) == 5
+
+
 def test_since_takes_spans_and_times():
     """Guards against a filter that hides the events asked for."""
     assert timelines.parse_since("5m", 1000.0) == 700_000
@@ -183,3 +190,20 @@
     """Guards against a drain that silently does nothing."""
     assert _run("drain", "e9", "--nodes", start("a1")) == 2
     assert "e9 is not declared" in capsys.readouterr().err
+
+
+def test_reported_end_outlives_the_holder():
+    """Guards against "lost" for a request whose end the owner knows."""
+    end = _event(
+        95,
+        _Kind.RELEASE_RECEIVED,
+        "a2",
+        "r1",
+        "e1",
+        holder="a1",
+        outcome="completed",
+    )
+    own = [*_OWNER_EVENTS[:2], end]
+    story = explain.tell("r1", own, _OWNER_EVENTS)
+    assert story.run_status == "done"
+    assert "whether the caller received" in story.conclusion
