Report only progress that is news; check few workspaces at a time

Cause: at the target size a request cost 660 control bytes (holder 506, owner 97, registers 57), above the bound of 450, mostly progress of ordinary streams; and an owner's tick took time in proportion to the square of the waiting workspaces (6.0 ms with 400 queued).

Change: a stream at its endpoint's usual rate reports after 8 s, one slower than 0.6 of it after 2 s; each check looks at the last requests of 8 workspaces.

--- a/packages/baobabmux-core/src/baobabmux_core/capacity.py
+++ b/packages/baobabmux-core/src/baobabmux_core/capacity.py
@@ -29,8 +29,8 @@
 # learned rate is that of a batch of one, so that it does not follow the load.
 _BATCH_COST = 0.05
 # A stream without any report for this long, beyond what was predicted, is
-# stalled: holders report every 2 seconds.
-_STALL_SECONDS = 6.0
+# stalled: holders report after 8 seconds at the latest, then every 2 seconds.
+_STALL_SECONDS = 12.0
 _STALL_FACTOR = 3.0
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -122,6 +122,7 @@
         self._order: list[tuple[float, int]] = []
         self._entries: dict[ids.RequestId, QueueEntry] = {}
         self._virtual = 0.0
+        self._round = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -218,11 +219,21 @@
             if (other := self._shares[name]) is not share
         )
 
-    def last(self) -> list[QueueEntry]:
-        """Returns the request with the latest deadline of each workspace."""
+    def last(self, limit: int) -> list[QueueEntry]:
+        """Returns the requests with the latest deadlines of workspaces.
+
+        Successive calls go round the workspaces, `limit` of them each time.
+        """
+        count = len(self._order)
+        first = self._round % count if count else 0
+        self._round = first + limit
+        chosen = [
+            self._order[(first + step) % count][1]
+            for step in range(min(limit, count))
+        ]
         return [
             items[-1][1]
-            for _, workspace in self._order
+            for workspace in chosen
             for items in self._shares[workspace].classes
             if items
         ]
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -45,6 +45,9 @@
 _ORPHAN_SECONDS = 1.0
 # Slow checks of rates and backlog happen this often.
 _CHECK_SECONDS = 0.5
+# Workspaces whose last requests are checked at a time; a check takes time in
+# proportion to all waiting workspaces.
+_CHECKED_WORKSPACES = 8
 # Share of refused requests at which the whole margin on service times is
 # kept, and the weight of one request in that share.
 _PRESSURE = 0.1
@@ -584,7 +587,7 @@
         """Refuses what the backlog ahead keeps from ending in time."""
         refused = []
         for queue in list(self._tiers.values()):
-            for entry in queue.last():
+            for entry in queue.last(_CHECKED_WORKSPACES):
                 wait = self._wait_of(entry, now)
                 late = now + wait - entry.latest_start
                 if late > 0.0:
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -31,8 +31,15 @@
 # Progress is reported at least this often, so that a slowdown is known within
 # seconds.
 _PROGRESS_SECONDS = 2.0
-# Shorter streams end before their progress would tell anything new.
-_FIRST_PROGRESS_SECONDS = 4.0
+# A stream at its endpoint's usual rate tells nothing new until it is this old;
+# a slower one reports at once, one at an endpoint without a known rate between
+# them. Otherwise progress alone exceeds the control bytes of a request.
+_FIRST_PROGRESS_SECONDS = 8.0
+_UNKNOWN_PROGRESS_SECONDS = 4.0
+_SLOW_SHARE = 0.6
+# Weight of one stream in the usual rate of its endpoint.
+_RATE_WEIGHT = 0.2
+_MIN_RATE_TOKENS = 8
 # A lost Release occupies a slot for at most about one interval.
 _REGISTER_SECONDS = 8.0
 # Registers that say "nothing in flight", against their loss.
@@ -148,6 +155,8 @@
         self._owner_of = owner_of
         self._local_group = local_group
         self._generator = random.Random(seed)
+        # Output tokens per second of one stream, by endpoint.
+        self._rates: dict[ids.EndpointId, float] = {}
         self._budget = retries.RetryBudget()
         self._registers: dict[ids.GroupId, int] = {}
         self._register_at = 0.0
@@ -260,6 +269,8 @@
         release = self._release(
             held, outcome, now, computed_tokens, output_tokens
         )
+        if outcome is states.Outcome.COMPLETED:
+            self._learn_rate(held, output_tokens, now)
         if outcome is states.Outcome.NOT_SENT:
             return [release, *self._retry(held, now)]
         held.state = {
@@ -598,13 +609,33 @@
         owner = self._owner_of(held.group) or held.owner
         return effects.Send(owner, message)
 
+    def _is_news(self, held: Held, age: float) -> bool:
+        """Returns whether a young stream's progress may change a rate."""
+        usual = self._rates.get(held.endpoint)
+        if usual is None:
+            return age >= _UNKNOWN_PROGRESS_SECONDS
+        return age >= _PROGRESS_SECONDS and (
+            held.tokens < _SLOW_SHARE * usual * age
+        )
+
+    def _learn_rate(self, held: Held, tokens: int, now: float) -> None:
+        if held.first_token is None or tokens < _MIN_RATE_TOKENS:
+            return
+        seconds = now - held.first_token
+        if seconds <= 0.0:
+            return
+        sample = tokens / seconds
+        usual = self._rates.get(held.endpoint, sample)
+        self._rates[held.endpoint] = usual + _RATE_WEIGHT * (sample - usual)
+
     def _report(self, held: Held, now: float) -> list[effects.Effect]:
         if held.first_token is None:
             return []
-        if now - held.first_token < _FIRST_PROGRESS_SECONDS:
-            return []
         if now - held.reported < _PROGRESS_SECONDS:
             return []
+        age = now - held.first_token
+        if age < _FIRST_PROGRESS_SECONDS and not self._is_news(held, age):
+            return []
         held.reported = now
         owner = self._owner_of(held.group)
         if owner is None:
--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -407,6 +407,33 @@
     assert not cluster.without_single_final()
 
 
+def test_slow_stream_is_reported_early_and_an_ordinary_one_late():
+    """Guards against a slowdown noticed late, and against idle reports."""
+    cluster = Cluster()
+    for number in range(12):
+        cluster.submit(f"warm{number}")
+        cluster.deliver_all()
+        cluster.step_all()
+        core = cluster.nodes[cluster.holder_of[f"warm{number}"]]
+        core.first_token(f"warm{number}", cluster.now)
+        cluster.now += 0.2
+        cluster.finish(f"warm{number}")  # 20 tokens in 0.2 s.
+        cluster.deliver_all()
+    reports = []
+    for rate in (90, 30):
+        cluster.submit(f"rate{rate}")
+        cluster.deliver_all()
+        cluster.step_all()
+        found = list(core.first_token(f"rate{rate}", cluster.now))
+        for second in range(1, 7):
+            cluster.now += 1.0
+            found += core.progress(f"rate{rate}", rate * second, cluster.now)
+        reports.append(len(found))
+        cluster.finish(f"rate{rate}")
+        cluster.deliver_all()
+    assert reports == [0, 3]
+
+
 def test_leaving_node_hands_over_and_ends_what_it_holds():
     """Guards against requests cut by a planned stop."""
     cluster = Cluster(endpoints=1)
