--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -521,7 +521,14 @@
         self._loads[group] = msgspec.structs.replace(load, wait=wait)
 
     def _better(self, held: holders.Held, now: float) -> ids.GroupId | None:
-        """Returns a group of another data centre with a much shorter wait."""
+        """Returns a group of another data centre to move to, or None.
+
+        A request that waits elsewhere for a cached prefix comes home; others
+        go where the wait is much shorter.
+        """
+        local = self._home_group(held.work.service)
+        if local != held.group:
+            return local
         owner = self._owned.get(held.group)
         known = self._loads.get(held.group)
         if owner is not None:
