--- a/standins/src/baobabmux_standins/log.py
+++ b/standins/src/baobabmux_standins/log.py
@@ -23,11 +23,14 @@
         lose_answers: Number of coming appends that take effect and whose
             connection then breaks without an answer; -1 for all.
         lose_stream: Prefix of the streams whose answers are lost.
+        lose_after_seconds: Time between the append and the break, in which
+            readers see the record.
         lose_reads: Number of coming reads that break without an answer.
     """
 
     lose_answers: int = 0
     lose_stream: str = ""
+    lose_after_seconds: float = 0.0
     lose_reads: int = 0
 
 
@@ -145,6 +148,7 @@
         async with stream.grown:
             await stream.grown.notify_all()
         if name.startswith(self.faults.lose_stream) and self._lose("answers"):
+            await curio.sleep(self.faults.lose_after_seconds)
             raise server.HangUp
         await reply.json({"offset": offset}, 201)
 
