--- a/standins/src/baobabmux_standins/process.py
+++ b/standins/src/baobabmux_standins/process.py
@@ -1,6 +1,7 @@
 """A child process of a test, ended by its own identifier only."""
 
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -87,6 +88,18 @@
         lines = self.errors.read_text(errors="replace").splitlines()
         return "\n".join(lines[-_TAIL_LINES:])
 
+    def cpu_seconds(self) -> float:
+        """Returns the user and system time that it has used."""
+        stat = pathlib.Path(f"/proc/{self.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def resident_bytes(self) -> int:
+        """Returns its resident memory."""
+        statm = pathlib.Path(f"/proc/{self.pid}/statm").read_text()
+        return int(statm.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
     def exit_code(self) -> int | None:
         """Returns the exit code, or None while it runs."""
         return self._child.poll()
