Tick less often while a node is idle

Cause: in a profile of an idle node 61 wake-ups a second, of which 30 were ticks, took most of its time. Ruled out: heartbeats (14 a second with 8 nodes) and the VM list (1 a second). Change: 4 scheduler ticks a second while nothing is held or queued, 4 of membership.

--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -43,7 +43,9 @@
 )
 
 _TICK_SECONDS = 0.05
-_MEMBERSHIP_SECONDS = 0.1
+# An idle node wakes up less often: its ticks were half of its CPU time.
+_IDLE_TICK_SECONDS = 0.25
+_MEMBERSHIP_SECONDS = 0.25
 _VM_POLL_SECONDS = 1.0
 _METRICS_SECONDS = 1.0
 _SNAPSHOT_SECONDS = 30.0
@@ -538,6 +540,9 @@
 
     def _tick_scheduler(self, now: float) -> None:
         self._pending += self.scheduler.tick(now)
+        busy = self.held or self.scheduler.queue_length()
+        interval = _TICK_SECONDS if busy else _IDLE_TICK_SECONDS
+        self.timers.once(now + interval, self._tick_scheduler)
 
     def _update_gauges(self, now: float) -> None:
         self.metrics.held.set(len(self.held))
@@ -555,7 +560,7 @@
 
     async def _run_timers(self) -> None:
         now = time.monotonic()
-        self.timers.every(_TICK_SECONDS, now, self._tick_scheduler)
+        self.timers.once(now + _TICK_SECONDS, self._tick_scheduler)
         self.timers.every(_MEMBERSHIP_SECONDS, now, self._tick_membership)
         self.timers.every(_METRICS_SECONDS, now, self._update_gauges)
         self.timers.every(_CONFIG_ASK_SECONDS, now, self._ask_for_configuration)
