Learn the error of waits from the wait itself

Cause: the learned margin was applied to the prediction that it learned from, so it settled at too small a value, and at 1.5 times capacity most refusals came when the deadline was already out of reach (of 651 refused reviews 230 within 2 s).

Change: the error is learned from the bare prediction; the check of queued requests uses its mean.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -487,10 +487,8 @@
             for member in usable
         ]
         entry.seconds = statistics.fmean(seconds)
-        wait = self._wait_of(entry, now) * self._under_pressure(
-            self._wait_margin
-        )
-        entry.predicted_wait = wait
+        entry.predicted_wait = self._wait_of(entry, now)
+        wait = entry.predicted_wait * self._under_pressure(self._wait_margin)
         # Without a wait, an attempt costs nobody else a place.
         margin = 1.0
         if wait > 0.0:
@@ -588,7 +586,9 @@
         refused = []
         for queue in list(self._tiers.values()):
             for entry in queue.last(_CHECKED_WORKSPACES):
-                wait = self._wait_of(entry, now)
+                wait = self._wait_of(entry, now) * max(
+                    1.0, self._wait_margin.mean
+                )
                 late = now + wait - entry.latest_start
                 if late > 0.0:
                     self._dequeue(entry)
