Tell nodes elsewhere whom the delegates suspect

A node that died in another data centre, or a whole one that was cut off, stayed reachable in the view of every node that is no delegate until the VM list dropped it; keys claimed there were answered as still running.

--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -128,9 +128,9 @@
     a heartbeat to every node in `heartbeat_targets`.
 
     Members of the own data centre are judged by their frames. Of another data
-    centre only the delegates are heard, and only by delegates: its other
-    members count as the VM list shows them while the data centre is heard.
-    A node that is no delegate takes other data centres as listed.
+    centre only the delegates are heard, and only by delegates; heartbeats
+    carry whom a delegate suspects, so that all nodes learn of it. What nobody
+    tells about counts as the VM list shows it.
 
     Attributes:
         node: Name of this node.
@@ -161,6 +161,9 @@
         self._targets_until = now
         self._centre_heard: dict[ids.DataCentre, float] = {}
         self._heard_before: frozenset[ids.DataCentre] = frozenset()
+        # Whom other nodes suspect, with the time of their word.
+        self._reports: dict[ids.NodeId, tuple[float, frozenset[str]]] = {}
+        self._reports_changed = False
         self._live = functools.cache(self._find_live)
         self._owner = functools.cache(self._find_owner)
         self._delegates = functools.cache(self._find_delegates)
@@ -232,6 +235,26 @@
             self._centre_heard[member.data_centre] = now
         self._judge(member, now, restarted)
 
+    def suspected_by(
+        self, sender: ids.NodeId, suspects: tuple[str, ...], now: float
+    ) -> None:
+        """Notes whom a peer suspects, also if it suspects nobody.
+
+        Args:
+            sender: Sender of a heartbeat.
+            suspects: Suspects in the heartbeat, see `suspects_for`.
+            now: Current time in seconds.
+        """
+        member = self._members.get(sender)
+        near = member is None or member.data_centre == self.data_centre
+        if near and sender not in self._delegates(self.data_centre):
+            return  # It repeats what it was told, if anything.
+        names = frozenset(suspects)
+        known = self._reports.get(sender)
+        self._reports[sender] = (now, names)
+        if known is None or known[1] != names:
+            self._reports_changed = True
+
     def leave(self, now: float) -> None:
         """Gives up ownership; the next heartbeats are due at once."""
         self.leaving = True
@@ -256,6 +279,27 @@
         changes, self._changes = self._changes, []
         return changes
 
+    def suspects_for(self, peer: ids.NodeId) -> tuple[str, ...]:
+        """Returns the suspects to name in a heartbeat to a peer.
+
+        A peer elsewhere is told about this data centre. A peer nearby is told
+        about the others by a delegate; `@NAME` stands for a whole one.
+        """
+        member = self._members.get(peer)
+        if member is None:
+            return ()
+        if member.data_centre != self.data_centre:
+            return self._suspects_in(self.data_centre)
+        if not self._was_delegate:
+            return ()
+        found: list[str] = []
+        for data_centre in sorted(self._sizes.keys() - {self.data_centre}):
+            if data_centre in self._heard_before:
+                found += self._suspects_in(data_centre)
+            else:
+                found.append(f"@{data_centre}")
+        return tuple(found)
+
     def live(self, data_centre: ids.DataCentre) -> list[ids.NodeId]:
         """Returns the candidates for ownership in a data centre, sorted."""
         return list(self._live(data_centre))
@@ -399,6 +443,7 @@
         self._judge_all(now)
 
     def _judge_all(self, now: float) -> None:
+        self._reports_changed = False
         self._heard_before = self._heard_data_centres(now)
         self._judge_each(list(self._members.values()), now)
         self._forget_gone(now)
@@ -408,7 +453,9 @@
 
         The others change only with the list, their data centre or a frame.
         """
-        if self._heard_data_centres(now) != self._heard_before:
+        self._drop_old_reports(now)
+        heard = self._heard_data_centres(now)
+        if self._reports_changed or heard != self._heard_before:
             self._judge_all(now)
             return
         watched = [
@@ -456,13 +503,60 @@
             alive = timely and (member.presumed or member.heard_at is not None)
         else:
             self._accuse(member, timely, expected)
-            alive = heard and not member.accused
+            alive = heard and not self._is_doubted(member, now)
         if not alive:
             return states.MemberState.SUSPECT
         if member.is_leaving():
             return states.MemberState.LEAVING
         return states.MemberState.LIVE
 
+    def _is_doubted(self, member: _Member, now: float) -> bool:
+        """Tells whether a member elsewhere counts as suspected.
+
+        Its own frames come first, then what those nearer to it say, so that
+        all nodes agree; only without their word its silence decides.
+        """
+        patience = self.detection_seconds(member.data_centre)
+        if member.heard_at is not None and now - member.heard_at <= patience:
+            return False
+        words = self._words_about(member)
+        if not words:
+            return member.accused
+        centre = f"@{member.data_centre}"
+        return all(member.node in names or centre in names for names in words)
+
+    def _words_about(self, member: _Member) -> list[frozenset[str]]:
+        if self._was_delegate:
+            senders = self._senders_in(member.data_centre)
+        else:
+            senders = self._delegates(self.data_centre)
+        return [
+            self._reports[sender][1]
+            for sender in senders
+            if sender in self._reports and sender != member.node
+        ]
+
+    def _senders_in(self, data_centre: ids.DataCentre) -> list[ids.NodeId]:
+        return [
+            sender
+            for sender in self._reports
+            if sender in self._members
+            and self._members[sender].data_centre == data_centre
+        ]
+
+    def _drop_old_reports(self, now: float) -> None:
+        for sender, (told, names) in list(self._reports.items()):
+            member = self._members.get(sender)
+            centre = member.data_centre if member else self.data_centre
+            if now - told > self.detection_seconds(centre):
+                del self._reports[sender]
+                self._reports_changed |= bool(names)
+
+    def _suspects_in(self, data_centre: ids.DataCentre) -> tuple[str, ...]:
+        return tuple(
+            sorted(self._in_state(data_centre, states.MemberState.SUSPECT))
+        )
+
     def _accuse(self, member: _Member, timely: bool, expected: bool) -> None:
         # The accusation stays until the member is heard: as a suspect it is
         # no delegate any more, so its further silence would prove nothing.
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -175,12 +175,15 @@
         loads: Waits of groups that the sender owns or, as a delegate, of
             the groups of its data centre.
         data_centre: Where the sender stands.
+        suspects: Nodes that the receiver should know as suspected; `@NAME`
+            stands for a whole data centre.
     """
 
     leaving: bool
     config_version: int
     loads: tuple[ServiceLoad, ...] = ()
     data_centre: ids.DataCentre = ids.DataCentre("")
+    suspects: tuple[str, ...] = ()
 
 
 class Suspect(Message, frozen=True, tag=9):
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -432,6 +432,10 @@
         )
         decided: list[effects.Effect] = []
         for message in frame.messages:
+            if isinstance(message, messages.Heartbeat):
+                self.membership.suspected_by(
+                    frame.sender, message.suspects, now
+                )
             self._record_message(frame.sender, self.settings.node, message)
             if not await self._receive_own(frame.sender, message):
                 decided += self.scheduler.receive(frame.sender, message, now)
@@ -531,6 +535,7 @@
                 self.config.state.version,
                 self.scheduler.loads(now, target),
                 self.settings.data_centre,
+                self.membership.suspects_for(target),
             )
             self.peers.enqueue(target, heartbeat)
 
