Test a peer that is not in the VM list yet, and wait for membership

The partition tests met the same fault when the cut came before the first list was read; they now wait until all nodes know each other.

--- a/standins/src/baobabmux_standins/cluster.py
+++ b/standins/src/baobabmux_standins/cluster.py
@@ -80,6 +80,12 @@
         """Returns whether the node says that it is ready."""
         return client.call(self.admin, "GET", "/readyz").status == 200
 
+    def live_members(self) -> set[str]:
+        """Returns the names of the nodes that it takes for live."""
+        status = client.call(self.admin, "GET", "/status").json()
+        members = status["members"].items()
+        return {name for name, state in members if state == "live"}
+
     def metrics(self) -> str:
         """Returns the text of its metrics."""
         return client.call(self.admin, "GET", "/metrics").body.decode()
@@ -178,6 +184,7 @@
         places: dict[str, str],
         announce_seconds: float = 1.0,
         limits: dict[str, Any] | None = None,
+        listed: bool = True,
     ) -> list[Node]:
         """Starts nodes and puts them into the VM list.
 
@@ -186,6 +193,7 @@
             announce_seconds: Time between the announcement of a node's stop
                 and its refusal of callers.
             limits: Section `limits` of their settings.
+            listed: Whether they are put into the VM list, which may lag.
         """
         options = {
             "shutdown": {"announce_seconds": announce_seconds},
@@ -197,7 +205,8 @@
         ]
         for node in started:
             node.read_addresses()
-        self.edit_vms(add=[self._entry(node) for node in started])
+        if listed:
+            self.edit_vms(add=[self._entry(node) for node in started])
         return started
 
     def wait_ready(self, nodes: Iterable[Node] | None = None) -> None:
@@ -205,6 +214,15 @@
         for node in nodes or self.nodes.values():
             process.wait_until(node.is_ready, f"{node.name} is ready")
 
+    def wait_members(self) -> None:
+        """Waits until all nodes take each other for live."""
+        names = set(self.nodes)
+        for node in self.nodes.values():
+            process.wait_until(
+                lambda node=node: node.live_members() >= names,
+                f"{node.name} knows all nodes",
+            )
+
     def stop_node(self, node: Node) -> int:
         """Stops a node by SIGTERM; returns its exit code."""
         self.edit_vms(add=[{**self._entry(node), "state": "leaving"}])
--- a/standins/src/baobabmux_standins/testbed.py
+++ b/standins/src/baobabmux_standins/testbed.py
@@ -162,6 +162,7 @@
         file = self.cluster.write_tables("declarations", self.tables)
         self.cluster.publish(file)
         self.cluster.wait_ready()
+        self.cluster.wait_members()
 
     def _add_endpoint(self, name: str, data_centre: str) -> dict[str, Any]:
         is_plain = name.startswith("desk")
--- a/standins/tests/outages_test.py
+++ b/standins/tests/outages_test.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from baobabmux_core import ids, rendezvous
 from baobabmux_standins import ledger, process, testbed
 
 CENTRES = {"n1": "col-a", "n2": "col-a", "n3": "col-b", "n4": "col-b"}
@@ -86,6 +87,25 @@
     assert ledger.not_whole(others) == []
 
 
+def test_node_that_is_not_yet_listed_holds_nothing_up():
+    """Guards against asks to an owner whose address is not known.
+
+    The VM list lags, so a new node's heartbeats arrive before its entry.
+    """
+    group = ids.group_id("drafting", "col-a")
+    unlisted = rendezvous.owner(group, ["n1", "n2"])
+    (listed,) = {"n1", "n2"} - {unlisted}
+    with testbed.Testbed({listed: "col-a"}, {"e1": "col-a"}) as bed:
+        (new,) = bed.cluster.start_nodes({unlisted: "col-a"}, listed=False)
+        process.wait_until(
+            lambda: listed in new.live_members(), "it knows the other node"
+        )
+        calls = [testbed.wording(Baobabmux_Deadline="10") for _ in range(10)]
+        outcomes = [bed.send(listed, call) for call in calls]
+        assert bed.violations(outcomes) == []
+        assert ledger.not_whole(outcomes) == []
+
+
 def test_killed_node_loses_only_its_own_requests(bed):
     """Guards against requests of other nodes that die with a queue's owner."""
     calls = [testbed.wording(tokens=60) for _ in range(30)]
