--- a/bench/src/baobabmux_bench/main.py
+++ b/bench/src/baobabmux_bench/main.py
@@ -20,7 +20,9 @@
 _SCENARIOS = flags.DEFINE_list(
     "scenarios", [s.name for s in scenarios.ALL], "Scenarios to run."
 )
-_POLICIES = flags.DEFINE_list("policies", registry.names(), "Policies to run.")
+_POLICIES = flags.DEFINE_list(
+    "policies", list(registry.COMPARED), "Policies to run."
+)
 _SECONDS = flags.DEFINE_float(
     "seconds", 300.0, "Virtual seconds of arrivals in each run."
 )
--- a/bench/src/baobabmux_bench/registry.py
+++ b/bench/src/baobabmux_bench/registry.py
@@ -9,8 +9,16 @@
         policies.LeastOutstanding,
         policies.Shares,
         nodes.Grants,
+        nodes.Alone,
     )
 }
+BASELINES = (
+    policies.RandomChoice.name,
+    policies.LeastOutstanding.name,
+    policies.Shares.name,
+)
+COMPARED = (*BASELINES, nodes.Grants.name)
+"""Policies of an ordinary run of the benchmark."""
 
 
 def names() -> list[str]:
