--- a/packages/baobabmux-node/src/baobabmux_node/claim_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/claim_service.py
@@ -219,30 +219,36 @@
 
     async def _follow(self, partition: _Partition) -> None:
         """Reads the stream while the partition is in use."""
-        ledger = partition.batcher.ledger
         while True:
             wait = _LONG_POLL_SECONDS if partition.caught_up else 0.0
             try:
-                page = await self._log.read(
-                    partition.stream,
-                    ledger.next_offset,
-                    wait=wait,
-                    limit=_PAGE_RECORDS,
-                )
+                await self._read(partition, wait)
             except log_service.LogError:
                 partition.caught_up = False
                 answers = partition.batcher.failed(time.monotonic())
                 await self._deliver(answers)
                 await curio.sleep(_LOG_RETRY_SECONDS)
-                continue
-            records = [msgspec.structs.asdict(item) for item in page.records]
-            # A full page says nothing about the end of the stream.
-            end = page.next if len(records) < _PAGE_RECORDS else None
-            answers = partition.batcher.read(
-                records, time.monotonic(), end, page.first
-            )
-            partition.caught_up = end is not None
-            await self._deliver(answers)
+
+    async def _read(self, partition: _Partition, wait: float) -> None:
+        """Reads one page; pages that two tasks read are folded once.
+
+        Raises:
+            LogError: The log service is out of reach.
+        """
+        page = await self._log.read(
+            partition.stream,
+            partition.batcher.ledger.next_offset,
+            wait=wait,
+            limit=_PAGE_RECORDS,
+        )
+        records = [msgspec.structs.asdict(item) for item in page.records]
+        # A full page says nothing about the end of the stream.
+        end = page.next if len(records) < _PAGE_RECORDS else None
+        answers = partition.batcher.read(
+            records, time.monotonic(), end, page.first
+        )
+        partition.caught_up = end is not None
+        await self._deliver(answers)
 
     async def _append(self, partition: _Partition) -> None:
         """Appends batches while the partition is in use."""
@@ -262,3 +268,16 @@
                 offset = None
                 await curio.sleep(_LOG_RETRY_SECONDS)
             batcher.appended(offset, time.monotonic())
+            if offset is None:
+                await self._resolve(partition)
+
+    async def _resolve(self, partition: _Partition) -> None:
+        """Reads back at once after an append of unknown fate.
+
+        The follower may be in a long poll that outlasts the claims' wait.
+        """
+        try:
+            await self._read(partition, 0.0)
+        except log_service.LogError:
+            # The follower meets the same outage and refuses what waits.
+            return
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -43,12 +43,15 @@
 )
 
 _TICK_SECONDS = 0.05
-_MEMBERSHIP_SECONDS = 0.1
+# An idle node wakes up less often: its ticks were half of its CPU time.
+_IDLE_TICK_SECONDS = 0.25
+_MEMBERSHIP_SECONDS = 0.25
 _VM_POLL_SECONDS = 1.0
 _METRICS_SECONDS = 1.0
 _SNAPSHOT_SECONDS = 30.0
 _LEAVE_GRACE_SECONDS = 0.3
 _CONFIG_ASK_SECONDS = 0.5
+_SETTLE_SECONDS = 5.0
 # Shorter delays happen on a busy VM and mean nothing.
 _PAUSE_SECONDS = 1.0
 
@@ -73,7 +76,7 @@
         self.events = events.EventRecorder(
             node_settings.node, node_settings.timeline_events
         )
-        now = time.monotonic()
+        now = self._started = time.monotonic()
         seed = zlib.crc32(node_settings.node.encode())
         self.membership = membership.Membership(
             node_settings.node, node_settings.data_centre, now
@@ -432,6 +435,10 @@
         )
         decided: list[effects.Effect] = []
         for message in frame.messages:
+            if isinstance(message, messages.Heartbeat):
+                self.membership.suspected_by(
+                    frame.sender, message.suspects, now
+                )
             self._record_message(frame.sender, self.settings.node, message)
             if not await self._receive_own(frame.sender, message):
                 decided += self.scheduler.receive(frame.sender, message, now)
@@ -520,6 +527,7 @@
             if change.restarted or change.state is states.MemberState.GONE:
                 self.answers.holder_gone(change.node)
         if changes:
+            self.answers.members_changed()
             self._pending += self.scheduler.members_changed(now)
         self._send_heartbeats(self.membership.heartbeat_targets(now))
 
@@ -531,11 +539,15 @@
                 self.config.state.version,
                 self.scheduler.loads(now, target),
                 self.settings.data_centre,
+                self.membership.suspects_for(target),
             )
             self.peers.enqueue(target, heartbeat)
 
     def _tick_scheduler(self, now: float) -> None:
         self._pending += self.scheduler.tick(now)
+        busy = self.held or self.scheduler.queue_length()
+        interval = _TICK_SECONDS if busy else _IDLE_TICK_SECONDS
+        self.timers.once(now + interval, self._tick_scheduler)
 
     def _update_gauges(self, now: float) -> None:
         self.metrics.held.set(len(self.held))
@@ -553,7 +565,7 @@
 
     async def _run_timers(self) -> None:
         now = time.monotonic()
-        self.timers.every(_TICK_SECONDS, now, self._tick_scheduler)
+        self.timers.once(now + _TICK_SECONDS, self._tick_scheduler)
         self.timers.every(_MEMBERSHIP_SECONDS, now, self._tick_membership)
         self.timers.every(_METRICS_SECONDS, now, self._update_gauges)
         self.timers.every(_CONFIG_ASK_SECONDS, now, self._ask_for_configuration)
@@ -634,7 +646,12 @@
 
     def ready(self) -> bool:
         """Tells whether callers may be sent to this node."""
-        return not self.draining and self.config.state.configuration is not None
+        if self.draining or self.config.state.configuration is None:
+            return False
+        # Before it knows its peers a node would take owners and homes of
+        # keys for its own; a list or peer out of reach delays it only so long.
+        waited = time.monotonic() - self._started
+        return self.membership.settled() or waited > _SETTLE_SECONDS
 
     def _request_stop(self, signum, frame) -> None:
         del signum, frame
