Choose a prefix's home by what prompts share; put progress into one frame

Change: the home follows the longest prefix that the node has seen before, hot prefixes have none; an ask names 6 prefixes at most and is first repeated after a fifth of its time; all streams of a holder report at once; waiting requests move after a tenth of their time.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -18,16 +18,18 @@
 # A request that still waits after this share of its time, and at least this
 # long, may move to another data centre; less would move requests that are
 # about to be granted, away from their cached prefixes.
-_MOVE_SHARE = 0.05
+_MOVE_SHARE = 0.1
+# One that waits elsewhere for a cached prefix comes home sooner.
+_HOME_SHARE = 0.05
 _MOVE_SECONDS = 0.25
 
 # An unanswered Ask is repeated after this share of the request's time, within
 # these bounds; the interval doubles because most requests without an answer
 # are queued, not lost.
-_REPEAT_SHARE = 0.1
+_REPEAT_SHARE = 0.2
 _MIN_REPEAT_SECONDS = 0.5
-_FIRST_REPEAT_SECONDS = 2.0
-_MAX_REPEAT_SECONDS = 8.0
+_FIRST_REPEAT_SECONDS = 4.0
+_MAX_REPEAT_SECONDS = 16.0
 # Progress is reported at least this often, so that a slowdown is known within
 # seconds.
 _PROGRESS_SECONDS = 2.0
@@ -94,7 +96,6 @@
         "owner",
         "progressed",
         "repeat",
-        "reported",
         "returns",
         "spilled",
         "state",
@@ -127,7 +128,6 @@
         self.dispatched = 0.0
         self.first_token: float | None = None
         self.tokens = 0
-        self.reported = 0.0
         self.progressed = 0.0
 
     def first_repeat(self) -> float:
@@ -160,6 +160,7 @@
         self._budget = retries.RetryBudget()
         self._registers: dict[ids.GroupId, int] = {}
         self._register_at = 0.0
+        self._report_at = 0.0
         self._last_tick: float | None = None
 
     # Commands of the caller's side.
@@ -203,7 +204,6 @@
             return False
         held.state = states.RequestState.DISPATCHED
         held.dispatched = now
-        held.reported = now
         return True
 
     def first_token(
@@ -228,7 +228,7 @@
         self.first_token(request, now)
         held.tokens = max(held.tokens, tokens)
         held.progressed = now
-        return self._report(held, now)
+        return []
 
     def claim_decided(
         self,
@@ -426,6 +426,11 @@
             found += self._check(held, paused, now)
             if self._may_move(held, now) and (group := better(held)):
                 found += self._move(held, group, now)
+        if now >= self._report_at:
+            # All streams report at once, so that their messages to one owner
+            # share a frame.
+            self._report_at = max(self._report_at + _PROGRESS_SECONDS, now)
+            found += self._report_all(now)
         if now >= self._register_at:
             self._register_at = now + _REGISTER_SECONDS
             found += self._register_all(now)
@@ -435,7 +440,7 @@
         self, held: Held, paused: bool, now: float
     ) -> list[effects.Effect]:
         if held.state in _RUNNING:
-            return self._report(held, now)
+            return []
         if now >= held.deadline:
             return self._refuse(
                 held,
@@ -473,7 +478,9 @@
         if held.state is not states.RequestState.QUEUED or held.spilled:
             return False
         whole = held.deadline - held.arrival
-        patience = max(_MOVE_SECONDS, _MOVE_SHARE * whole)
+        away = held.group != self._local_group(held.work)
+        share = _HOME_SHARE if away else _MOVE_SHARE
+        patience = max(_MOVE_SECONDS, share * whole)
         return now - held.arrival >= patience
 
     def _move(
@@ -628,15 +635,19 @@
         usual = self._rates.get(held.endpoint, sample)
         self._rates[held.endpoint] = usual + _RATE_WEIGHT * (sample - usual)
 
+    def _report_all(self, now: float) -> list[effects.Effect]:
+        found = []
+        for held in self.held.values():
+            if held.state in _RUNNING:
+                found += self._report(held, now)
+        return found
+
     def _report(self, held: Held, now: float) -> list[effects.Effect]:
         if held.first_token is None:
             return []
-        if now - held.reported < _PROGRESS_SECONDS:
-            return []
         age = now - held.first_token
         if age < _FIRST_PROGRESS_SECONDS and not self._is_news(held, age):
             return []
-        held.reported = now
         owner = self._owner_of(held.group)
         if owner is None:
             return []
--- a/packages/baobabmux-core/src/baobabmux_core/prefixes.py
+++ b/packages/baobabmux-core/src/baobabmux_core/prefixes.py
@@ -14,12 +14,22 @@
 _BLOCK_BYTES = _BLOCK_TOKENS * _BYTES_PER_TOKEN
 
 # Numbers of blocks at which a prefix is named. Steps of at most a half keep
-# two thirds of a shared prefix of any length; the longest 8 parts keep an Ask
+# two thirds of a shared prefix of any length; the longest 6 parts keep an Ask
 # within its byte budget.
 _BOUNDARIES = frozenset(
     {1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256, 384, 512}
 )
-_MAX_PARTS = 8
+_MAX_PARTS = 6
+
+# A prefix of this length costs more to compute than the way to another data
+# centre and the risk of a wait there.
+_HOME_TOKENS = 2048
+_SEEN_DIGESTS = 4096
+# A prefix with more than this share of the recent long prompts has no home: it
+# would overload one, and is soon cached everywhere.
+_HOT_SHARE = 0.34
+_RECENT_PROMPTS = 256
+_MIN_PROMPTS = 32
 
 # An entry for each block that a cache can hold, and room for entries whose
 # eviction was not announced.
@@ -42,7 +52,7 @@
         prompt: Bytes of the prompt.
 
     Returns:
-        At most 8 prefixes, the longest last.
+        At most 6 prefixes, the longest last.
     """
     digest = 0
     parts = []
@@ -129,3 +139,57 @@
             > max(self.capacity, _MIN_ENTRIES * _TOKENS_PER_ENTRY)
         ):
             self.tokens -= self._parts.popitem(last=False)[1]
+
+
+class PrefixHomes:
+    """Chooses the prefix by which a prompt finds its home data centre."""
+
+    def __init__(self):
+        self._seen: collections.OrderedDict[ids.PrefixDigest, None] = (
+            collections.OrderedDict()
+        )
+        self._recent: collections.Counter[ids.PrefixDigest] = (
+            collections.Counter()
+        )
+        self._total = 0
+
+    def choose(
+        self, prefixes: tuple[messages.PrefixPart, ...]
+    ) -> ids.PrefixDigest | None:
+        """Returns the long prefix that other prompts probably share.
+
+        That is the longest one seen before, or else the shortest long one.
+
+        Args:
+            prefixes: Prefixes of a prompt, the longest last.
+
+        Returns:
+            The digest, or None if the prompt is short or its prefix is hot.
+        """
+        long = [part for part in prefixes if part.tokens >= _HOME_TOKENS]
+        if not long:
+            return None
+        seen = [part for part in long if part.digest in self._seen]
+        chosen = (seen[-1] if seen else long[0]).digest
+        for part in long:
+            self._seen[part.digest] = None
+            self._seen.move_to_end(part.digest)
+        while len(self._seen) > _SEEN_DIGESTS:
+            self._seen.popitem(last=False)
+        return None if self._is_hot(chosen) else chosen
+
+    def _is_hot(self, digest: ids.PrefixDigest) -> bool:
+        self._recent[digest] += 1
+        self._total += 1
+        if self._total >= _RECENT_PROMPTS:
+            self._recent = collections.Counter(
+                {
+                    known: count // 2
+                    for known, count in self._recent.items()
+                    if count > 1
+                }
+            )
+            self._total = sum(self._recent.values())
+        return self._total >= _MIN_PROMPTS and (
+            self._recent[digest] > _HOT_SHARE * self._total
+        )
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -17,6 +17,7 @@
     holders,
     ids,
     messages,
+    prefixes,
     quarantine,
     rendezvous,
     states,
@@ -37,9 +38,6 @@
 _SPILL_MARGIN_SECONDS = 0.5
 # Under overload everywhere, requests at the edge only cost messages.
 _SPILL_WAIT_FACTOR = 1.5
-# A prefix of this length costs more to compute than the way to another data
-# centre and the risk of a wait there.
-_PREFIX_TOKENS = 2048
 # Time that a spilled request at least takes of a slot there; plain services
 # have no declared duration.
 _SPILL_SECONDS = 1.0
@@ -92,6 +90,7 @@
         self._near: set[ids.NodeId] = {node}
         self._quarantine = quarantine.Quarantine()
         self._last_tick: float | None = None
+        self._homes = prefixes.PrefixHomes()
         self._drained: set[ids.EndpointId] = set()
         self._drain_repeats: dict[ids.EndpointId, tuple[int, float]] = {}
         self._loads: dict[ids.GroupId, _RemoteLoad] = {}
@@ -439,7 +438,8 @@
         Without it each data centre would compute and cache every long prefix
         itself, and the caches together would hold fewer of them.
         """
-        if not work.prefixes or work.prefixes[-1].tokens < _PREFIX_TOKENS:
+        digest = self._homes.choose(work.prefixes)
+        if digest is None:
             return None
         weights: dict[ids.GroupId, float] = collections.defaultdict(float)
         for name, endpoint in self._configuration.endpoints.items():
@@ -454,8 +454,7 @@
             for group, weight in weights.items()
             if self._owner(group) is not None
         }
-        key = str(work.prefixes[-1].digest)
-        return rendezvous.weighted_owner(key, reachable)
+        return rendezvous.weighted_owner(str(digest), reachable)
 
     def _home_group(self, service: ids.ServiceName) -> ids.GroupId | None:
         """Returns the local group, or else the one with the least wait."""
