Let the top tier move by itself and requests without a prefix move early

Cause: at 3 times capacity two top-tier requests of 264 waited 30 s for the slowest group, because the waits in heartbeats are those of the lowest tier; and bursts on the plain service waited although nothing cached could be lost.

Change: a waiting top-tier request moves once, whatever the reported waits; a request without cached prefixes may move after 0.25 s; holders learn rates from progress too.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -480,6 +480,8 @@
         whole = held.deadline - held.arrival
         away = held.group != self._local_group(held.work)
         share = _HOME_SHARE if away else _MOVE_SHARE
+        if not held.work.prefixes:
+            share = 0.0  # There is no cached prefix to lose.
         patience = max(_MOVE_SECONDS, share * whole)
         return now - held.arrival >= patience
 
@@ -648,6 +650,7 @@
         age = now - held.first_token
         if age < _FIRST_PROGRESS_SECONDS and not self._is_news(held, age):
             return []
+        self._learn_rate(held, held.tokens, now)
         owner = self._owner_of(held.group)
         if owner is None:
             return []
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -540,11 +540,24 @@
         if group is None:
             return None
         other = self._loads[group].wait
+        if self._is_top(held.work):
+            # Waits are those of the lowest tier, which this one overtakes.
+            self._note_spill(held, group)
+            return group
         if other > own / 2 or other > own - _SPILL_MARGIN_SECONDS:
             return None
         self._note_spill(held, group)
         return group
 
+    def _is_top(self, work: effects.Work) -> bool:
+        """Returns whether a request's tier is above others of its service."""
+        ranks = {
+            self._configuration.tier_rank(route)
+            for route in self._configuration.routes.values()
+            if route.service == work.service
+        }
+        return len(ranks) > 1 and work.tier == min(ranks)
+
     def _service_seconds(self, work: effects.Work, group: ids.GroupId) -> float:
         """Estimates a request's time in a slot by the declared rates."""
         endpoints = self._configuration.group_endpoints(group).values()
