Count an unlisted node only if its address is known, and let it tell it

A node that was heard before the VM list had it was taken for an owner, but asks to it had no address and were dropped until their deadline. Its heartbeats now carry its address while it is not listed.

--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -84,6 +84,7 @@
         state: State as last told to the driver.
         data_centre: Where it stands, None until listed or told.
         entry: Its latest entry in the VM list, kept after it disappeared.
+        address: Where it takes frames by its own word, or empty.
         listed: Whether the newest list has it.
         absent_since: Time from which it counts as not listed.
         absent_seen: Whether a list that allows for the lag lacks it.
@@ -100,6 +101,7 @@
     state: states.MemberState = states.MemberState.GONE
     data_centre: ids.DataCentre | None = None
     entry: VmEntry | None = None
+    address: str = ""
     listed: bool = False
     absent_since: float = 0.0
     absent_seen: bool = False
@@ -201,6 +203,7 @@
         leaving: bool,
         now: float,
         data_centre: ids.DataCentre | None = None,
+        address: str = "",
     ) -> None:
         """Notes a frame from a peer; any frame counts as a heartbeat.
 
@@ -212,8 +215,10 @@
             incarnation: Incarnation of the sender.
             leaving: Whether the frame says that the sender is leaving.
             now: Current time in seconds.
-            data_centre: Where the sender stands, if the frame told; a sender
-                that was never listed can own groups only if it is known.
+            data_centre: Where the sender stands, if the frame told.
+            address: Where the sender takes frames, if the frame told; a
+                sender that was never listed counts only if both are known,
+                because it cannot be answered otherwise.
         """
         if node == self.node:
             return
@@ -231,6 +236,7 @@
         member.leaving = member.leaving or leaving
         if member.data_centre is None:
             member.data_centre = data_centre
+        member.address = address or member.address
         if member.data_centre is not None:
             self._centre_heard[member.data_centre] = now
         self._judge(member, now, restarted)
@@ -378,7 +384,14 @@
     def peer_address(self, node: ids.NodeId) -> str | None:
         """Returns a node's address for frames, or None if it is unknown."""
         entry = self.entry(node)
-        return entry.peer_address if entry else None
+        if entry is not None:
+            return entry.peer_address
+        member = self._members.get(node)
+        return (member.address or None) if member else None
+
+    def is_listed(self) -> bool:
+        """Returns whether the newest VM list has this node."""
+        return self._own_entry is not None and self._own_absent_since is None
 
     def entry(self, node: ids.NodeId) -> VmEntry | None:
         """Returns the latest list entry of a node, or None."""
@@ -507,7 +520,8 @@
             heard: Whether its data centre is heard.
             expected: Whether it is a delegate of its data centre.
         """
-        if member.data_centre is None:
+        known = member.entry is not None or member.address
+        if member.data_centre is None or not known:
             return states.MemberState.GONE
         if not member.listed and member.absent_seen:
             return states.MemberState.GONE
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -177,6 +177,7 @@
         data_centre: Where the sender stands.
         suspects: Nodes that the receiver should know as suspected; `@NAME`
             stands for a whole data centre.
+        address: Where the sender takes frames, while the VM list lacks it.
     """
 
     leaving: bool
@@ -184,6 +185,7 @@
     loads: tuple[ServiceLoad, ...] = ()
     data_centre: ids.DataCentre = ids.DataCentre("")
     suspects: tuple[str, ...] = ()
+    address: str = ""
 
 
 class Suspect(Message, frozen=True, tag=9):
--- a/packages/baobabmux-core/tests/membership_test.py
+++ b/packages/baobabmux-core/tests/membership_test.py
@@ -69,16 +69,25 @@
 def test_unlisted_node_counts_for_a_bounded_time():
     """Guards against a new node without work, and an unlisted one for ever."""
     view = _view()
-    view.heard("a9", 1, False, 1.0, "a")
+    view.heard("a9", 1, False, 1.0, "a", "a9:1")
     assert "a9" in view.live("a")
+    assert view.peer_address("a9") == "a9:1"
     listed = [_entry(name) for name in ("a1", "a2", "a3")]
     for now in range(2, 40):
-        view.heard("a9", 1, False, now, "a")
+        view.heard("a9", 1, False, now, "a", "a9:1")
         view.vm_list(listed, now, now)
         view.tick(now)
         assert ("a9" in view.live("a")) == (now < 31)
 
 
+def test_unlisted_node_without_address_owns_nothing():
+    """Guards against asks to an owner that no frame can reach."""
+    view = _view()
+    view.heard("a9", 1, False, 1.0, "a")
+    assert "a9" not in view.live("a")
+    assert "a9" not in view.reachable()
+
+
 def test_leaving_is_final_for_an_incarnation():
     """Guards against late frames that bring a leaving owner back."""
     view = _view()
@@ -197,7 +206,7 @@
 def test_node_that_the_list_drops_gives_up_ownership():
     """Guards against an owner that only it itself still counts."""
     view = _view("a1", ())
-    view.heard("a2", 1, False, 0.5, "a")
+    view.heard("a2", 1, False, 0.5, "a", "a2:1")
     view.vm_list([_entry("a1", state="leaving"), _entry("a2")], 1.0, 1.0)
     assert view.live("a") == ["a2"]
     view.vm_list([_entry("a1"), _entry("a2")], 2.0, 2.0)
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -418,32 +418,31 @@
     async def _receive(self, frame: messages.Frame) -> None:
         now = time.monotonic()
         self.events.heard(frame.hlc)
-        leaving = any(
-            isinstance(m, messages.Heartbeat) and m.leaving
-            for m in frame.messages
-        )
-        data_centre = next(
-            (
-                m.data_centre
-                for m in frame.messages
-                if isinstance(m, messages.Heartbeat)
-            ),
-            None,
-        )
-        self.membership.heard(
-            frame.sender, frame.incarnation, leaving, now, data_centre
-        )
+        self._note_sender(frame, now)
         decided: list[effects.Effect] = []
         for message in frame.messages:
-            if isinstance(message, messages.Heartbeat):
-                self.membership.suspected_by(
-                    frame.sender, message.suspects, now
-                )
             self._record_message(frame.sender, self.settings.node, message)
             if not await self._receive_own(frame.sender, message):
                 decided += self.scheduler.receive(frame.sender, message, now)
         await self.apply(decided)
 
+    def _note_sender(self, frame: messages.Frame, now: float) -> None:
+        """Passes to the membership what a frame tells about its sender."""
+        self.membership.heard(frame.sender, frame.incarnation, False, now)
+        for message in frame.messages:
+            if isinstance(message, messages.Heartbeat):
+                self.membership.heard(
+                    frame.sender,
+                    frame.incarnation,
+                    message.leaving,
+                    now,
+                    message.data_centre or None,
+                    message.address,
+                )
+                self.membership.suspected_by(
+                    frame.sender, message.suspects, now
+                )
+
     async def _receive_own(
         self, sender: ids.NodeId, message: messages.AnyMessage
     ) -> bool:
@@ -540,9 +539,16 @@
                 self.scheduler.loads(now, target),
                 self.settings.data_centre,
                 self.membership.suspects_for(target),
+                self._announced_address(),
             )
             self.peers.enqueue(target, heartbeat)
 
+    def _announced_address(self) -> str:
+        """Returns the peers' address while the VM list does not tell it."""
+        wildcard = self.peers.address.startswith(("0.0.0.0:", "[::]:"))
+        listed = self.membership.is_listed()
+        return "" if listed or wildcard else self.peers.address
+
     def _tick_scheduler(self, now: float) -> None:
         self._pending += self.scheduler.tick(now)
         busy = self.held or self.scheduler.queue_length()
