--- a/standins/src/baobabmux_standins/plain.py
+++ b/standins/src/baobabmux_standins/plain.py
@@ -58,8 +58,9 @@
             "path": request.path,
             "marker": marker,
             "digest": hashlib.sha256(request.body).hexdigest(),
-            "padding": "x" * options.get("answer_bytes", 0),
         }
+        if padding := options.get("answer_bytes", 0):
+            answer["padding"] = "x" * padding
         echo = {
             name: value
             for name, value in request.headers.items()
