--- a/standins/src/baobabmux_standins/testbed.py
+++ b/standins/src/baobabmux_standins/testbed.py
@@ -151,6 +151,16 @@
         """Returns contradictions between outcomes and counts."""
         return ledger.find_violations(outcomes, self.counts(), may_lose)
 
+    def list_endpoint(self, name: str, state: str) -> None:
+        """Puts an endpoint into the VM list with a state."""
+        entry = {
+            "id": f"vm-{name}",
+            "kind": "endpoint",
+            "data_centre": self._places[name],
+            "state": state,
+        }
+        self.cluster.edit_vms(add=[entry])
+
     def _start(self) -> None:
         centres = sorted({*self._nodes.values(), *self._places.values()})
         self.cluster.start_platform(centres)
@@ -172,13 +182,7 @@
             else self.cluster.add("engine", **self._options)
         )
         self.endpoints[name] = added
-        entry = {
-            "id": f"vm-{name}",
-            "kind": "endpoint",
-            "data_centre": data_centre,
-            "state": "live",
-        }
-        self.cluster.edit_vms(add=[entry])
+        self.list_endpoint(name, "live")
         return {
             "service": "desk" if is_plain else "drafting",
             "data_centre": data_centre,
--- a/standins/tests/requests_test.py
+++ b/standins/tests/requests_test.py
@@ -132,3 +132,27 @@
         lambda: issue.marker in bed.counts()["finished_by_marker"],
         "the number is issued",
     )
+
+
+def test_leaving_endpoint_gets_no_new_work():
+    """Guards against work for an endpoint whose VM is about to end."""
+    endpoints = {"e1": "col-a", "e2": "col-a"}
+    with testbed.Testbed(NODES, endpoints) as bed:
+
+        def shares():
+            """Sends ten calls; returns the runs that e1 got of them."""
+            before = _started(bed, "e1")
+            calls = [testbed.wording() for _ in range(10)]
+            outcomes = bed.send_together(("n1", call) for call in calls)
+            assert ledger.not_whole(outcomes) == []
+            return _started(bed, "e1") - before
+
+        process.wait_until(shares, "e1 gets work")
+        bed.list_endpoint("e1", "leaving")
+        process.wait_until(lambda: shares() == 0, "e1 gets no work")
+        assert [shares() for _ in range(5)] == [0] * 5
+
+
+def _started(bed, endpoint):
+    totals = bed.endpoints[endpoint].counts()["totals"]
+    return totals.get("started", 0)
