--- a/bench/src/baobabmux_bench/policies.py
+++ b/bench/src/baobabmux_bench/policies.py
@@ -159,6 +159,46 @@
             self._outstanding[node, endpoint] -= 1
 
 
+class LeastReported(Policy):
+    """Every node sends at once to the endpoint that reports the least load.
+
+    To a report each node adds what it has sent since the time of the report,
+    relative to the endpoint's batch.
+    """
+
+    name = "reported"
+
+    def __init__(self):
+        self._reports: dict[ids.EndpointId, engines.LoadReport] = {}
+        self._sent: dict[tuple[ids.NodeId, ids.EndpointId], list[float]] = (
+            collections.defaultdict(list)
+        )
+
+    def submit(self, node: ids.NodeId, request: loads.Request) -> None:
+        """Takes a caller's request at a node."""
+        endpoint = min(
+            self.run.deployment.endpoints(request.kind.service),
+            key=lambda name: (self._load(node, name), self.run.draw.random()),
+        )
+        self._sent[node, endpoint].append(self.run.now)
+        self.run.dispatch(request.request, endpoint)
+
+    def load_report(
+        self, endpoint: ids.EndpointId, report: engines.LoadReport
+    ) -> None:
+        """Hears an endpoint's load, late."""
+        self._reports[endpoint] = report
+
+    def _load(self, node: ids.NodeId, endpoint: ids.EndpointId) -> float:
+        report = self._reports.get(endpoint)
+        known = report.running + report.waiting if report else 0
+        sent = self._sent[node, endpoint]
+        if report:
+            sent[:] = [time for time in sent if time > report.as_of]
+        limit = self.run.engines[endpoint].declared.max_requests
+        return (known + len(sent)) / limit
+
+
 class Shares(Policy):
     """Every node alone dispatches within its share of each endpoint's limit.
 
--- a/bench/src/baobabmux_bench/registry.py
+++ b/bench/src/baobabmux_bench/registry.py
@@ -7,6 +7,7 @@
     for policy in (
         policies.RandomChoice,
         policies.LeastOutstanding,
+        policies.LeastReported,
         policies.Shares,
         nodes.Grants,
         nodes.Alone,
@@ -15,6 +16,7 @@
 BASELINES = (
     policies.RandomChoice.name,
     policies.LeastOutstanding.name,
+    policies.LeastReported.name,
     policies.Shares.name,
 )
 COMPARED = (*BASELINES, nodes.Grants.name)
