--- a/packages/baobabmux-node/src/baobabmux_node/answers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/answers.py
@@ -101,7 +101,8 @@
         """Claims a request's key in the log and passes on the decision."""
         caller = request.caller
         entry = self._entry(caller)
-        answer = await self._host.claims.claim(entry)
+        result = await self._host.claims.claim(entry)
+        answer = result.answer
         verdict = (
             claims.ClaimVerdict.UNAVAILABLE
             if answer is None
@@ -111,7 +112,9 @@
             Kind.CLAIM_DECIDED, caller.request, verdict=verdict.value
         )
         if verdict is claims.ClaimVerdict.UNAVAILABLE:
-            await self._withdraw(caller)
+            # Needless withdrawals would pile up during an outage of the log.
+            if result.in_doubt:
+                await self._withdraw(caller)
             await self._host.claim_decided(
                 caller.request,
                 False,
--- a/packages/baobabmux-node/src/baobabmux_node/claim_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/claim_service.py
@@ -48,6 +48,19 @@
         self.tasks: list[curio.Task] = []
 
 
+class ClaimResult(msgspec.Struct, frozen=True):
+    """What became of a claim.
+
+    Attributes:
+        answer: The decision, or None if there was none in time.
+        in_doubt: Whether the claim may be in the log without a decision that
+            is known here. If its request is refused it must be withdrawn.
+    """
+
+    answer: messages.ClaimAnswer | None
+    in_doubt: bool
+
+
 class ClaimService:
     """Decides claims by the log's order.
 
@@ -84,32 +97,32 @@
         partition = self._partitions.get(claims.partition(key, PARTITIONS))
         return partition.batcher.ledger.state(key) if partition else None
 
-    async def claim(
-        self, entry: messages.ClaimEntry
-    ) -> messages.ClaimAnswer | None:
+    async def claim(self, entry: messages.ClaimEntry) -> ClaimResult:
         """Claims a key.
 
         Args:
             entry: The claim.
 
         Returns:
-            The decision, or None if the log did not decide in time. The claim
-            must then be withdrawn, since it may be in the log.
+            The decision, if there is one in time.
         """
         answers: curio.Queue = curio.Queue()
         self._waiting[entry.attempt] = answers
         started = time.monotonic()
+        asked: set[ids.NodeId] = set()
         try:
             for batcher in self._batchers(entry.key):
                 left = started + _CLAIM_TIMEOUT_SECONDS - time.monotonic()
                 if left <= 0:
                     break
+                asked.add(batcher)
                 answer = await self._ask(
                     batcher, entry, answers, min(left, _ASK_REPEAT_SECONDS)
                 )
                 if answer is not None:
-                    return answer
-            return None
+                    in_doubt = len(asked) > 1 or claims.must_withdraw(answer)
+                    return ClaimResult(answer, in_doubt)
+            return ClaimResult(None, True)
         finally:
             del self._waiting[entry.attempt]
 
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -6,6 +6,8 @@
 import zlib
 
 import curio
+import msgspec
+import xxhash
 
 from baobabmux_core import (
     catalogue,
@@ -489,6 +491,9 @@
             Kind.CONFIG_IN_FORCE,
             version=state.version,
             preset=state.configuration.active,
+            digest=xxhash.xxh3_64_hexdigest(
+                msgspec.json.encode(state.tables, order="sorted")
+            ),
         )
         self.metrics.config_version.set(state.version)
         self.answers.configure(state.configuration.keys)
