--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -43,7 +43,7 @@
 _RATE_WEIGHT = 0.2
 _MIN_RATE_TOKENS = 8
 # A lost Release occupies a slot for at most about one interval.
-_REGISTER_SECONDS = 8.0
+_REGISTER_SECONDS = 12.0
 # Registers that say "nothing in flight", against their loss.
 _EMPTY_REGISTERS = 3
 # A longer gap between ticks means that the process was paused: owners have
@@ -431,9 +431,9 @@
             # share a frame.
             self._report_at = max(self._report_at + _PROGRESS_SECONDS, now)
             found += self._report_all(now)
-        if now >= self._register_at:
-            self._register_at = now + _REGISTER_SECONDS
-            found += self._register_all(now)
+            if now >= self._register_at:
+                self._register_at = now + _REGISTER_SECONDS
+                found += self._register_all(now)
         return found
 
     def _check(
