--- a/bench/src/baobabmux_bench/policies.py
+++ b/bench/src/baobabmux_bench/policies.py
@@ -92,6 +92,13 @@
         """Takes a caller's request at a node."""
 
 
+def share(limit: int, position: int, count: int) -> int:
+    """Returns the slots of one of `count` nodes at an endpoint."""
+    position %= count
+    # A node without any slot could not serve its callers.
+    return max(1, limit // count + (position < limit % count))
+
+
 class RandomChoice(Policy):
     """Every request goes at once to a random endpoint of its service."""
 
@@ -152,6 +159,46 @@
             self._outstanding[node, endpoint] -= 1
 
 
+class LeastReported(Policy):
+    """Every node sends at once to the endpoint that reports the least load.
+
+    To a report each node adds what it has sent since the time of the report,
+    relative to the endpoint's batch.
+    """
+
+    name = "reported"
+
+    def __init__(self):
+        self._reports: dict[ids.EndpointId, engines.LoadReport] = {}
+        self._sent: dict[tuple[ids.NodeId, ids.EndpointId], list[float]] = (
+            collections.defaultdict(list)
+        )
+
+    def submit(self, node: ids.NodeId, request: loads.Request) -> None:
+        """Takes a caller's request at a node."""
+        endpoint = min(
+            self.run.deployment.endpoints(request.kind.service),
+            key=lambda name: (self._load(node, name), self.run.draw.random()),
+        )
+        self._sent[node, endpoint].append(self.run.now)
+        self.run.dispatch(request.request, endpoint)
+
+    def load_report(
+        self, endpoint: ids.EndpointId, report: engines.LoadReport
+    ) -> None:
+        """Hears an endpoint's load, late."""
+        self._reports[endpoint] = report
+
+    def _load(self, node: ids.NodeId, endpoint: ids.EndpointId) -> float:
+        report = self._reports.get(endpoint)
+        known = report.running + report.waiting if report else 0
+        sent = self._sent[node, endpoint]
+        if report:
+            sent[:] = [time for time in sent if time > report.as_of]
+        limit = self.run.engines[endpoint].declared.max_requests
+        return (known + len(sent)) / limit
+
+
 class Shares(Policy):
     """Every node alone dispatches within its share of each endpoint's limit.
 
@@ -224,13 +271,11 @@
         """Returns a node's slots at an endpoint, all of them together."""
         if node not in self._members:
             return 0
-        limit = self.run.engines[endpoint].declared.max_requests
-        count = len(self._members)
-        position = self._members.index(node)
-        position += list(self.run.engines).index(endpoint)
-        share = limit // count + (position % count < limit % count)
-        # A node without any slot could not serve its callers.
-        return max(1, share)
+        return share(
+            self.run.engines[endpoint].declared.max_requests,
+            self._members.index(node) + list(self.run.engines).index(endpoint),
+            len(self._members),
+        )
 
     def _pump(self, node: ids.NodeId, service: ids.ServiceName) -> None:
         queue = self._queues[node, service]
--- a/bench/src/baobabmux_bench/registry.py
+++ b/bench/src/baobabmux_bench/registry.py
@@ -7,10 +7,20 @@
     for policy in (
         policies.RandomChoice,
         policies.LeastOutstanding,
+        policies.LeastReported,
         policies.Shares,
         nodes.Grants,
+        nodes.Alone,
     )
 }
+BASELINES = (
+    policies.RandomChoice.name,
+    policies.LeastOutstanding.name,
+    policies.LeastReported.name,
+    policies.Shares.name,
+)
+COMPARED = (*BASELINES, nodes.Grants.name)
+"""Policies of an ordinary run of the benchmark."""
 
 
 def names() -> list[str]:
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -43,7 +43,9 @@
 )
 
 _TICK_SECONDS = 0.05
-_MEMBERSHIP_SECONDS = 0.1
+# An idle node wakes up less often: its ticks were half of its CPU time.
+_IDLE_TICK_SECONDS = 0.25
+_MEMBERSHIP_SECONDS = 0.25
 _VM_POLL_SECONDS = 1.0
 _METRICS_SECONDS = 1.0
 _SNAPSHOT_SECONDS = 30.0
@@ -416,21 +418,7 @@
     async def _receive(self, frame: messages.Frame) -> None:
         now = time.monotonic()
         self.events.heard(frame.hlc)
-        leaving = any(
-            isinstance(m, messages.Heartbeat) and m.leaving
-            for m in frame.messages
-        )
-        data_centre = next(
-            (
-                m.data_centre
-                for m in frame.messages
-                if isinstance(m, messages.Heartbeat)
-            ),
-            None,
-        )
-        self.membership.heard(
-            frame.sender, frame.incarnation, leaving, now, data_centre
-        )
+        self._note_sender(frame, now)
         decided: list[effects.Effect] = []
         for message in frame.messages:
             self._record_message(frame.sender, self.settings.node, message)
@@ -438,6 +426,23 @@
                 decided += self.scheduler.receive(frame.sender, message, now)
         await self.apply(decided)
 
+    def _note_sender(self, frame: messages.Frame, now: float) -> None:
+        """Passes to the membership what a frame tells about its sender."""
+        self.membership.heard(frame.sender, frame.incarnation, False, now)
+        for message in frame.messages:
+            if isinstance(message, messages.Heartbeat):
+                self.membership.heard(
+                    frame.sender,
+                    frame.incarnation,
+                    message.leaving,
+                    now,
+                    message.data_centre or None,
+                    message.address,
+                )
+                self.membership.suspected_by(
+                    frame.sender, message.suspects, now
+                )
+
     async def _receive_own(
         self, sender: ids.NodeId, message: messages.AnyMessage
     ) -> bool:
@@ -533,11 +538,22 @@
                 self.config.state.version,
                 self.scheduler.loads(now, target),
                 self.settings.data_centre,
+                self.membership.suspects_for(target),
+                self._announced_address(),
             )
             self.peers.enqueue(target, heartbeat)
 
+    def _announced_address(self) -> str:
+        """Returns the peers' address while the VM list does not tell it."""
+        wildcard = self.peers.address.startswith(("0.0.0.0:", "[::]:"))
+        listed = self.membership.is_listed()
+        return "" if listed or wildcard else self.peers.address
+
     def _tick_scheduler(self, now: float) -> None:
         self._pending += self.scheduler.tick(now)
+        busy = self.held or self.scheduler.queue_length()
+        interval = _TICK_SECONDS if busy else _IDLE_TICK_SECONDS
+        self.timers.once(now + interval, self._tick_scheduler)
 
     def _update_gauges(self, now: float) -> None:
         self.metrics.held.set(len(self.held))
@@ -555,7 +571,7 @@
 
     async def _run_timers(self) -> None:
         now = time.monotonic()
-        self.timers.every(_TICK_SECONDS, now, self._tick_scheduler)
+        self.timers.once(now + _TICK_SECONDS, self._tick_scheduler)
         self.timers.every(_MEMBERSHIP_SECONDS, now, self._tick_membership)
         self.timers.every(_METRICS_SECONDS, now, self._update_gauges)
         self.timers.every(_CONFIG_ASK_SECONDS, now, self._ask_for_configuration)
