Check that the invariant queries catch broken scheduling decisions

Adds queries for closed endpoints (invariant 6), planned stops (invariant 7) and dispatches after a lease or a deadline.

--- a/packages/baobabmux-core/src/baobabmux_core/invariants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/invariants.py
@@ -7,11 +7,12 @@
 """
 
 import collections
+import math
 from collections.abc import Iterable, Iterator
 
 import msgspec
 
-from baobabmux_core import configuration, ids, states
+from baobabmux_core import configuration, errors, ids, states
 
 
 class Fact(msgspec.Struct, frozen=True):
@@ -27,6 +28,9 @@
         key: Key of a non-idempotent request, or None.
         node: Holder.
         at: Time in seconds.
+        endpoint: Endpoint that it was written to.
+        lease_until: End of the grant's lease.
+        deadline: Latest end of the request.
     """
 
     request: ids.RequestId
@@ -34,6 +38,9 @@
     key: ids.KeyHash | None = None
     node: ids.NodeId = ids.NodeId("")
     at: float = 0.0
+    endpoint: ids.EndpointId = ids.EndpointId("")
+    lease_until: float = math.inf
+    deadline: float = math.inf
 
 
 class Produced(Fact, frozen=True):
@@ -178,6 +185,49 @@
     lowest_held: int | None
 
 
+class EndpointClosed(Fact, frozen=True):
+    """An endpoint was closed, drained or listed as leaving.
+
+    Attributes:
+        endpoint: The endpoint.
+        at: Time in seconds.
+    """
+
+    endpoint: ids.EndpointId
+    at: float
+
+
+class EndpointOpened(Fact, frozen=True):
+    """A closed endpoint was opened for new work again."""
+
+    endpoint: ids.EndpointId
+    at: float
+
+
+class StopAnnounced(Fact, frozen=True):
+    """A planned stop of a node began.
+
+    Attributes:
+        node: The node.
+        held: Requests that it held and whose callers were connected to it.
+    """
+
+    node: ids.NodeId
+    held: tuple[ids.RequestId, ...]
+
+
+class Ended(Fact, frozen=True):
+    """A caller received the final response to its request.
+
+    Attributes:
+        request: The caller's request.
+        kind: Why it was refused or failed, or None for a complete answer.
+    """
+
+    request: ids.RequestId
+    kind: errors.ErrorKind | None = None
+
+
 def dispatched_at_most_once(facts: Iterable[Fact]) -> list[str]:
     """Checks invariant 1: no request is dispatched twice."""
     counts = collections.Counter(
@@ -190,6 +240,20 @@
     ]
 
 
+def dispatches_are_permitted(facts: Iterable[Fact]) -> list[str]:
+    """Checks that no request is dispatched after its lease or deadline.
+
+    After the lease the owner may have counted the slot as free, and after
+    the deadline a refusal as not run may be on its way to the caller.
+    """
+    return [
+        f"request {fact.request} was dispatched at {fact.at}; its lease ended "
+        f"at {fact.lease_until} and its deadline was {fact.deadline}"
+        for fact in _of(facts, Dispatched)
+        if fact.at >= min(fact.lease_until, fact.deadline)
+    ]
+
+
 def lower_tiers_are_shed_first(facts: Iterable[Fact]) -> list[str]:
     """Checks invariant 2: no tier is shed while a lower one waits."""
     return [
@@ -265,6 +329,56 @@
     return violations
 
 
+def closed_endpoints_get_no_work(
+    facts: Iterable[Fact], within_seconds: float
+) -> list[str]:
+    """Checks invariant 6: no dispatch to an endpoint that is closed.
+
+    Args:
+        facts: What happened.
+        within_seconds: Time for grants that were sent before it was closed.
+    """
+    closed: dict[ids.EndpointId, float] = {}
+    violations = []
+    for fact in facts:
+        if isinstance(fact, EndpointClosed):
+            closed.setdefault(fact.endpoint, fact.at)
+        elif isinstance(fact, EndpointOpened):
+            closed.pop(fact.endpoint, None)
+        elif isinstance(fact, Dispatched):
+            since = closed.get(fact.endpoint, math.inf)
+            if fact.at > since + within_seconds:
+                violations.append(
+                    f"request {fact.request} was dispatched at {fact.at} to "
+                    f"{fact.endpoint}, which was closed at {since}"
+                )
+    return violations
+
+
+def planned_stops_are_graceful(facts: Iterable[Fact]) -> list[str]:
+    """Checks invariant 7: what a stopping node held ends as usual.
+
+    The facts must reach to the end of the stop. A request may still be
+    refused for a reason of its own, such as its deadline.
+    """
+    facts = list(facts)
+    ended = {fact.request: fact.kind for fact in _of(facts, Ended)}
+    violations = []
+    for stop in _of(facts, StopAnnounced):
+        for request in stop.held:
+            if request not in ended:
+                violations.append(
+                    f"request {request} got no response when {stop.node} "
+                    f"stopped"
+                )
+            elif ended[request] is errors.ErrorKind.SHUTTING_DOWN:
+                violations.append(
+                    f"request {request}, which {stop.node} held, was refused "
+                    f"because of its stop"
+                )
+    return violations
+
+
 def configuration_never_reverts(facts: Iterable[Fact]) -> list[str]:
     """Checks invariant 8: versions only grow and mean the same everywhere."""
     versions: dict[ids.NodeId, int] = {}
--- a/packages/baobabmux-core/tests/invariants_test.py
+++ b/packages/baobabmux-core/tests/invariants_test.py
@@ -2,12 +2,20 @@
 
 import pytest
 
-from baobabmux_core import configuration, invariants, states
+from baobabmux_core import configuration, errors, invariants, states
 
 _NOT_RUN = states.RunStatus.NOT_RUN
 _KINDS = configuration.VerdictKind
 
 
+def _sent(at, **fields):
+    return invariants.Dispatched("r1", "r1-1", at=at, endpoint="e1", **fields)
+
+
+def _closed(facts):
+    return invariants.closed_endpoints_get_no_work(facts, 3.0)
+
+
 def _dispatched(request, key=None):
     return invariants.Dispatched(request, f"{request}-1", key)
 
@@ -22,6 +30,49 @@
         [_dispatched("r1"), _dispatched("r2")],
         [_dispatched("r1"), _dispatched("r1")],
     ),
+    (
+        invariants.dispatches_are_permitted,
+        [_sent(2.0, lease_until=3.0, deadline=4.0)],
+        [_sent(3.0, lease_until=3.0)],
+    ),
+    (
+        invariants.dispatches_are_permitted,
+        [_sent(3.0)],
+        [_sent(4.0, deadline=4.0)],
+    ),
+    (
+        _closed,
+        [
+            invariants.EndpointClosed("e1", 1.0),
+            _sent(4.0),
+            invariants.EndpointOpened("e1", 5.0),
+            _sent(6.0),
+        ],
+        # A second notice of the closing does not extend the time.
+        [
+            invariants.EndpointClosed("e1", 1.0),
+            invariants.EndpointClosed("e1", 3.0),
+            _sent(4.5),
+        ],
+    ),
+    (
+        invariants.planned_stops_are_graceful,
+        [
+            invariants.StopAnnounced("n1", ("r1", "r2")),
+            invariants.Ended("r1"),
+            invariants.Ended("r2", errors.ErrorKind.DEADLINE_PASSED),
+            invariants.Ended("r3", errors.ErrorKind.SHUTTING_DOWN),
+        ],
+        [
+            invariants.StopAnnounced("n1", ("r1",)),
+            invariants.Ended("r1", errors.ErrorKind.SHUTTING_DOWN),
+        ],
+    ),
+    (
+        invariants.planned_stops_are_graceful,
+        [],
+        [invariants.StopAnnounced("n1", ("r1",))],
+    ),
     (
         invariants.answers_are_own_and_complete,
         [invariants.Produced("a", 1), invariants.Answered("r", "a", 1)],
