--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -38,6 +38,8 @@
 _SPILL_MARGIN_SECONDS = 0.5
 # Under overload everywhere, requests at the edge only cost messages.
 _SPILL_WAIT_FACTOR = 1.5
+# Less is not worth the messages of a move.
+_MOVE_GAIN_SECONDS = 1.0
 # Time that a spilled request at least takes of a slot there; plain services
 # have no declared duration.
 _SPILL_SECONDS = 1.0
@@ -544,7 +546,7 @@
             # Waits are those of the lowest tier, which this one overtakes.
             self._note_spill(held, group)
             return group
-        if other > own / 2 or other > own - _SPILL_MARGIN_SECONDS:
+        if other > own / 2 or other > own - _MOVE_GAIN_SECONDS:
             return None
         self._note_spill(held, group)
         return group
