Split the node into its wiring, its callers' service and its driver

node.py had 701 lines and three jobs. serving.py now serves callers, driver.py carries out effects, node.py wires, times and stops.

--- a/packages/baobabmux-node/src/baobabmux_node/admin.py
+++ b/packages/baobabmux-node/src/baobabmux_node/admin.py
@@ -99,7 +99,7 @@
                     for name in host.membership.reachable()
                 },
                 "groups": status.group_states(host.scheduler, now),
-                "held": len(host.held),
+                "held": len(host.callers.held),
                 "timeline_events": len(host.events.timeline),
                 "addresses": host.addresses(),
             }
@@ -145,7 +145,7 @@
             endpoint=order.endpoint,
             drain=order.drain,
         )
-        await host.apply(
+        await host.driver.apply(
             host.scheduler.drain_endpoint(
                 order.endpoint, order.drain, time.monotonic()
             )
--- a/packages/baobabmux-node/src/baobabmux_node/answers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/answers.py
@@ -115,7 +115,7 @@
             # Needless withdrawals would pile up during an outage of the log.
             if result.in_doubt:
                 await self._withdraw(caller)
-            await self._host.claim_decided(
+            await self._host.driver.claim_decided(
                 caller.request,
                 False,
                 errors.ErrorKind.LOG_UNAVAILABLE,
@@ -135,7 +135,7 @@
             await self._withdraw(caller)
         else:
             self._claimed.add(entry.attempt)
-            await self._host.claim_decided(caller.request, True)
+            await self._host.driver.claim_decided(caller.request, True)
 
     async def ended(
         self,
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/driver.py
@@ -0,0 +1,138 @@
+"""Carries out the effects of the scheduling decisions."""
+
+import collections
+import time
+from typing import TYPE_CHECKING
+
+import curio
+
+from baobabmux_core import catalogue, effects, errors, ids, messages
+
+if TYPE_CHECKING:
+    from baobabmux_node import node
+
+Kind = catalogue.EventKind
+
+
+class SchedulerDriver:
+    """Passes effects to peers and to the requests that the node holds.
+
+    Attributes:
+        pending: Effects of decisions made outside of a task; the next `apply`
+            carries them out first.
+    """
+
+    def __init__(self, host: "node.Node"):
+        self.pending: list[effects.Effect] = []
+        self._host = host
+        self._node = host.settings.node
+
+    async def apply(self, decided: list[effects.Effect]) -> None:
+        """Carries out effects; messages to this node are looped back."""
+        started = time.perf_counter()
+        queue = collections.deque([*self._take_pending(), *decided])
+        while queue:
+            effect = queue.popleft()
+            match effect:
+                case effects.Send(to=to) if to == self._node:
+                    self.record_message(to, to, effect.message)
+                    queue.extend(
+                        self._host.scheduler.receive(
+                            to, effect.message, time.monotonic()
+                        )
+                    )
+                case effects.Send():
+                    self.record_message(self._node, effect.to, effect.message)
+                    self._host.peers.enqueue(effect.to, effect.message)
+                case effects.Claim():
+                    await self._claim(effect.request)
+                case effects.Dispatch() | effects.Refuse():
+                    await self._decide(effect)
+        self._host.metrics.control_cpu.inc(time.perf_counter() - started)
+        await self._host.peers.notify()
+
+    def _take_pending(self) -> list[effects.Effect]:
+        pending, self.pending = self.pending, []
+        return pending
+
+    async def _decide(self, effect: effects.Dispatch | effects.Refuse) -> None:
+        request = self._host.callers.held.get(effect.request)
+        if request is None:
+            return
+        if isinstance(effect, effects.Dispatch):
+            self._host.events.record(
+                Kind.REQUEST_GRANTED, effect.request, effect.endpoint
+            )
+        await request.decide(effect)
+
+    async def _claim(self, name: ids.RequestId) -> None:
+        request = self._host.callers.held.get(name)
+        if request is not None:
+            await curio.spawn(self._host.answers.claim, request, daemon=True)
+
+    async def claim_decided(
+        self,
+        name: ids.RequestId,
+        won: bool,
+        kind: errors.ErrorKind | None = None,
+        retry_after: float | None = None,
+    ) -> None:
+        """Passes the decision about a claim to the scheduler."""
+        await self.apply(
+            self._host.scheduler.claim_decided(
+                name,
+                won,
+                time.monotonic(),
+                kind=kind,
+                retry_after=retry_after,
+            )
+        )
+
+    def record_message(
+        self,
+        sender: ids.NodeId,
+        to: ids.NodeId,
+        message: messages.AnyMessage,
+    ) -> None:
+        """Records what the owner of a group does about a request.
+
+        These events tell of a request whose holder has died.
+        """
+        own = self._node
+        match message:
+            case messages.Ask() if to == own and message.waited_ms == 0:
+                self._host.events.record(
+                    Kind.REQUEST_ASKED,
+                    message.request,
+                    group=message.group,
+                    holder=sender,
+                )
+            case messages.Grant() if sender == own:
+                self._host.events.record(
+                    Kind.GRANT_SENT,
+                    message.request,
+                    message.endpoint,
+                    holder=to,
+                )
+            case messages.Refusal() if sender == own:
+                self._host.events.record(
+                    Kind.REFUSAL_SENT, message.request, error=message.kind
+                )
+            case messages.Release() if to == own:
+                self._host.events.record(
+                    Kind.RELEASE_RECEIVED,
+                    message.request,
+                    message.endpoint,
+                    holder=sender,
+                    outcome=message.outcome,
+                )
+            case messages.Suspect():
+                self._host.events.record(
+                    Kind.CONTENT_SUSPECTED,
+                    endpoint=message.endpoint,
+                    contents=[f"{item:x}" for item in message.contents],
+                )
+            case messages.Cleared():
+                self._host.events.record(
+                    Kind.CONTENT_CLEARED, content=f"{message.content:x}"
+                )
--- a/packages/baobabmux-node/src/baobabmux_node/endpoint_reports.py
+++ b/packages/baobabmux-node/src/baobabmux_node/endpoint_reports.py
@@ -87,14 +87,14 @@
             endpoint
             for endpoint in self._host.scheduler.owned_endpoints()
             if endpoint in configuration.endpoints
-            and self._host.endpoint(endpoint)[0] == "engine"
+            and self._host.callers.endpoint(endpoint)[0] == "engine"
         ]
 
     async def _poll(self, endpoint: ids.EndpointId) -> None:
         sequence = 0
         while True:
             await curio.sleep(_POLL_SECONDS)
-            _, address = self._host.endpoint(endpoint)
+            _, address = self._host.callers.endpoint(endpoint)
             report = await _get(address, "/v1/load", LoadReport)
             if report is not None:
                 await self._take_load(endpoint, report)
@@ -109,7 +109,7 @@
     ) -> None:
         now = time.monotonic()
         age = max(0.0, time.time() - report.as_of_ms / 1000)
-        await self._host.apply(
+        await self._host.driver.apply(
             self._host.scheduler.load_report(
                 endpoint,
                 report.running,
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -1,6 +1,5 @@
 """One node: connects the decisions in the core with sockets and clocks."""
 
-import collections
 import signal
 import time
 import zlib
@@ -12,7 +11,6 @@
 from baobabmux_core import (
     catalogue,
     effects,
-    errors,
     ids,
     membership,
     messages,
@@ -22,24 +20,21 @@
     timers,
 )
 from baobabmux_node import (
-    adapters,
     admin,
     answers,
-    callers,
     claim_service,
     config_follower,
+    driver,
     endpoint_reports,
     events,
-    held,
-    intake,
     log_service,
     metrics,
     order_service,
     peers,
     responses,
     server,
+    serving,
     settings,
-    sinks,
     status,
     vms,
 )
@@ -60,19 +55,17 @@
 Kind = catalogue.EventKind
 
 
-class Node(callers.Host):
+class Node:
     """A node of the system.
 
     Attributes:
         settings: Settings of the node.
-        held: Requests that the node holds, by identifier.
         draining: Whether the node is shutting down.
     """
 
     def __init__(self, node_settings: settings.Settings):
         self.settings = node_settings
         self.draining = False
-        self.held: dict[ids.RequestId, held.HeldRequest] = {}
         self.metrics = metrics.Metrics()
         self.timers = timers.TimerService()
         self.events = events.EventRecorder(
@@ -92,11 +85,6 @@
             self.membership.peer_address,
             self.events.stamp,
         )
-        self.intake = intake.Intake(
-            node_settings.node,
-            self.peers.incarnation,
-            node_settings.claim_window_seconds,
-        )
         self.log = log_service.LogService(str(node_settings.log))
         self.config = config_follower.ConfigFollower(
             self.log,
@@ -115,10 +103,13 @@
         self.answers = answers.AnswerService(self)
         self.reports = endpoint_reports.EndpointReports(self)
         self.orders = order_service.OrderService(self)
-        self._pending: list[effects.Effect] = []
+        self.driver = driver.SchedulerDriver(self)
+        self.callers = serving.CallerService(self)
         self._stop_requested = False
-        self._callers = self._listener(node_settings.callers, self._serve)
-        self._admin = self._listener(
+        self._caller_server = self._listener(
+            node_settings.callers, self.callers.serve
+        )
+        self._admin_server = self._listener(
             node_settings.admin, admin.Admin(self).handle
         )
 
@@ -133,300 +124,20 @@
         )
         return server.Server(address.host, address.port, handler, limits)
 
-    async def _serve(self, exchange: server.Exchange) -> None:
-        """Serves one request of a caller."""
-        # A refused request needs a name too, so that its refusal can be found.
-        public_id = (
-            exchange.headers.get(intake.REQUEST_ID)
-            or self.intake.next_request()
-        )
-        try:
-            caller = await self._accept(exchange)
-        except server.RequestError as error:
-            self.metrics.refused.labels("none", error.kind.value).inc()
-            self.events.record(Kind.REQUEST_MALFORMED, error=error.kind.value)
-            await exchange.respond(
-                *responses.problem(
-                    error.kind, public_id, error.detail, retry_after=1.0
-                )
-            )
-            return
-        request = held.HeldRequest(caller)
-        self.held[caller.request] = request
-        try:
-            await callers.Conversation(self, exchange, request).run()
-        finally:
-            self.held.pop(caller.request, None)
-
-    async def _accept(self, exchange: server.Exchange) -> held.Caller:
-        if self.draining:
-            raise server.RequestError(
-                errors.ErrorKind.SHUTTING_DOWN, "send it to another node"
-            )
-        configuration = self.config.state.configuration
-        if configuration is None:
-            raise server.RequestError(
-                errors.ErrorKind.NOT_READY, "no configuration is known"
-            )
-        if len(self.held) >= self.settings.max_held_requests:
-            raise server.RequestError(
-                errors.ErrorKind.OVERLOADED, "the node holds too many requests"
-            )
-        return await self.intake.accept(
-            exchange, configuration, time.monotonic(), _unix_ms()
-        )
-
-    # callers.Host
-
-    async def admit(self, request: held.HeldRequest) -> None:
-        """Submits a request, unless its key belongs to another one."""
-        caller = request.caller
-        self.metrics.submitted.labels(
-            caller.route.tier, caller.route_name
-        ).inc()
-        self.events.record(
-            Kind.REQUEST_RECEIVED,
-            caller.request,
-            route=caller.route_name,
-            public_id=caller.public_id,
-        )
-        repeat = await self.answers.register(request)
-        if repeat is not None:
-            await request.decide(repeat)
-            return
-        await self.apply(self.scheduler.submit(caller.work, time.monotonic()))
-
-    def permit(self, request: held.HeldRequest) -> bool:
-        """Takes the one-way step before the first byte."""
-        name = request.caller.request
-        permitted = self.scheduler.start_dispatch(name, time.monotonic())
-        kind = Kind.REQUEST_DISPATCHED if permitted else Kind.DISPATCH_FORBIDDEN
-        self.events.record(kind, name, request.endpoint or "")
-        return permitted
-
-    def endpoint(self, endpoint: ids.EndpointId) -> tuple[str, str]:
-        """Returns the kind of service and the address of an endpoint."""
-        configuration = self.config.state.configuration
-        declared = configuration.endpoints.get(endpoint)
-        if declared is None:
-            # Withdrawn between the grant and the dispatch; port 9 of the
-            # unspecified address refuses, so the attempt ends as not sent.
-            return "plain", "0.0.0.0:9"
-        return configuration.services[declared.service].kind, declared.address
-
-    def progress(self, request: held.HeldRequest, tokens: int) -> None:
-        """Tells the scheduler of output tokens."""
-        name = request.caller.request
-        now = time.monotonic()
-        if not request.first_token_seen:
-            request.first_token_seen = True
-            self.metrics.first_token.labels(request.caller.route.tier).observe(
-                now - request.caller.arrived
-            )
-            self._pending += self.scheduler.first_token(name, now)
-        self._pending += self.scheduler.progress(name, tokens, now)
-
-    async def attempt_ended(
-        self,
-        request: held.HeldRequest,
-        result: adapters.Result,
-        answer: sinks.Answer | None,
-    ) -> None:
-        """Tells the scheduler and the key store how an attempt ended."""
-        name = request.caller.request
-        now = time.monotonic()
-        self.events.record(
-            Kind.ATTEMPT_ENDED,
-            name,
-            request.endpoint or "",
-            outcome=result.outcome.value,
-            detail=result.detail,
-        )
-        self._count(request, result, now)
-        if result.outcome is not states.Outcome.NOT_SENT:
-            await self.answers.ended(request, result, answer)
-        await self.apply(
-            self.scheduler.finished(
-                name,
-                result.outcome,
-                now,
-                computed_tokens=result.computed_tokens,
-                output_tokens=result.output_tokens,
-            )
-        )
-
-    async def cancel(self, request: held.HeldRequest) -> None:
-        """Takes a request back that was not dispatched."""
-        name = request.caller.request
-        await self.answers.released(request)
-        await self.apply(self.scheduler.cancel(name, time.monotonic()))
-
-    async def released(self, request: held.HeldRequest) -> None:
-        """Opens the key of a request that was refused without a run."""
-        await self.answers.released(request)
-
-    async def first_answer(
-        self, repeat: held.Repeat, request: held.HeldRequest
-    ) -> sinks.Answer | errors.ErrorKind:
-        """Fetches the answer of the first request with a key."""
-        return await self.answers.fetch(repeat, request)
-
-    def refused(
-        self, request: held.HeldRequest, kind: errors.ErrorKind
-    ) -> None:
-        """Counts and records a refusal."""
-        self.metrics.refused.labels(request.caller.route.tier, kind.value).inc()
-        self.events.record(
-            Kind.REQUEST_REFUSED, request.caller.request, error=kind.value
-        )
-
-    def _count(self, request, result, now) -> None:
-        caller = request.caller
-        if result.outcome is states.Outcome.NOT_SENT:
-            return
-        service = caller.route.service
-        whole = result.outcome is states.Outcome.COMPLETED
-        in_time = whole and now <= caller.work.deadline
-        if whole:
-            self.metrics.answered.labels(
-                caller.route.tier, caller.route_name, str(in_time).lower()
-            ).inc()
-        self.metrics.prompt_tokens.labels(service).inc(
-            caller.work.prompt_tokens
-        )
-        self.metrics.output_tokens.labels(service).inc(result.output_tokens)
-        computed = max(result.computed_tokens, 0)
-        self.metrics.computed_tokens.labels(service).inc(computed)
-        if not in_time:
-            wasted = computed or caller.work.prompt_tokens
-            self.metrics.wasted_prefill.labels(service).inc(wasted)
-
-    # Effects of the decisions.
-
-    async def apply(self, decided: list[effects.Effect]) -> None:
-        """Carries out effects; messages to this node are looped back."""
-        started = time.perf_counter()
-        queue = collections.deque([*self._take_pending(), *decided])
-        while queue:
-            effect = queue.popleft()
-            match effect:
-                case effects.Send(to=to) if to == self.settings.node:
-                    self._record_message(to, to, effect.message)
-                    queue.extend(
-                        self.scheduler.receive(
-                            to, effect.message, time.monotonic()
-                        )
-                    )
-                case effects.Send():
-                    self._record_message(
-                        self.settings.node, effect.to, effect.message
-                    )
-                    self.peers.enqueue(effect.to, effect.message)
-                case effects.Claim():
-                    await self._claim(effect.request)
-                case effects.Dispatch() | effects.Refuse():
-                    await self._decide(effect)
-        self.metrics.control_cpu.inc(time.perf_counter() - started)
-        await self.peers.notify()
-
-    def _take_pending(self) -> list[effects.Effect]:
-        pending, self._pending = self._pending, []
-        return pending
-
-    async def _decide(self, effect: effects.Dispatch | effects.Refuse) -> None:
-        request = self.held.get(effect.request)
-        if request is None:
-            return
-        if isinstance(effect, effects.Dispatch):
-            self.events.record(
-                Kind.REQUEST_GRANTED, effect.request, effect.endpoint
-            )
-        await request.decide(effect)
-
-    async def _claim(self, name: ids.RequestId) -> None:
-        request = self.held.get(name)
-        if request is not None:
-            await curio.spawn(self.answers.claim, request, daemon=True)
-
-    async def claim_decided(
-        self,
-        name: ids.RequestId,
-        won: bool,
-        kind: errors.ErrorKind | None = None,
-        retry_after: float | None = None,
-    ) -> None:
-        """Passes the decision about a claim to the scheduler."""
-        await self.apply(
-            self.scheduler.claim_decided(
-                name,
-                won,
-                time.monotonic(),
-                kind=kind,
-                retry_after=retry_after,
-            )
-        )
-
     # Messages from other nodes.
 
-    def _record_message(
-        self,
-        sender: ids.NodeId,
-        to: ids.NodeId,
-        message: messages.AnyMessage,
-    ) -> None:
-        """Records what the owner of a group does about a request.
-
-        These events tell of a request whose holder has died.
-        """
-        own = self.settings.node
-        match message:
-            case messages.Ask() if to == own and message.waited_ms == 0:
-                self.events.record(
-                    Kind.REQUEST_ASKED,
-                    message.request,
-                    group=message.group,
-                    holder=sender,
-                )
-            case messages.Grant() if sender == own:
-                self.events.record(
-                    Kind.GRANT_SENT,
-                    message.request,
-                    message.endpoint,
-                    holder=to,
-                )
-            case messages.Refusal() if sender == own:
-                self.events.record(
-                    Kind.REFUSAL_SENT, message.request, error=message.kind
-                )
-            case messages.Release() if to == own:
-                self.events.record(
-                    Kind.RELEASE_RECEIVED,
-                    message.request,
-                    message.endpoint,
-                    holder=sender,
-                    outcome=message.outcome,
-                )
-            case messages.Suspect():
-                self.events.record(
-                    Kind.CONTENT_SUSPECTED,
-                    endpoint=message.endpoint,
-                    contents=[f"{item:x}" for item in message.contents],
-                )
-            case messages.Cleared():
-                self.events.record(
-                    Kind.CONTENT_CLEARED, content=f"{message.content:x}"
-                )
-
     async def _receive(self, frame: messages.Frame) -> None:
         now = time.monotonic()
         self.events.heard(frame.hlc)
         self._note_sender(frame, now)
         decided: list[effects.Effect] = []
         for message in frame.messages:
-            self._record_message(frame.sender, self.settings.node, message)
+            self.driver.record_message(
+                frame.sender, self.settings.node, message
+            )
             if not await self._receive_own(frame.sender, message):
                 decided += self.scheduler.receive(frame.sender, message, now)
-        await self.apply(decided)
+        await self.driver.apply(decided)
 
     def _note_sender(self, frame: messages.Frame, now: float) -> None:
         """Passes to the membership what a frame tells about its sender."""
@@ -498,7 +209,7 @@
         self.metrics.config_version.set(state.version)
         self.answers.configure(state.configuration.keys)
         self.orders.desk.configure(state.configuration.endpoints)
-        await self.apply(
+        await self.driver.apply(
             self.scheduler.configure(state.configuration, time.monotonic())
         )
 
@@ -533,7 +244,7 @@
                 self.answers.holder_gone(change.node)
         if changes:
             self.answers.members_changed()
-            self._pending += self.scheduler.members_changed(now)
+            self.driver.pending += self.scheduler.members_changed(now)
         self._send_heartbeats(self.membership.heartbeat_targets(now))
 
     def _send_heartbeats(self, targets: list[ids.NodeId]) -> None:
@@ -556,13 +267,13 @@
         return "" if listed or wildcard else self.peers.address
 
     def _tick_scheduler(self, now: float) -> None:
-        self._pending += self.scheduler.tick(now)
-        busy = self.held or self.scheduler.queue_length()
+        self.driver.pending += self.scheduler.tick(now)
+        busy = self.callers.held or self.scheduler.queue_length()
         interval = _TICK_SECONDS if busy else _IDLE_TICK_SECONDS
         self.timers.once(now + interval, self._tick_scheduler)
 
     def _update_gauges(self, now: float) -> None:
-        self.metrics.held.set(len(self.held))
+        self.metrics.held.set(len(self.callers.held))
         self.metrics.members.set(len(self.membership.reachable()))
         self.metrics.update_control(self.peers, self.log)
         self.metrics.update_groups(status.group_states(self.scheduler, now))
@@ -585,7 +296,7 @@
         while True:
             started = time.monotonic()
             self.timers.run_due(started)
-            await self.apply([])
+            await self.driver.apply([])
             if self._stop_requested and not stopping:
                 stopping = True
                 await curio.spawn(self._shut_down, daemon=True)
@@ -616,16 +327,16 @@
         signal.signal(signal.SIGINT, self._request_stop)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self._stopped = curio.Event()
-        self._callers.start()
-        self._admin.start()
+        self._caller_server.start()
+        self._admin_server.start()
         self.peers.start(self.settings.peers.host, self.settings.peers.port)
         self.events.record(Kind.NODE_STARTED, addresses=self.addresses())
         print(self.announcement(), flush=True)
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._stopped.wait)
             for job in (
-                self._callers.serve,
-                self._admin.serve,
+                self._caller_server.serve,
+                self._admin_server.serve,
                 self.peers.send_frames,
                 self._poll_vms,
                 self.config.follow,
@@ -642,8 +353,8 @@
     def addresses(self) -> dict[str, str]:
         """Returns where the node listens, by listener."""
         return {
-            "callers": f"{self._callers.host}:{self._callers.port}",
-            "admin": f"{self._admin.host}:{self._admin.port}",
+            "callers": f"{self._caller_server.host}:{self._caller_server.port}",
+            "admin": f"{self._admin_server.host}:{self._admin_server.port}",
             "peers": self.peers.address,
         }
 
@@ -678,15 +389,15 @@
         """
         now = time.monotonic()
         self.draining = True
-        self.events.record(Kind.SHUTDOWN_STARTED, held=len(self.held))
+        self.events.record(Kind.SHUTDOWN_STARTED, held=len(self.callers.held))
         self.membership.leave(now)
-        await self.apply(self.scheduler.leave(now))
+        await self.driver.apply(self.scheduler.leave(now))
         self._send_heartbeats(
             [n for n in self.membership.reachable() if n != self.settings.node]
         )
         await self.peers.notify()
         await curio.sleep(self.settings.announce_seconds)
-        while self.held or self._callers.busy:
+        while self.callers.held or self._caller_server.busy:
             await curio.sleep(_TICK_SECONDS)
         await self.claims.settle()
         await self.orders.release()
--- a/packages/baobabmux-node/src/baobabmux_node/order_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/order_service.py
@@ -169,7 +169,7 @@
         self.desk.state_read(read, state, time.monotonic())
 
     def _address(self, endpoint: ids.EndpointId) -> str:
-        return self._host.endpoint(endpoint)[1]
+        return self._host.callers.endpoint(endpoint)[1]
 
 
 def _body(order: orders.Order) -> bytes:
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -0,0 +1,218 @@
+"""Serves callers: from the arrival of a request to its final answer."""
+
+import time
+from typing import TYPE_CHECKING
+
+from baobabmux_core import catalogue, errors, ids, states
+from baobabmux_node import (
+    adapters,
+    callers,
+    held,
+    intake,
+    responses,
+    server,
+    sinks,
+)
+
+if TYPE_CHECKING:
+    from baobabmux_node import node
+
+Kind = catalogue.EventKind
+
+
+class CallerService(callers.Host):
+    """Connects callers' requests with the scheduler, keys and metrics.
+
+    Attributes:
+        held: Requests that the node holds, by identifier.
+    """
+
+    def __init__(self, host: "node.Node"):
+        self.held: dict[ids.RequestId, held.HeldRequest] = {}
+        self._host = host
+        self._driver = host.driver
+        self._intake = intake.Intake(
+            host.settings.node,
+            host.peers.incarnation,
+            host.settings.claim_window_seconds,
+        )
+
+    async def serve(self, exchange: server.Exchange) -> None:
+        """Serves one request of a caller."""
+        # A refused request needs a name too, so that its refusal can be found.
+        public_id = (
+            exchange.headers.get(intake.REQUEST_ID)
+            or self._intake.next_request()
+        )
+        try:
+            caller = await self._accept(exchange)
+        except server.RequestError as error:
+            self._host.metrics.refused.labels("none", error.kind.value).inc()
+            self._host.events.record(
+                Kind.REQUEST_MALFORMED, error=error.kind.value
+            )
+            await exchange.respond(
+                *responses.problem(
+                    error.kind, public_id, error.detail, retry_after=1.0
+                )
+            )
+            return
+        request = held.HeldRequest(caller)
+        self.held[caller.request] = request
+        try:
+            await callers.Conversation(self, exchange, request).run()
+        finally:
+            self.held.pop(caller.request, None)
+
+    async def _accept(self, exchange: server.Exchange) -> held.Caller:
+        if self._host.draining:
+            raise server.RequestError(
+                errors.ErrorKind.SHUTTING_DOWN, "send it to another node"
+            )
+        configuration = self._host.config.state.configuration
+        if configuration is None:
+            raise server.RequestError(
+                errors.ErrorKind.NOT_READY, "no configuration is known"
+            )
+        if len(self.held) >= self._host.settings.max_held_requests:
+            raise server.RequestError(
+                errors.ErrorKind.OVERLOADED, "the node holds too many requests"
+            )
+        return await self._intake.accept(
+            exchange, configuration, time.monotonic(), _unix_ms()
+        )
+
+    async def admit(self, request: held.HeldRequest) -> None:
+        """Submits a request, unless its key belongs to another one."""
+        caller = request.caller
+        self._host.metrics.submitted.labels(
+            caller.route.tier, caller.route_name
+        ).inc()
+        self._host.events.record(
+            Kind.REQUEST_RECEIVED,
+            caller.request,
+            route=caller.route_name,
+            public_id=caller.public_id,
+        )
+        repeat = await self._host.answers.register(request)
+        if repeat is not None:
+            await request.decide(repeat)
+            return
+        await self._driver.apply(
+            self._host.scheduler.submit(caller.work, time.monotonic())
+        )
+
+    def permit(self, request: held.HeldRequest) -> bool:
+        """Takes the one-way step before the first byte."""
+        name = request.caller.request
+        permitted = self._host.scheduler.start_dispatch(name, time.monotonic())
+        kind = Kind.REQUEST_DISPATCHED if permitted else Kind.DISPATCH_FORBIDDEN
+        self._host.events.record(kind, name, request.endpoint or "")
+        return permitted
+
+    def endpoint(self, endpoint: ids.EndpointId) -> tuple[str, str]:
+        """Returns the kind of service and the address of an endpoint."""
+        configuration = self._host.config.state.configuration
+        declared = configuration.endpoints.get(endpoint)
+        if declared is None:
+            # Withdrawn between the grant and the dispatch; port 9 of the
+            # unspecified address refuses, so the attempt ends as not sent.
+            return "plain", "0.0.0.0:9"
+        return configuration.services[declared.service].kind, declared.address
+
+    def progress(self, request: held.HeldRequest, tokens: int) -> None:
+        """Tells the scheduler of output tokens."""
+        name = request.caller.request
+        now = time.monotonic()
+        if not request.first_token_seen:
+            request.first_token_seen = True
+            self._host.metrics.first_token.labels(
+                request.caller.route.tier
+            ).observe(now - request.caller.arrived)
+            self._driver.pending += self._host.scheduler.first_token(name, now)
+        self._driver.pending += self._host.scheduler.progress(name, tokens, now)
+
+    async def attempt_ended(
+        self,
+        request: held.HeldRequest,
+        result: adapters.Result,
+        answer: sinks.Answer | None,
+    ) -> None:
+        """Tells the scheduler and the key store how an attempt ended."""
+        name = request.caller.request
+        now = time.monotonic()
+        self._host.events.record(
+            Kind.ATTEMPT_ENDED,
+            name,
+            request.endpoint or "",
+            outcome=result.outcome.value,
+            detail=result.detail,
+        )
+        self._count(request, result, now)
+        if result.outcome is not states.Outcome.NOT_SENT:
+            await self._host.answers.ended(request, result, answer)
+        await self._driver.apply(
+            self._host.scheduler.finished(
+                name,
+                result.outcome,
+                now,
+                computed_tokens=result.computed_tokens,
+                output_tokens=result.output_tokens,
+            )
+        )
+
+    async def cancel(self, request: held.HeldRequest) -> None:
+        """Takes a request back that was not dispatched."""
+        name = request.caller.request
+        await self._host.answers.released(request)
+        await self._driver.apply(
+            self._host.scheduler.cancel(name, time.monotonic())
+        )
+
+    async def released(self, request: held.HeldRequest) -> None:
+        """Opens the key of a request that was refused without a run."""
+        await self._host.answers.released(request)
+
+    async def first_answer(
+        self, repeat: held.Repeat, request: held.HeldRequest
+    ) -> sinks.Answer | errors.ErrorKind:
+        """Fetches the answer of the first request with a key."""
+        return await self._host.answers.fetch(repeat, request)
+
+    def refused(
+        self, request: held.HeldRequest, kind: errors.ErrorKind
+    ) -> None:
+        """Counts and records a refusal."""
+        self._host.metrics.refused.labels(
+            request.caller.route.tier, kind.value
+        ).inc()
+        self._host.events.record(
+            Kind.REQUEST_REFUSED, request.caller.request, error=kind.value
+        )
+
+    def _count(self, request, result, now) -> None:
+        caller = request.caller
+        if result.outcome is states.Outcome.NOT_SENT:
+            return
+        service = caller.route.service
+        whole = result.outcome is states.Outcome.COMPLETED
+        in_time = whole and now <= caller.work.deadline
+        if whole:
+            self._host.metrics.answered.labels(
+                caller.route.tier, caller.route_name, str(in_time).lower()
+            ).inc()
+        self._host.metrics.prompt_tokens.labels(service).inc(
+            caller.work.prompt_tokens
+        )
+        self._host.metrics.output_tokens.labels(service).inc(
+            result.output_tokens
+        )
+        computed = max(result.computed_tokens, 0)
+        self._host.metrics.computed_tokens.labels(service).inc(computed)
+        if not in_time:
+            wasted = computed or caller.work.prompt_tokens
+            self._host.metrics.wasted_prefill.labels(service).inc(wasted)
+
+
+def _unix_ms() -> int:
+    return time.time_ns() // 1_000_000
