--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -6,6 +6,8 @@
 import zlib
 
 import curio
+import msgspec
+import xxhash
 
 from baobabmux_core import (
     catalogue,
@@ -489,6 +491,9 @@
             Kind.CONFIG_IN_FORCE,
             version=state.version,
             preset=state.configuration.active,
+            digest=xxhash.xxh3_64_hexdigest(
+                msgspec.json.encode(state.tables, order="sorted")
+            ),
         )
         self.metrics.config_version.set(state.version)
         self.answers.configure(state.configuration.keys)
@@ -498,11 +503,12 @@
         )
 
     async def _poll_vms(self) -> None:
+        reader = vms.VmListClient(
+            str(self.settings.vms), self.settings.data_centre
+        )
         reachable = True
         while True:
-            listed = await vms.fetch(
-                str(self.settings.vms), self.settings.data_centre
-            )
+            listed = await reader.fetch(time.monotonic())
             if listed is not None:
                 self.membership.vm_list(
                     listed.vms, listed.as_of_ms / 1000, time.monotonic()
