Record ownership, breakers, log reachability and rejected frames

A watch compares the state once a second; first tokens and undecided claims are recorded where they happen.

--- a/packages/baobabmux-node/src/baobabmux_node/answers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/answers.py
@@ -112,6 +112,7 @@
             Kind.CLAIM_DECIDED, caller.request, verdict=verdict.value
         )
         if verdict is claims.ClaimVerdict.UNAVAILABLE:
+            self._host.events.record(Kind.CLAIM_UNAVAILABLE, caller.request)
             # Needless withdrawals would pile up during an outage of the log.
             if result.in_doubt:
                 await self._withdraw(caller)
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -37,6 +37,7 @@
     settings,
     status,
     vms,
+    watch,
 )
 
 _TICK_SECONDS = 0.05
@@ -105,6 +106,7 @@
         self.orders = order_service.OrderService(self)
         self.driver = driver.SchedulerDriver(self)
         self.callers = serving.CallerService(self)
+        self._watch = watch.StateWatch(self)
         self._stop_requested = False
         self._caller_server = self._listener(
             node_settings.callers, self.callers.serve
@@ -276,7 +278,9 @@
         self.metrics.held.set(len(self.callers.held))
         self.metrics.members.set(len(self.membership.reachable()))
         self.metrics.update_control(self.peers, self.log)
-        self.metrics.update_groups(status.group_states(self.scheduler, now))
+        groups = status.group_states(self.scheduler, now)
+        self.metrics.update_groups(groups)
+        self._watch.check(groups)
 
     def _ask_for_configuration(self, now: float) -> None:
         """Asks a peer while the own configuration is missing."""
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -126,6 +126,9 @@
         now = time.monotonic()
         if not request.first_token_seen:
             request.first_token_seen = True
+            self._host.events.record(
+                Kind.FIRST_TOKEN, name, request.endpoint or ""
+            )
             self._host.metrics.first_token.labels(
                 request.caller.route.tier
             ).observe(now - request.caller.arrived)
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -0,0 +1,68 @@
+"""Records changes of state that no single message or request shows."""
+
+from typing import TYPE_CHECKING
+
+from baobabmux_core import catalogue, ids
+from baobabmux_node import status
+
+if TYPE_CHECKING:
+    from baobabmux_node import node
+
+Kind = catalogue.EventKind
+
+
+class StateWatch:
+    """Compares the node's state with what was recorded last."""
+
+    def __init__(self, host: "node.Node"):
+        self._host = host
+        self._groups: set[ids.GroupId] = set()
+        self._breakers: dict[ids.EndpointId, str] = {}
+        self._log_reachable: bool | None = None
+        self._rejected_frames = 0
+
+    def check(self, groups: list[status.GroupStatus]) -> None:
+        """Records what has changed since the last check.
+
+        Args:
+            groups: States of the groups that the node owns.
+        """
+        self._check_ownership({group.group for group in groups})
+        self._check_breakers(
+            {
+                endpoint.endpoint: endpoint.breaker
+                for group in groups
+                for endpoint in group.endpoints
+            }
+        )
+        self._check_log()
+        self._check_frames()
+
+    def _check_ownership(self, owned: set[ids.GroupId]) -> None:
+        record = self._host.events.record
+        for group in sorted(owned - self._groups):
+            record(Kind.OWNERSHIP_TAKEN, group=group)
+        for group in sorted(self._groups - owned):
+            record(Kind.OWNERSHIP_LEFT, group=group)
+        self._groups = owned
+
+    def _check_breakers(self, breakers: dict[ids.EndpointId, str]) -> None:
+        for endpoint, state in breakers.items():
+            if state != self._breakers.get(endpoint, "closed"):
+                self._host.events.record(
+                    Kind.BREAKER_CHANGED, endpoint=endpoint, state=state
+                )
+        self._breakers = breakers
+
+    def _check_log(self) -> None:
+        reachable = self._host.log.reachable
+        if reachable != self._log_reachable:
+            self._log_reachable = reachable
+            self._host.events.record(Kind.LOG_REACHED, reachable=reachable)
+
+    def _check_frames(self) -> None:
+        rejected = self._host.peers.rejected_frames
+        if rejected > self._rejected_frames:
+            count = rejected - self._rejected_frames
+            self._rejected_frames = rejected
+            self._host.events.record(Kind.FRAME_REJECTED, count=count)
