Keep asks and registers that arrive before a node knows its ownership

Cause: a holder that learned of a new owner before the owner itself sent its asks and registers into the void, and repeated the ask only seconds later.

Change: a node keeps such messages for 3 s and handles them when it becomes the owner.

--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -38,6 +38,10 @@
 _SPILL_MARGIN_SECONDS = 0.5
 # Under overload everywhere, requests at the edge only cost messages.
 _SPILL_WAIT_FACTOR = 1.5
+# Nodes learn of a change of members at different times, at most about three
+# heartbeat intervals apart.
+_EARLY_SECONDS = 3.0
+_EARLY_MESSAGES = 1000
 # Less is not worth the messages of a move.
 _MOVE_GAIN_SECONDS = 1.0
 # Time that a spilled request at least takes of a slot there; plain services
@@ -93,6 +97,10 @@
         self._quarantine = quarantine.Quarantine()
         self._last_tick: float | None = None
         self._homes = prefixes.PrefixHomes()
+        # Asks and registers for groups that this node does not own yet.
+        self._early: collections.deque[
+            tuple[float, ids.NodeId, messages.Ask | messages.Register]
+        ] = collections.deque(maxlen=_EARLY_MESSAGES)
         self._drained: set[ids.EndpointId] = set()
         self._drain_repeats: dict[ids.EndpointId, tuple[int, float]] = {}
         self._loads: dict[ids.GroupId, _RemoteLoad] = {}
@@ -205,8 +213,7 @@
             case messages.Progress() | messages.Release():
                 found = self._reported(message, sender, now)
             case messages.Register():
-                owner = self._owned.get(message.group)
-                found = owner.register(message, sender, now) if owner else []
+                found = self._registered(message, sender, now)
             case messages.Heartbeat():
                 self._note_loads(message, sender, now)
                 found = []
@@ -587,8 +594,31 @@
         self, ask: messages.Ask, sender: ids.NodeId, now: float
     ) -> list[effects.Effect]:
         owner = self._owned.get(ask.group)
-        # The holder repeats its ask; by then both agree on the owner.
-        return owner.ask(ask, sender, now) if owner else []
+        if owner is not None:
+            return owner.ask(ask, sender, now)
+        self._early.append((now, sender, ask))
+        return []
+
+    def _registered(
+        self, register: messages.Register, sender: ids.NodeId, now: float
+    ) -> list[effects.Effect]:
+        owner = self._owned.get(register.group)
+        if owner is not None:
+            return owner.register(register, sender, now)
+        self._early.append((now, sender, register))
+        return []
+
+    def _replay(self, group: ids.GroupId, now: float) -> list[effects.Effect]:
+        """Handles what holders sent before this node knew its ownership."""
+        found = []
+        for heard, sender, message in self._early:
+            if message.group != group or now - heard > _EARLY_SECONDS:
+                continue
+            if isinstance(message, messages.Register):
+                found += self._registered(message, sender, now)
+            else:
+                found += self._asked(message, sender, now)
+        return found
 
     def _withdrawn(
         self, message: messages.Withdraw, sender: ids.NodeId, now: float
@@ -678,7 +708,10 @@
         for group in sorted(groups | self._holder.groups()):
             owner = self._owner(group)
             if group in groups:
+                owned_before = group in self._owned
                 self._take_or_drop(group, owner, now)
+                if group in self._owned and not owned_before:
+                    found += self._replay(group, now)
             if owner != self._owners.get(group):
                 self._owners[group] = owner
                 found += self._holder.owner_changed(group, now)
--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -314,6 +314,25 @@
     assert not cluster.refusals
 
 
+def test_ask_that_arrives_before_ownership_is_kept():
+    """Guards against a wait for the repeat when views change in turn."""
+    cluster = Cluster()
+    owner = cluster.members.owner(_GROUP)
+    cluster.members.centres[_CENTRE].remove(owner)
+    heir = cluster.members.owner(_GROUP)
+    holder = next(n for n in cluster.nodes if n not in (owner, heir))
+    core = cluster.nodes[holder]
+    cluster.carry_out(holder, core.members_changed(cluster.now))
+    cluster.submit("r1", node=list(cluster.nodes).index(holder))
+    cluster.deliver_all()
+    assert not cluster.pending
+    cluster.now += 0.5
+    found = cluster.nodes[heir].members_changed(cluster.now)
+    cluster.carry_out(heir, found)
+    cluster.deliver_all()
+    assert "r1" in cluster.pending
+
+
 def test_paused_holder_does_not_use_an_expired_grant():
     """Guards against a dispatch by a process that was stopped meanwhile."""
     cluster = Cluster()
