--- a/standins/src/baobabmux_standins/cluster.py
+++ b/standins/src/baobabmux_standins/cluster.py
@@ -6,9 +6,11 @@
 
 import json
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
+import threading
 from collections.abc import Iterable
 from types import TracebackType
 from typing import Any, Self
@@ -113,6 +115,7 @@
     """
 
     def __init__(self):
+        _interrupt_on_sigterm()
         self._temporary = tempfile.TemporaryDirectory(prefix="baobabmux-")
         self.directory = pathlib.Path(self._temporary.name)
         self.log: StandIn | None = None
@@ -366,6 +369,16 @@
                 link.relay.set_faults(**faults)
 
 
+def _interrupt_on_sigterm() -> None:
+    """Turns SIGTERM into KeyboardInterrupt.
+
+    By default it ends the process at once, and the children would remain.
+    """
+    is_main = threading.current_thread() is threading.main_thread()
+    if is_main and signal.getsignal(signal.SIGTERM) is signal.SIG_DFL:
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
+
+
 def _started(part: StandIn | None) -> StandIn:
     if part is None:
         raise CommandError("the platform is not started")
--- a/standins/src/baobabmux_standins/demo.py
+++ b/standins/src/baobabmux_standins/demo.py
@@ -212,7 +212,6 @@
     if len(arguments) > 1:
         print(f"unknown argument {arguments[1]}", file=sys.stderr)
         return 2
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     with cluster.Cluster() as started:
         demo = Demo(started, _SEED.value)
         try:
--- a/standins/tests/cluster_test.py
+++ b/standins/tests/cluster_test.py
@@ -31,6 +31,25 @@
     assert not pathlib.Path(directory).exists()
 
 
+def test_terminated_harness_leaves_no_process():
+    """Guards against stand-ins that outlive a test run ended by SIGTERM."""
+    script = (
+        "import time\n"
+        "from baobabmux_standins import cluster\n"
+        "with cluster.Cluster() as started:\n"
+        "    started.start_platform(['col-a'])\n"
+        "    print(started.processes[0].pid, flush=True)\n"
+        "    time.sleep(600)\n"
+    )
+    with cluster.Cluster() as started:
+        harness = started.start_process("h", [sys.executable, "-c", script])
+        pid = harness.announcement()
+        assert _alive(pid)
+        harness.terminate()
+        harness.wait()
+    process.wait_until(lambda: not _alive(pid), "the stand-in has ended")
+
+
 def test_cut_separates_one_data_centre_from_the_platform():
     """Guards against a cut that spares a link or hits another place."""
     with cluster.Cluster() as started:
