Do not use a grant for an endpoint that has closed meanwhile

Cause: the lease of a grant begins when its holder reads it, so a grant that waited in the socket of a paused holder, or behind a stalled link, was used for an endpoint that had left 10 s before. Ruled out: a shorter lease, which would expire during claims. Change: just before the first byte the holder checks its own view of the endpoint; an owner that is asked again about a closed endpoint queues the request anew instead of repeating the grant. The broken copies of the owner's check now break the holder's check too, since either one would hide the other. Before: test_grant_that_waited_for_a_paused_holder_is_not_used failed; after: 268 passed in the core.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -259,7 +259,12 @@
     ) -> list[effects.Effect]:
         """Queues a request, grants it or refuses it."""
         if (member := self._running_at.get(ask.request)) is not None:
-            return self._repeat_grant(member, ask, holder, now)
+            if member.open:
+                return self._repeat_grant(member, ask, holder, now)
+            # The holder would not use another grant of a closed endpoint.
+            if member.model.running[ask.request].holder != holder:
+                return []
+            self._end_running(ask.request, now)
         if ask.request in self._ended:
             return []
         if (known := self._entries.get(ask.request)) is not None:
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -13,6 +13,7 @@
     states,
 )
 
+IsOpen = Callable[[ids.EndpointId], bool]
 OwnerOf = Callable[[ids.GroupId], ids.NodeId | None]
 
 # A request that still waits after this share of its time, and at least this
@@ -141,17 +142,21 @@
 
     Attributes:
         held: Requests that have not ended, by identifier.
+        is_open: Tells whether this node would send an endpoint new work; a
+            grant may have been on its way while that changed.
     """
 
     def __init__(
         self,
         node: ids.NodeId,
         owner_of: OwnerOf,
+        is_open: IsOpen,
         local_group: Callable[[effects.Work], ids.GroupId | None],
         seed: int,
     ):
         self.node = node
         self.held: dict[ids.RequestId, Held] = {}
+        self.is_open = is_open
         self._owner_of = owner_of
         self._local_group = local_group
         self._generator = random.Random(seed)
@@ -199,7 +204,8 @@
         held = self.held.get(request)
         if held is None or held.state is not states.RequestState.GRANTED:
             return False
-        if now >= held.lease_end or now >= held.deadline:
+        late = now >= held.lease_end or now >= held.deadline
+        if late or not self.is_open(held.endpoint):
             self._requeue(held, now)
             return False
         held.state = states.RequestState.DISPATCHED
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -87,6 +87,7 @@
         self._holder = holders.Holder(
             node,
             self._owner,
+            lambda endpoint: self._is_open(endpoint),
             lambda work: self._home_group(work.service),
             seed,
         )
@@ -751,14 +752,17 @@
             return
         for owner in self._owned.values():
             for endpoint in owner.endpoints():
-                declared = self._configuration.endpoints.get(endpoint)
-                is_open = (
-                    declared is not None
-                    and endpoint not in self._drained
-                    and self._membership.endpoint_vm_state(declared.vm)
-                    is states.EndpointState.LIVE
-                )
-                owner.set_open(endpoint, is_open)
+                owner.set_open(endpoint, self._is_open(endpoint))
+
+    def _is_open(self, endpoint: ids.EndpointId) -> bool:
+        """Tells whether an endpoint may be sent new work, as seen here."""
+        declared = self._configuration.endpoints.get(endpoint)
+        return (
+            declared is not None
+            and endpoint not in self._drained
+            and self._membership.endpoint_vm_state(declared.vm)
+            is states.EndpointState.LIVE
+        )
 
     def _pump(self, now: float) -> list[effects.Effect]:
         found = []
--- a/packages/baobabmux-core/tests/broken_scheduler_test.py
+++ b/packages/baobabmux-core/tests/broken_scheduler_test.py
@@ -251,6 +251,12 @@
 
 def _never_closes_endpoints(patch):
     patch.setattr(grants.GroupOwner, "set_open", lambda *_: None)
+    _holder_sends_anywhere(patch)
+
+
+def _holder_sends_anywhere(patch):
+    """Breaks the holder's check too, which would hide a broken owner."""
+    patch.setattr(scheduler.NodeScheduler, "_is_open", lambda *_: True)
 
 
 def _forgets_drains(patch):
@@ -264,6 +270,7 @@
                 owner.set_open(endpoint, endpoint not in self._drained)
 
     patch.setattr(scheduler.NodeScheduler, "_update_endpoints", broken)
+    _holder_sends_anywhere(patch)
 
 
 def _keeps_removed_endpoints(patch):
@@ -273,6 +280,7 @@
                 owner.set_open(endpoint, True)
 
     patch.setattr(scheduler.NodeScheduler, "_update_endpoints", broken)
+    _holder_sends_anywhere(patch)
 
 
 def _drops_held_when_leaving(patch):
