End the node when one of its jobs fails

Cause: the shutdown ran as a daemon task, so a fault in it left the node draining for ever and deaf to SIGTERM; a failed follower or listener went unnoticed and the exit code was 0. Change: all jobs and the shutdown belong to one group; the first to end ends the node, with its exception if it failed.

--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -303,7 +303,7 @@
             await self.driver.apply([])
             if self._stop_requested and not stopping:
                 stopping = True
-                await curio.spawn(self._shut_down, daemon=True)
+                await self._jobs.spawn(self._shut_down)
             due = self.timers.next_due() or started
             await curio.sleep(max(due - time.monotonic(), 0.001))
             pause = time.monotonic() - max(due, started)
@@ -326,18 +326,21 @@
     # Start and stop.
 
     async def run(self) -> None:
-        """Runs the node until a graceful shutdown has ended."""
+        """Runs the node until a graceful shutdown has ended.
+
+        Raises:
+            Exception: A job of the node failed; a supervisor starts it anew.
+        """
         signal.signal(signal.SIGTERM, self._request_stop)
         signal.signal(signal.SIGINT, self._request_stop)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
-        self._stopped = curio.Event()
         self._caller_server.start()
         self._admin_server.start()
         self.peers.start(self.settings.peers.host, self.settings.peers.port)
         self.events.record(Kind.NODE_STARTED, addresses=self.addresses())
         print(self.announcement(), flush=True)
-        async with curio.TaskGroup(wait=any) as tasks:
-            await tasks.spawn(self._stopped.wait)
+        # The first job to end ends the node: the shutdown, or one that failed.
+        async with curio.TaskGroup(wait=any) as self._jobs:
             for job in (
                 self._caller_server.serve,
                 self._admin_server.serve,
@@ -350,9 +353,11 @@
                 self._run_timers,
                 self._append_snapshots,
             ):
-                await tasks.spawn(job)
-            await tasks.spawn(self.peers.receive_frames, self._receive)
+                await self._jobs.spawn(job)
+            await self._jobs.spawn(self.peers.receive_frames, self._receive)
         self.peers.close()
+        if self._jobs.completed.exception is not None:
+            raise self._jobs.completed.exception
 
     def addresses(self) -> dict[str, str]:
         """Returns where the node listens, by listener."""
@@ -409,7 +414,6 @@
         await self.peers.notify()
         await curio.sleep(_LEAVE_GRACE_SECONDS)
         self.events.record(Kind.SHUTDOWN_ENDED)
-        await self._stopped.set()
 
 
 def _unix_ms() -> int:
