--- a/packages/baobabmux-ctl/src/baobabmux_ctl/log_service.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/log_service.py
@@ -4,33 +4,12 @@
 
 import msgspec
 
+from baobabmux_core import streams
 from baobabmux_ctl import transport
 
 _PAGE_RECORDS = 1000
 
 
-class Record(msgspec.Struct, frozen=True):
-    """One record of a stream."""
-
-    offset: int
-    time_ms: int
-    data: Any
-
-
-class Page(msgspec.Struct, frozen=True):
-    """A part of a stream.
-
-    Attributes:
-        first: Offset of the oldest record that is kept.
-        next: Offset to read from next.
-        records: Records in order of offset.
-    """
-
-    first: int
-    next: int
-    records: list[Record]
-
-
 class RefusedError(Exception):
     """The log service certainly did not append, or did not answer a read."""
 
@@ -80,7 +59,7 @@
         # Any other answer does not prove that nothing was appended.
         raise UncertainError(f"it answered {answer.status}")
 
-    def read(self, stream: str, start: int) -> Page:
+    def read(self, stream: str, start: int) -> streams.Page:
         """Reads the records from an offset on, at most one page.
 
         Raises:
@@ -91,7 +70,7 @@
             answer = transport.call(self.address, "GET", target)
             if answer.status != 200:
                 raise RefusedError(f"it answered {answer.status}")
-            return msgspec.json.decode(answer.body, type=Page)
+            return msgspec.json.decode(answer.body, type=streams.Page)
         except (transport.NotSentError, transport.AnswerLostError) as error:
             raise RefusedError(str(error)) from error
         except msgspec.DecodeError as error:
--- a/packages/baobabmux-node/src/baobabmux_node/config_follower.py
+++ b/packages/baobabmux-node/src/baobabmux_node/config_follower.py
@@ -7,7 +7,7 @@
 import curio
 import msgspec
 
-from baobabmux_core import configuration, messages, retries
+from baobabmux_core import configuration, messages, retries, streams
 from baobabmux_node import log_service
 
 STREAM = "config"
@@ -95,7 +95,7 @@
             return False
         return offset is not None
 
-    async def _fold(self, page: log_service.Page) -> None:
+    async def _fold(self, page: streams.Page) -> None:
         before = self.state.version
         for record in page.records:
             self.state.apply(record.offset, record.data, record.time_ms)
--- a/packages/baobabmux-node/src/baobabmux_node/log_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/log_service.py
@@ -4,41 +4,13 @@
 
 import msgspec
 
-from baobabmux_core import ids
+from baobabmux_core import ids, streams
 from baobabmux_node import client
 
 _APPEND_TIMEOUT_SECONDS = 3.0
 _READ_TIMEOUT_SECONDS = 5.0
 
 
-class Record(msgspec.Struct, frozen=True):
-    """One record of a stream.
-
-    Attributes:
-        offset: Position in the stream.
-        time_ms: Time of the append in Unix milliseconds.
-        data: The record, as appended.
-    """
-
-    offset: int
-    time_ms: int
-    data: Any
-
-
-class Page(msgspec.Struct, frozen=True):
-    """A part of a stream.
-
-    Attributes:
-        first: Offset of the oldest record that is kept.
-        next: Offset to read from next.
-        records: Records in order of offset.
-    """
-
-    first: int
-    next: int
-    records: list[Record]
-
-
 class _Appended(msgspec.Struct, frozen=True):
     offset: int
 
@@ -104,7 +76,7 @@
 
     async def read(
         self, stream: str, start: int, *, wait: float = 0.0, limit: int = 500
-    ) -> Page:
+    ) -> streams.Page:
         """Reads records.
 
         Args:
@@ -133,7 +105,7 @@
             )
             if status != 200:
                 raise LogError(f"the log service answered {status}")
-            page = msgspec.json.decode(body, type=Page)
+            page = msgspec.json.decode(body, type=streams.Page)
         except (client.ClientError, msgspec.DecodeError) as error:
             self.reachable = False
             raise LogError(str(error)) from error
--- a/packages/baobabmux-node/tests/config_follower_test.py
+++ b/packages/baobabmux-node/tests/config_follower_test.py
@@ -2,8 +2,8 @@
 
 import curio
 
-from baobabmux_core import configuration
-from baobabmux_node import config_follower, log_service
+from baobabmux_core import configuration, streams
+from baobabmux_node import config_follower
 
 _TABLES = {
     "preset/ordinary": {},
@@ -20,11 +20,11 @@
     async def read(self, stream, start, *, wait=0.0, limit=500):
         start = max(start, 1)
         found = [
-            log_service.Record(offset, 0, self.records[offset])
+            streams.Record(offset, 0, self.records[offset])
             for offset in range(start, min(start + limit, len(self.records)))
         ]
         await curio.sleep(0.001 if found else wait)
-        return log_service.Page(1, start + len(found), found)
+        return streams.Page(1, start + len(found), found)
 
 
 async def _nothing():
