Count a grant's lease from the last tick before it was read

Cause: the lease began when the holder read the grant, so a grant that waited in the socket of a paused holder got a whole lease after the pause; and the owner repeated an unused grant for an endpoint that had left meanwhile.

Change: the lease begins at the holder's last tick; an expired grant is asked for again at the next tick, because asking at once went on without end; the owner takes back an unused grant of a closed endpoint and chooses anew.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -259,7 +259,13 @@
     ) -> list[effects.Effect]:
         """Queues a request, grants it or refuses it."""
         if (member := self._running_at.get(ask.request)) is not None:
-            return self._repeat_grant(member, ask, holder, now)
+            if (
+                member.open
+                or member.model.running[ask.request].holder != holder
+            ):
+                return self._repeat_grant(member, ask, holder, now)
+            # The holder did not use the grant, and the endpoint has left.
+            self._end_running(ask.request, now)
         if ask.request in self._ended:
             return []
         if (known := self._entries.get(ask.request)) is not None:
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -303,7 +303,9 @@
         ):
             return self._give_back(grant, held, sender)
         held.endpoint = grant.endpoint
-        held.lease_end = now + grant.lease_ms / 1000
+        # The grant may have waited unread since the last tick.
+        arrived = now if self._last_tick is None else self._last_tick
+        held.lease_end = arrived + grant.lease_ms / 1000
         held.state = states.RequestState.GRANTED
         self._registers[held.group] = _EMPTY_REGISTERS
         if held.work.needs_claim and not held.claimed:
@@ -533,8 +535,10 @@
 
     def _dispatch(self, held: Held, now: float) -> list[effects.Effect]:
         if now >= held.lease_end:
+            # The next tick asks again. To ask at once would go on without end
+            # while grants count as old for want of a tick.
             self._requeue(held, now)
-            return self._ask(held, now)
+            return []
         return [effects.Dispatch(held.work.request, held.endpoint)]
 
     def _requeue(self, held: Held, now: float) -> None:
