--- a/bench/src/baobabmux_bench/capacity.py
+++ b/bench/src/baobabmux_bench/capacity.py
@@ -15,6 +15,14 @@
 # Rates of the node's timers and polls, from `baobabmux_node`.
 _TICKS_PER_SECOND = 20.0
 _MEMBERSHIP_TICKS_PER_SECOND = 10.0
+# A VM that fails or is replaced changes the list twice: it goes, one comes.
+_VM_CHANGES_PER_SECOND = (
+    2
+    * (targets.FAILURES_PER_DAY + targets.REPLACEMENTS_PER_DAY)
+    / targets.DAY_SECONDS
+)
+# The entity tag of an unchanged list, in the request and in the answer.
+_TAG_BYTES = 2 * len('if-none-match: "0123456789abcdef"\r\n')
 _VM_POLLS_PER_SECOND = 1.0
 _REPORT_POLLS_PER_SECOND = 1.0
 _CONFIG_POLL_SECONDS = 8.0
@@ -56,6 +64,7 @@
     load_poll: float
     cache_poll: float
     config_poll: float
+    vm_poll: float
     process: float
 
 
@@ -105,6 +114,7 @@
         platform_costs.http_bytes(
             "/streams/config/records?from=123456&limit=500&wait=8", 40
         ),
+        platform_costs.http_bytes("/vms?viewer=centre-1", 0) + _TAG_BYTES,
         platform_costs.process_bytes("baobabmux_node.main"),
     )
 
@@ -169,7 +179,8 @@
     return Cost(
         "membership, delegate" if delegate else "membership, ordinary",
         sent,
-        _VM_POLLS_PER_SECOND * lines["vm_list_bytes"].at(nodes),
+        _VM_POLLS_PER_SECOND * found.vm_poll
+        + _VM_CHANGES_PER_SECOND * lines["vm_list_bytes"].at(nodes),
         _MEMBERSHIP_TICKS_PER_SECOND * lines["membership_tick_cpu"].at(nodes)
         + _VM_POLLS_PER_SECOND * lines["vm_list_cpu"].at(nodes)
         + each_second * lines["socket_cpu"].each
