--- a/bench/src/baobabmux_bench/capacity.py
+++ b/bench/src/baobabmux_bench/capacity.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from baobabmux_bench import platform_costs, roles, slopes, targets
-from baobabmux_core import claims
+from baobabmux_core import claim_batches
 
 # Rates of the node's timers and polls, from `baobabmux_node`.
 _TICKS_PER_SECOND = 20.0
@@ -354,7 +354,7 @@
     print("| interval of a batcher | claims | outcomes by holders | all |")
     print("| --- | --- | --- | --- |")
     for interval in (0.1, 0.5, 1.0):
-        appends = claims.appends_per_second(
+        appends = claim_batches.appends_per_second(
             claimed, batchers, interval_seconds=interval
         )
         print(
--- a/bench/src/baobabmux_bench/roles.py
+++ b/bench/src/baobabmux_bench/roles.py
@@ -9,6 +9,7 @@
 
 from baobabmux_bench import slopes, targets
 from baobabmux_core import (
+    claim_batches,
     claims,
     configuration,
     declarations,
@@ -459,7 +460,7 @@
 
 
 def _claim_record(entries: int, first: int = 0) -> dict[str, Any]:
-    batcher = claims.ClaimBatcher(
+    batcher = claim_batches.ClaimBatcher(
         ids.NodeId("node-a-101"), targets.CLAIM_WINDOW_SECONDS, entries
     )
     batcher.read([], 0.0)
@@ -507,7 +508,7 @@
 def claim_cpu() -> slopes.Slope:
     """CPU seconds to take, append and decide claims, by their number."""
 
-    def run(batcher: claims.ClaimBatcher) -> None:
+    def run(batcher: claim_batches.ClaimBatcher) -> None:
         for number in range(len(pending)):
             batcher.ask(pending[number], 0.0)
         offset = 0
@@ -523,9 +524,9 @@
 
     pending: list[messages.ClaimEntry] = []
 
-    def prepare(count: int) -> claims.ClaimBatcher:
+    def prepare(count: int) -> claim_batches.ClaimBatcher:
         pending[:] = [_claim(number) for number in range(count)]
-        batcher = claims.ClaimBatcher(
+        batcher = claim_batches.ClaimBatcher(
             ids.NodeId("node-a-101"), targets.CLAIM_WINDOW_SECONDS
         )
         batcher.read([], 0.0)
--- a/packages/baobabmux-core/tests/claims_test.py
+++ b/packages/baobabmux-core/tests/claims_test.py
@@ -9,7 +9,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from baobabmux_core import claims, invariants, messages, states
+from baobabmux_core import claim_batches, claims, invariants, messages, states
 
 _WINDOW = 600.0
 _RETENTION = 1200.0
@@ -37,7 +37,7 @@
 
 
 def _ready(name="b", **limits):
-    batcher = claims.ClaimBatcher(name, _WINDOW, **limits)
+    batcher = claim_batches.ClaimBatcher(name, _WINDOW, **limits)
     batcher.read([], 0.0)
     return batcher
 
@@ -262,9 +262,9 @@
 def test_target_rate_fits_the_log():
     """Guards against limits that need more appends than the log takes."""
     entries = 2 * 3100  # A claim and an outcome for each request.
-    assert claims.appends_per_second(entries, 16) == 160
-    assert claims.appends_per_second(entries, 16, 10, 0.1) == 620
-    assert claims.appends_per_second(4, 16) == 4
+    assert claim_batches.appends_per_second(entries, 16) == 160
+    assert claim_batches.appends_per_second(entries, 16, 10, 0.1) == 620
+    assert claim_batches.appends_per_second(4, 16) == 4
     assert claims.ledger_keys(3100, 3600, 128) == pytest.approx(94_453, abs=1)
     assert claims.retention_allows(4200, 3600)
     assert not claims.retention_allows(4199, 3600)
@@ -309,7 +309,7 @@
     than the window, killed and replaced; sends are repeated.
     """
 
-    batcher_class = claims.ClaimBatcher
+    batcher_class = claim_batches.ClaimBatcher
     retention = _RETENTION
     counts: ClassVar[dict] = collections.Counter()
 
@@ -547,7 +547,7 @@
 
 
 def _with_ledger(ledger_class):
-    class Batcher(claims.ClaimBatcher):
+    class Batcher(claim_batches.ClaimBatcher):
         def __init__(self, *args):
             super().__init__(*args)
             self.ledger = ledger_class(_WINDOW)
@@ -555,7 +555,7 @@
     return Batcher
 
 
-class _WinsAtAppend(claims.ClaimBatcher):
+class _WinsAtAppend(claim_batches.ClaimBatcher):
     def _read_one(self, record):
         return []
 
@@ -576,7 +576,7 @@
         super().appended(offset, now)
 
 
-class _WithdrawsByItself(claims.ClaimBatcher):
+class _WithdrawsByItself(claim_batches.ClaimBatcher):
     def failed(self, now):
         lost = [item.claim for item in self._pending.values() if item.appended]
         super().failed(now)
--- a/packages/baobabmux-node/src/baobabmux_node/claim_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/claim_service.py
@@ -10,7 +10,14 @@
 import curio
 import msgspec
 
-from baobabmux_core import claims, ids, membership, messages, states
+from baobabmux_core import (
+    claim_batches,
+    claims,
+    ids,
+    membership,
+    messages,
+    states,
+)
 from baobabmux_node import log_service
 
 PARTITIONS = 4
@@ -42,7 +49,7 @@
     def __init__(self, number: int, node: ids.NodeId, window_seconds: float):
         self.number = number
         self.stream = claims.stream(number)
-        self.batcher = claims.ClaimBatcher(node, window_seconds)
+        self.batcher = claim_batches.ClaimBatcher(node, window_seconds)
         self.caught_up = False
         self.queued = curio.Event()
         self.tasks: list[curio.Task] = []
@@ -172,7 +179,7 @@
         """Returns whom to ask, in order; this node is the last resort."""
         number = claims.partition(key, PARTITIONS)
         live = self._members.live(self._data_centre)
-        ranked = claims.batchers(number, live, _BATCHERS)
+        ranked = claim_batches.batchers(number, live, _BATCHERS)
         if self.node in ranked:
             return [self.node] * 4
         return [*ranked[:1], self.node, self.node, self.node]
