--- a/packages/baobabmux-node/src/baobabmux_node/answers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/answers.py
@@ -239,7 +239,8 @@
                     self._host.claims.asked, sender, message, daemon=True
                 )
             case messages.ClaimAnswer():
-                await self._host.claims.answered(message)
+                if not await self._host.claims.answered(message):
+                    self._host.metrics.stray_answers.inc()
             case messages.KeyAsk():
                 answer = self.registry.register(
                     message, sender, time.monotonic()
@@ -247,12 +248,17 @@
                 self._host.send(sender, answer)
             case messages.KeyAnswer():
                 waiting = self._key_replies.get(message.attempt)
-                if waiting is not None:
+                if waiting is None:
+                    self._host.metrics.stray_answers.inc()
+                else:
                     await waiting.put(message)
             case messages.AnswerAsk():
                 self._host.send(sender, self.store.part(message))
             case messages.AnswerPart():
-                for waiting in self._part_replies.get(message.winner, ()):
+                fetching = self._part_replies.get(message.winner, ())
+                if not fetching:
+                    self._host.metrics.stray_answers.inc()
+                for waiting in fetching:
                     await waiting.put(message)
 
     async def _register_at_home(
--- a/packages/baobabmux-node/src/baobabmux_node/claim_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/claim_service.py
@@ -161,11 +161,17 @@
         partition = await self._partition(message.entry.key)
         await self._submit(partition, message.entry)
 
-    async def answered(self, message: messages.ClaimAnswer) -> None:
-        """Takes another node's answer to a claim of this node."""
+    async def answered(self, message: messages.ClaimAnswer) -> bool:
+        """Takes another node's answer to a claim of this node.
+
+        Returns:
+            Whether a claim waits for it.
+        """
         waiting = self._waiting.get(message.attempt)
-        if waiting is not None:
-            await waiting.put(message)
+        if waiting is None:
+            return False
+        await waiting.put(message)
+        return True
 
     async def settle(self, timeout: float = 5.0) -> None:
         """Waits until outcomes and withdrawals are in the log."""
