Refuse claims at once while the log is known to be out of reach

Cause: in a time line of an outage each refusal of log_unavailable came 1.2 s after the request, because a claim waited for the ledger to catch up. Ruled out: the batcher, which refuses in the same call once it is told. Change: after two failed reads in a row a claim is refused without being queued.

--- a/packages/baobabmux-core/src/baobabmux_core/claim_batches.py
+++ b/packages/baobabmux-core/src/baobabmux_core/claim_batches.py
@@ -379,6 +379,18 @@
         )
 
 
+def refusal(entry: messages.ClaimEntry) -> messages.ClaimAnswer:
+    """Returns the answer to a claim that was not even queued."""
+    return messages.ClaimAnswer(
+        entry.key,
+        entry.attempt,
+        ids.AttemptId(""),
+        ids.NodeId(""),
+        states.RunStatus.NOT_RUN.value,
+        entry.body,
+    )
+
+
 def _refusal(claim: claims.Claim, appended: bool) -> messages.ClaimAnswer:
     return messages.ClaimAnswer(
         claim.key,
--- a/packages/baobabmux-node/src/baobabmux_node/claim_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/claim_service.py
@@ -30,6 +30,7 @@
 _LOG_RETRY_SECONDS = 0.3
 _PAGE_RECORDS = 500
 _BATCH_POLL_SECONDS = 0.02
+_FAILURES_OF_OUTAGE = 2
 
 Send = Callable[[ids.NodeId, messages.AnyMessage], None]
 
@@ -43,6 +44,7 @@
         batcher: Its decisions.
         caught_up: Whether the ledger has reached the end of the stream.
         queued: Set when entries wait for an append.
+        failures: Reads of the log that failed in a row.
         tasks: Running tasks.
     """
 
@@ -52,8 +54,14 @@
         self.batcher = claim_batches.ClaimBatcher(node, window_seconds)
         self.caught_up = False
         self.queued = curio.Event()
+        self.failures = 0
         self.tasks: list[curio.Task] = []
 
+    @property
+    def out_of_reach(self) -> bool:
+        """Whether the log is out of reach, not just a single answer."""
+        return self.failures >= _FAILURES_OF_OUTAGE
+
 
 class ClaimResult(msgspec.Struct, frozen=True):
     """What became of a claim.
@@ -116,18 +124,17 @@
         answers: curio.Queue = curio.Queue()
         self._waiting[entry.attempt] = answers
         started = time.monotonic()
-        asked: set[ids.NodeId] = set()
         try:
-            for batcher in self._batchers(entry.key):
+            for tries, batcher in enumerate(self._batchers(entry.key)):
                 left = started + _CLAIM_TIMEOUT_SECONDS - time.monotonic()
                 if left <= 0:
                     break
-                asked.add(batcher)
                 answer = await self._ask(
                     batcher, entry, answers, min(left, _ASK_REPEAT_SECONDS)
                 )
                 if answer is not None:
-                    in_doubt = len(asked) > 1 or claims.must_withdraw(answer)
+                    # An earlier ask that got no answer may be in the log.
+                    in_doubt = tries > 0 or claims.must_withdraw(answer)
                     return ClaimResult(answer, in_doubt)
             return ClaimResult(None, True)
         finally:
@@ -157,8 +164,11 @@
         self, sender: ids.NodeId, message: messages.ClaimAsk
     ) -> None:
         """Takes a claim of another node."""
-        self._asked[message.entry.attempt] = sender
         partition = await self._partition(message.entry.key)
+        if partition.out_of_reach:
+            self._send(sender, claim_batches.refusal(message.entry))
+            return
+        self._asked[message.entry.attempt] = sender
         await self._submit(partition, message.entry)
 
     async def answered(self, message: messages.ClaimAnswer) -> bool:
@@ -199,6 +209,8 @@
     ) -> messages.ClaimAnswer | None:
         if batcher == self.node:
             partition = await self._partition(entry.key)
+            if partition.out_of_reach:
+                return claim_batches.refusal(entry)
             await self._submit(partition, entry)
         else:
             self._send(batcher, messages.ClaimAsk(entry))
@@ -251,6 +263,7 @@
                 await self._read(partition, wait)
             except log_service.LogError:
                 partition.caught_up = False
+                partition.failures += 1
                 answers = partition.batcher.failed(time.monotonic())
                 await self._deliver(answers)
                 await curio.sleep(_LOG_RETRY_SECONDS)
@@ -274,6 +287,7 @@
             records, time.monotonic(), end, page.first
         )
         partition.caught_up = end is not None
+        partition.failures = 0
         await self._deliver(answers)
 
     async def _append(self, partition: _Partition) -> None:
--- /dev/null
+++ b/packages/baobabmux-node/tests/claim_service_test.py
@@ -0,0 +1,52 @@
+"""Tests of claims during an outage of the log."""
+
+import curio
+
+from baobabmux_core import claims, membership, messages
+from baobabmux_node import claim_service, log_service
+
+_ENTRY = messages.ClaimEntry(8, "a1", "n1", 5, 1_000)
+
+
+class _Down:
+    """A log service that is out of reach; counts what it is asked."""
+
+    def __init__(self):
+        self.reads = 0
+        self.appends = 0
+
+    async def read(self, *arguments, **options):
+        self.reads += 1
+        raise log_service.LogError("down")
+
+    async def append(self, *arguments):
+        self.appends += 1
+        raise log_service.LogError("down")
+
+
+async def _claim_in_outage(log):
+    service = claim_service.ClaimService(
+        "n1",
+        "col-a",
+        log,
+        membership.Membership("n1", "col-a", 0.0),
+        lambda to, message: None,
+        3600.0,
+    )
+    first = await service.claim(_ENTRY)
+    while log.reads < 3:
+        await curio.sleep(0.01)
+    appends = log.appends
+    again = messages.ClaimEntry(8, "a2", "n1", 5, 1_000)
+    return first, await service.claim(again), log.appends - appends
+
+
+def test_known_outage_refuses_at_once():
+    """Guards against a wait for each claim while the log is known as down."""
+    first, second, appends = curio.run(_claim_in_outage, _Down())
+    for result in (first, second):
+        verdict = claims.judge(result.answer, _ENTRY, lambda node: True)
+        assert verdict is claims.ClaimVerdict.UNAVAILABLE
+    # The second claim was not queued, so nothing of it can be in the log.
+    assert not second.in_doubt
+    assert appends == 0
