--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -2,7 +2,6 @@
 
 import collections
 import enum
-import heapq
 import itertools
 import math
 import statistics
@@ -19,6 +18,7 @@
     messages,
     prefixes,
     quarantine,
+    queues,
     states,
 )
 
@@ -114,18 +114,11 @@
         self._service: declarations.Service | None = None
         self._preset: declarations.Preset | None = None
         self._refused_ranks: frozenset[int] = frozenset()
-        self._weights: dict[int, float] = {}
-        self._tiers: dict[int, fairness.TierQueue] = {}
-        # Suspects wait apart: they need an empty endpoint and must not hide
-        # other requests from the search for a grant.
-        self._suspect_tiers: dict[int, fairness.TierQueue] = {}
-        self._entries: dict[ids.RequestId, fairness.QueueEntry] = {}
-        self._by_content: dict[ids.ContentDigest, set[ids.RequestId]] = {}
+        self._queue = queues.GroupQueue()
         self._running_at: dict[ids.RequestId, _Member] = {}
         self._ended: collections.OrderedDict[ids.RequestId, None] = (
             collections.OrderedDict()
         )
-        self._latest: list[tuple[float, int, fairness.QueueEntry]] = []
         self._order = itertools.count()
         self._seen_tiers: dict[int, float] = {}
         self._short_seen = -math.inf
@@ -157,12 +150,11 @@
             for name in self._preset.refused_tiers
             if name in configuration.tiers
         )
-        self._weights = {
+        weights = {
             fairness.workspace_hash(name): share.weight
             for name, share in configuration.workspaces.items()
         }
-        for tier in self._all_queues():
-            tier.set_weights(self._weights)
+        self._queue.set_weights(weights)
         plain = self._service is not None and self._service.kind == "plain"
         for name, endpoint in declared.items():
             member = self._members.get(name)
@@ -193,9 +185,7 @@
     def holder_lost(self, holder: ids.NodeId, now: float) -> None:
         """Drops a dead holder's asks; its running work expires later."""
         self._awaited.discard(holder)
-        for entry in [
-            entry for entry in self._entries.values() if entry.holder == holder
-        ]:
+        for entry in self._queue.held_by(holder):
             self._dequeue(entry)
         for member in self._members.values():
             for run in member.model.running.values():
@@ -210,11 +200,11 @@
 
     def queue_length(self) -> int:
         """Returns the number of waiting requests."""
-        return len(self._entries)
+        return len(self._queue.entries)
 
     def queued_tokens(self) -> int:
         """Returns the number of waiting tokens."""
-        return sum(queue.tokens for queue in self._all_queues())
+        return self._queue.tokens()
 
     def outstanding(self) -> dict[ids.EndpointId, tuple[int, int]]:
         """Returns the granted requests and tokens of each endpoint."""
@@ -234,7 +224,7 @@
     def queued_by_tier(self) -> dict[int, int]:
         """Returns the number of waiting requests by tier rank."""
         counts: collections.Counter[int] = collections.Counter()
-        for tiers in (self._tiers, self._suspect_tiers):
+        for tiers in (self._queue.tiers, self._queue.suspect_tiers):
             for rank, queue in tiers.items():
                 if len(queue):
                     counts[rank] += len(queue)
@@ -245,7 +235,7 @@
         usable = self._usable(now)
         if not usable:
             return _NO_ENDPOINT_RETRY_SECONDS
-        queued = sum(queue.seconds for queue in self._tiers.values())
+        queued = sum(queue.seconds for queue in self._queue.tiers.values())
         if queued <= 0.0 and any(
             member.model.used(now) < member.model.limit() for member in usable
         ):
@@ -268,7 +258,7 @@
             self._end_running(ask.request, now)
         if ask.request in self._ended:
             return []
-        if (known := self._entries.get(ask.request)) is not None:
+        if (known := self._queue.entries.get(ask.request)) is not None:
             known.holder = holder
             return []
         refusal = self._admission(ask, holder, now)
@@ -281,14 +271,14 @@
         self._note_present(entry, now)
         if (refused := self._check_deadline(entry, now)) is not None:
             return [refused]
-        self._enqueue(entry)
+        self._queue.add(entry)
         return self._pump(now) + self._shed(now)
 
     def withdraw(
         self, request: ids.RequestId, holder: ids.NodeId, now: float
     ) -> list[effects.Effect]:
         """Drops a queued request or takes back its unused grant."""
-        entry = self._entries.get(request)
+        entry = self._queue.entries.get(request)
         if entry is not None and entry.holder == holder:
             self._dequeue(entry)
             return self._pump(now)
@@ -319,7 +309,7 @@
         outcome = states.Outcome(release.outcome)
         if outcome is not states.Outcome.NOT_SENT:
             self._remember_ended(release.request)
-            entry = self._entries.get(release.request)
+            entry = self._queue.entries.get(release.request)
             if entry is not None and entry.holder == holder:
                 self._dequeue(entry)
         member = self._running_at.get(release.request)
@@ -370,8 +360,8 @@
         """Moves queued requests whose content became suspect or clear."""
         refused = []
         for content in contents:
-            for request in list(self._by_content.get(content, ())):
-                refused += self._reconsider(self._entries[request], now)
+            for request in list(self._queue.by_content.get(content, ())):
+                refused += self._reconsider(self._queue.entries[request], now)
         return refused + self._pump(now)
 
     def load_report(
@@ -520,8 +510,8 @@
         usable = self._usable(now)
         if not usable:
             return 0.0  # A breaker may close at any time.
-        queues = [q for r, q in self._tiers.items() if r < entry.ask.tier]
-        own = self._tiers.get(entry.ask.tier)
+        queues = [q for r, q in self._queue.tiers.items() if r < entry.ask.tier]
+        own = self._queue.tiers.get(entry.ask.tier)
         ahead = sum(queue.seconds for queue in queues)
         if own is not None:
             ahead += own.ahead_seconds(entry)
@@ -590,7 +580,7 @@
     def _refuse_hopeless(self, now: float) -> list[effects.Effect]:
         """Refuses what the backlog ahead keeps from ending in time."""
         refused = []
-        for queue in list(self._tiers.values()):
+        for queue in list(self._queue.tiers.values()):
             for entry in queue.last(_CHECKED_WORKSPACES):
                 wait = self._wait_of(entry, now) * max(
                     1.0, self._wait_margin.mean
@@ -603,12 +593,7 @@
 
     def _refuse_unreachable(self, now: float) -> list[effects.Effect]:
         refused = []
-        while self._latest and (
-            self._latest[0][0] < now or not self._latest[0][2].queued
-        ):
-            entry = heapq.heappop(self._latest)[2]
-            if not entry.queued:
-                continue
+        while (entry := self._queue.pop_late(now)) is not None:
             late = now + self._wait_of(entry, now) - entry.latest_start
             self._wait_margin.learn(entry.predicted_wait, now - entry.queued_at)
             self._dequeue(entry)
@@ -621,10 +606,10 @@
             return []
         shed = []
         while (
-            len(self._entries) > self._service.max_queue_requests
+            len(self._queue.entries) > self._service.max_queue_requests
             or self.queued_tokens() > self._service.max_queue_tokens
         ):
-            entry = self._newest_of_lowest()
+            entry = self._queue.newest_of_lowest()
             self._dequeue(entry)
             shed.append(
                 _refusal(
@@ -636,58 +621,16 @@
             )
         return shed
 
-    def _newest_of_lowest(self) -> fairness.QueueEntry:
-        waiting = [
-            (rank, suspect, queue)
-            for suspect, tiers in enumerate((self._tiers, self._suspect_tiers))
-            for rank, queue in tiers.items()
-            if len(queue)
-        ]
-        return max(waiting, key=lambda item: item[:2])[2].newest()
-
     # Queue.
 
-    def _all_queues(self) -> list[fairness.TierQueue]:
-        return [*self._tiers.values(), *self._suspect_tiers.values()]
-
-    def _queue_of(self, entry: fairness.QueueEntry) -> fairness.TierQueue:
-        tiers = self._suspect_tiers if entry.suspect else self._tiers
-        queue = tiers.get(entry.ask.tier)
-        if queue is not None:
-            return queue
-        queue = fairness.TierQueue()
-        queue.set_weights(self._weights)
-        tiers[entry.ask.tier] = queue
-        ordered = sorted(tiers.items())
-        tiers.clear()
-        tiers.update(ordered)
-        return queue
-
-    def _enqueue(self, entry: fairness.QueueEntry) -> None:
-        ask = entry.ask
-        self._queue_of(entry).add(entry)
-        self._entries[ask.request] = entry
-        self._by_content.setdefault(ask.content, set()).add(ask.request)
-        if entry.latest_start < math.inf:
-            heapq.heappush(
-                self._latest, (entry.latest_start, next(self._order), entry)
-            )
-
     def _dequeue(
         self, entry: fairness.QueueEntry, *, granted: bool = False
     ) -> None:
-        ask = entry.ask
-        queue = self._queue_of(entry)
         if granted:
-            queue.take(entry)
+            self._queue.take(entry)
         else:
-            queue.remove(entry)
-        del self._entries[ask.request]
-        same = self._by_content[ask.content]
-        same.discard(ask.request)
-        if not same:
-            del self._by_content[ask.content]
-        if self._isolated == ask.request and not granted:
+            self._queue.remove(entry)
+        if self._isolated == entry.ask.request and not granted:
             self._end_isolation()
 
     # Grants.
@@ -700,16 +643,16 @@
 
     def _pump(self, now: float) -> list[effects.Effect]:
         """Grants as much as has a place, in the order of the policy."""
-        if not self._entries or self._withholds(now):
+        if not self._queue.entries or self._withholds(now):
             return []
         grants: list[effects.Effect] = []
         blocked = _Blocked()
         waiting_above = False
-        for rank in sorted({*self._tiers, *self._suspect_tiers}):
-            suspects = self._suspect_tiers.get(rank)
+        for rank in sorted({*self._queue.tiers, *self._queue.suspect_tiers}):
+            suspects = self._queue.suspect_tiers.get(rank)
             if suspects and len(suspects) and not waiting_above:
                 grants += self._isolate(suspects, now)
-            queue = self._tiers.get(rank)
+            queue = self._queue.tiers.get(rank)
             if queue is None or not len(queue):
                 continue
             while (found := self._next(queue, blocked, now)) is not None:
@@ -924,7 +867,7 @@
                 run.expires = None
                 return
             self._end_running(item.request, now)
-        entry = self._entries.get(item.request)
+        entry = self._queue.entries.get(item.request)
         if entry is not None:
             self._dequeue(entry)
         tokens = item.prompt_tokens + item.output_tokens
@@ -1035,7 +978,7 @@
             )
             member.kept_for = entry.ask.request
             self._isolated = entry.ask.request
-        entry = self._entries.get(self._isolated)
+        entry = self._queue.entries.get(self._isolated)
         if entry is None:
             return []  # It is running.
         for member in self._members.values():
@@ -1061,7 +1004,7 @@
         self._dequeue(entry)
         if standing is not quarantine.Standing.GUILTY:
             entry.suspect = standing is quarantine.Standing.SUSPECT
-            self._enqueue(entry)
+            self._queue.add(entry)
             return []
         return [
             _refusal(
--- a/packages/baobabmux-core/tests/broken_scheduler_test.py
+++ b/packages/baobabmux-core/tests/broken_scheduler_test.py
@@ -23,6 +23,7 @@
     holders,
     invariants,
     messages,
+    queues,
     scheduler,
     states,
 )
@@ -227,11 +228,11 @@
 
 def _sheds_highest_tier(patch):
     def broken(self):
-        return self._tiers[min(r for r, q in self._tiers.items() if len(q))]
+        return self.tiers[min(r for r, q in self.tiers.items() if len(q))]
 
     patch.setattr(
-        grants.GroupOwner,
-        "_newest_of_lowest",
+        queues.GroupQueue,
+        "newest_of_lowest",
         lambda self: broken(self).newest(),
     )
 
