--- a/packages/baobabmux-ctl/src/baobabmux_ctl/command.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/command.py
@@ -77,6 +77,20 @@
             "IP number and port of the log service.",
         )
 
+    def _define_publishing(self) -> None:
+        self._define(
+            flags.DEFINE_string,
+            "operation",
+            "",
+            "Identifier of an earlier try whose outcome is unknown.",
+        )
+        self._define(
+            flags.DEFINE_float,
+            "wait_seconds",
+            30.0,
+            "How long to try while the log service is out of reach.",
+        )
+
     def _define_nodes(self) -> None:
         self._define(
             flags.DEFINE_string,
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/preset.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/preset.py
@@ -1,7 +1,5 @@
 """Command `preset`: switches the active preset."""
 
-from absl import flags
-
 from baobabmux_core import configuration
 from baobabmux_ctl import (
     command,
@@ -25,18 +23,7 @@
     def __init__(self):
         super().__init__()
         self._define_log()
-        self._define(
-            flags.DEFINE_string,
-            "operation",
-            "",
-            "Identifier of an earlier try whose outcome is unknown.",
-        )
-        self._define(
-            flags.DEFINE_float,
-            "wait_seconds",
-            30.0,
-            "How long to try while the log service is out of reach.",
-        )
+        self._define_publishing()
 
     def run(self, arguments: list[str]) -> exits.ExitCode:
         """Switches the preset."""
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/publish.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/publish.py
@@ -35,18 +35,7 @@
             False,
             "Print the changes and publish nothing.",
         )
-        self._define(
-            flags.DEFINE_string,
-            "operation",
-            "",
-            "Identifier of an earlier try whose outcome is unknown.",
-        )
-        self._define(
-            flags.DEFINE_float,
-            "wait_seconds",
-            30.0,
-            "How long to try while the log service is out of reach.",
-        )
+        self._define_publishing()
 
     def run(self, arguments: list[str]) -> exits.ExitCode:
         """Publishes the files."""
