--- a/standins/src/baobabmux_standins/cluster.py
+++ b/standins/src/baobabmux_standins/cluster.py
@@ -187,6 +187,7 @@
         places: dict[str, str],
         announce_seconds: float = 1.0,
         limits: dict[str, Any] | None = None,
+        secret_file: pathlib.Path | None = None,
         listed: bool = True,
     ) -> list[Node]:
         """Starts nodes and puts them into the VM list.
@@ -196,11 +197,13 @@
             announce_seconds: Time between the announcement of a node's stop
                 and its refusal of callers.
             limits: Section `limits` of their settings.
+            secret_file: File with the secret that they share, or None.
             listed: Whether they are put into the VM list, which may lag.
         """
         options = {
             "shutdown": {"announce_seconds": announce_seconds},
             "limits": limits or {},
+            "peers": {"secret_file": str(secret_file or "")},
         }
         started = [
             self._start_node(name, data_centre, options)
