--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -337,7 +337,8 @@
         self._caller_server.start()
         self._admin_server.start()
         self.peers.start(self.settings.peers.host, self.settings.peers.port)
-        self.events.record(Kind.NODE_STARTED, addresses=self.addresses())
+        listening = [f"{kind} {at}" for kind, at in self.addresses().items()]
+        self.events.record(Kind.NODE_STARTED, addresses=", ".join(listening))
         print(self.announcement(), flush=True)
         # The first job to end ends the node: the shutdown, or one that failed.
         async with curio.TaskGroup(wait=any) as self._jobs:
