Send claims to their batcher at once

Cause: asks for claims and their answers were queued for the next frame that something else caused, up to 250 ms at an idle node. Ruled out: the batcher's interval of 100 ms, which comes on top.

--- a/packages/baobabmux-node/src/baobabmux_node/claim_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/claim_service.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 import msgspec
@@ -31,8 +31,9 @@
 _PAGE_RECORDS = 500
 _BATCH_POLL_SECONDS = 0.02
 _FAILURES_OF_OUTAGE = 2
+_MAX_ASKED = 20_000
 
-Send = Callable[[ids.NodeId, messages.AnyMessage], None]
+Send = Callable[[ids.NodeId, messages.AnyMessage], Awaitable[None]]
 
 
 class _Partition:
@@ -166,9 +167,12 @@
         """Takes a claim of another node."""
         partition = await self._partition(message.entry.key)
         if partition.out_of_reach:
-            self._send(sender, claim_batches.refusal(message.entry))
+            await self._send(sender, claim_batches.refusal(message.entry))
             return
         self._asked[message.entry.attempt] = sender
+        # Claims that their holders gave up are never answered.
+        while len(self._asked) > _MAX_ASKED:
+            del self._asked[next(iter(self._asked))]
         await self._submit(partition, message.entry)
 
     async def answered(self, message: messages.ClaimAnswer) -> bool:
@@ -213,7 +217,7 @@
                 return claim_batches.refusal(entry)
             await self._submit(partition, entry)
         else:
-            self._send(batcher, messages.ClaimAsk(entry))
+            await self._send(batcher, messages.ClaimAsk(entry))
         async with curio.ignore_after(seconds):
             return await answers.get()
         return None
@@ -240,7 +244,7 @@
                 await waiting.put(answer)
             sender = self._asked.pop(answer.attempt, None)
             if sender is not None:
-                self._send(sender, answer)
+                await self._send(sender, answer)
 
     async def _partition(self, key: ids.KeyHash) -> _Partition:
         number = claims.partition(key, PARTITIONS)
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -98,7 +98,7 @@
             node_settings.data_centre,
             self.log,
             self.membership,
-            self.peers.enqueue,
+            self.peers.send,
             node_settings.claim_window_seconds,
         )
         self.answers = answers.AnswerService(self)
--- a/packages/baobabmux-node/src/baobabmux_node/peers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -78,6 +78,11 @@
         """Queues a message for the frame of this loop turn."""
         self._outbox.setdefault(to, []).append(message)
 
+    async def send(self, to: ids.NodeId, message: messages.AnyMessage) -> None:
+        """Queues a message and wakes the sending task."""
+        self.enqueue(to, message)
+        await self.notify()
+
     async def notify(self) -> None:
         """Wakes the sending task if messages are queued."""
         if self._outbox:
--- a/packages/baobabmux-node/tests/claim_service_test.py
+++ b/packages/baobabmux-node/tests/claim_service_test.py
@@ -24,13 +24,17 @@
         raise log_service.LogError("down")
 
 
+async def _send_nothing(to, message):
+    pass
+
+
 async def _claim_in_outage(log):
     service = claim_service.ClaimService(
         "n1",
         "col-a",
         log,
         membership.Membership("n1", "col-a", 0.0),
-        lambda to, message: None,
+        _send_nothing,
         3600.0,
     )
     first = await service.claim(_ENTRY)
