Read the wall clock in one place and drop what nothing calls

Found in a read of the whole change: the Unix time in milliseconds was written out in six places, one of them dead; Node.send only passed on to the transport and was followed by its own notify where PeerTransport.send does both; NodeScheduler.latest_end and states.FINAL_STATES had no caller.

--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -336,16 +336,6 @@
         held = self._holder.held.get(request)
         return held.state if held else None
 
-    def latest_end(self) -> float | None:
-        """Returns the latest deadline of a held request, or None.
-
-        A graceful shutdown ends by then.
-        """
-        return max(
-            (held.deadline for held in self._holder.held.values()),
-            default=None,
-        )
-
     def owned_groups(self) -> list[ids.GroupId]:
         """Returns the groups that this node owns."""
         return list(self._owned)
--- a/packages/baobabmux-core/src/baobabmux_core/states.py
+++ b/packages/baobabmux-core/src/baobabmux_core/states.py
@@ -54,13 +54,3 @@
     DRAINING = "draining"
     LEAVING = "leaving"
     GONE = "gone"
-
-
-FINAL_STATES = frozenset(
-    {
-        RequestState.DONE,
-        RequestState.REFUSED,
-        RequestState.FAILED,
-        RequestState.CANCELLED,
-    }
-)
--- a/packages/baobabmux-node/src/baobabmux_node/answers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/answers.py
@@ -190,7 +190,7 @@
             if home == own:
                 self.registry.register(ask, own, time.monotonic())
             else:
-                self._host.send(home, ask)
+                self._host.peers.enqueue(home, ask)
 
     def holder_gone(self, node: ids.NodeId) -> None:
         """Opens the keys of idempotent requests that a dead node held."""
@@ -245,7 +245,7 @@
                 answer = self.registry.register(
                     message, sender, time.monotonic()
                 )
-                self._host.send(sender, answer)
+                self._host.peers.enqueue(sender, answer)
             case messages.KeyAnswer():
                 waiting = self._key_replies.get(message.attempt)
                 if waiting is None:
@@ -253,7 +253,7 @@
                 else:
                     await waiting.put(message)
             case messages.AnswerAsk():
-                self._host.send(sender, self.store.part(message))
+                self._host.peers.enqueue(sender, self.store.part(message))
             case messages.AnswerPart():
                 fetching = self._part_replies.get(message.winner, ())
                 if not fetching:
@@ -296,8 +296,7 @@
         replies: curio.Queue = curio.Queue()
         self._key_replies[ask.attempt] = replies
         try:
-            self._host.send(home, ask)
-            await self._host.peers.notify()
+            await self._host.peers.send(home, ask)
             async with curio.ignore_after(_KEY_TIMEOUT_SECONDS):
                 return await replies.get()
             return None
@@ -340,8 +339,7 @@
                 ask = fetch.next_ask()
                 if ask is None or fetch.status is not None:
                     break
-                self._host.send(holder, ask)
-                await self._host.peers.notify()
+                await self._host.peers.send(holder, ask)
                 tries += 1
                 async with curio.ignore_after(_PART_TIMEOUT_SECONDS):
                     if fetch.take(await replies.get()):
--- a/packages/baobabmux-node/src/baobabmux_node/config_follower.py
+++ b/packages/baobabmux-node/src/baobabmux_node/config_follower.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from baobabmux_core import configuration, messages, retries, streams
-from baobabmux_node import log_service
+from baobabmux_node import log_service, wall_clock
 
 STREAM = "config"
 _LONG_POLL_SECONDS = 8.0
@@ -86,7 +86,7 @@
         Returns:
             Whether one was appended.
         """
-        now_ms = time.time_ns() // 1_000_000
+        now_ms = wall_clock.unix_ms()
         if not self.state.snapshot_due(now_ms, self._retention_seconds):
             return False
         try:
--- a/packages/baobabmux-node/src/baobabmux_node/events.py
+++ b/packages/baobabmux-node/src/baobabmux_node/events.py
@@ -1,13 +1,13 @@
 """Records numbered events: in the time line and in the log."""
 
 import sys
-import time
 from typing import Any
 
 import eliot
 import msgspec
 
 from baobabmux_core import catalogue, hlc, ids, timeline
+from baobabmux_node import wall_clock
 
 
 def start_logging() -> None:
@@ -31,11 +31,11 @@
 
     def stamp(self) -> int:
         """Returns a new stamp of the hybrid logical clock."""
-        return self.clock.now(_unix_ms())
+        return self.clock.now(wall_clock.unix_ms())
 
     def heard(self, stamp: int) -> None:
         """Moves the clock past a peer's stamp."""
-        self.clock.update(stamp, _unix_ms())
+        self.clock.update(stamp, wall_clock.unix_ms())
 
     def record(
         self,
@@ -65,7 +65,3 @@
             message_type=f"{kind.number}:{kind.title}",
             **msgspec.structs.asdict(event),
         )
-
-
-def _unix_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -192,10 +192,6 @@
                 return False
         return True
 
-    def send(self, to: ids.NodeId, message: messages.AnyMessage) -> None:
-        """Queues a message; the next `apply` or `notify` sends it."""
-        self.peers.enqueue(to, message)
-
     # Configuration, membership, timers.
 
     async def _configured(self) -> None:
@@ -415,7 +411,3 @@
         await self.peers.notify()
         await curio.sleep(_LEAVE_GRACE_SECONDS)
         self.events.record(Kind.SHUTDOWN_ENDED)
-
-
-def _unix_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/packages/baobabmux-node/src/baobabmux_node/order_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/order_service.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from baobabmux_core import catalogue, ids, orders, rendezvous
-from baobabmux_node import client, log_service
+from baobabmux_node import client, log_service, wall_clock
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -109,7 +109,7 @@
 
     async def _append_snapshot(self) -> None:
         retention = self._host.settings.log_retention_seconds
-        now_ms = time.time_ns() // 1_000_000
+        now_ms = wall_clock.unix_ms()
         if self.desk.snapshot_due(now_ms, retention):
             await self._append(self.desk.snapshot())
 
--- a/packages/baobabmux-node/src/baobabmux_node/peers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -1,6 +1,5 @@
 """Frames between nodes over pynng, driven by curio's loop."""
 
-import time
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -9,6 +8,7 @@
 from pynng import _nng
 
 from baobabmux_core import ids, messages
+from baobabmux_node import wall_clock
 
 _SEND_BUFFER_FRAMES = 64
 _RECEIVE_BUFFER_FRAMES = 1024
@@ -50,7 +50,7 @@
         stamp: Callable[[], int],
     ):
         self.node = node
-        self.incarnation = time.time_ns() // 1_000_000
+        self.incarnation = wall_clock.unix_ms()
         self.address = ""
         self.sent_bytes = 0
         self.received_bytes = 0
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -12,6 +12,7 @@
     responses,
     server,
     sinks,
+    wall_clock,
 )
 
 if TYPE_CHECKING:
@@ -79,7 +80,7 @@
                 errors.ErrorKind.OVERLOADED, "the node holds too many requests"
             )
         return await self._intake.accept(
-            exchange, configuration, time.monotonic(), _unix_ms()
+            exchange, configuration, time.monotonic(), wall_clock.unix_ms()
         )
 
     async def admit(self, request: held.HeldRequest) -> None:
@@ -215,7 +216,3 @@
         if not in_time:
             wasted = computed or caller.work.prompt_tokens
             self._host.metrics.wasted_prefill.labels(service).inc(wasted)
-
-
-def _unix_ms() -> int:
-    return time.time_ns() // 1_000_000
