--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 PACKAGES := packages/baobabmux-core packages/baobabmux-node \
-	packages/baobabmux-ctl standins bench
+	packages/baobabmux-ctl standins bench platform
 
 .PHONY: setup check format test demo play bench capacity
 
--- /dev/null
+++ b/packages/baobabmux-core/src/baobabmux_core/access.py
@@ -0,0 +1,20 @@
+"""Which workspace a caller's API key stands for."""
+
+from baobabmux_core import declarations, ids
+
+
+class KeyTable:
+    """API keys of one configuration."""
+
+    def __init__(
+        self, workspaces: dict[ids.Workspace, declarations.WorkspaceShare]
+    ):
+        self._workspaces = {
+            key: name
+            for name, workspace in workspaces.items()
+            for key in workspace.api_keys
+        }
+
+    def workspace(self, key: str) -> ids.Workspace | None:
+        """Returns the workspace of a key, or None if the key is unknown."""
+        return self._workspaces.get(key)
--- a/packages/baobabmux-core/src/baobabmux_core/capacity.py
+++ b/packages/baobabmux-core/src/baobabmux_core/capacity.py
@@ -124,6 +124,8 @@
         usual_decode_rate: Slowly learned decode rate.
         reference_rate: Decode rate of its peers, or None without peers.
         stalled: Whether running requests report nothing.
+        limited_when_slow: Whether it runs fewer requests when it is slower
+            than its peers.
     """
 
     def __init__(
@@ -144,6 +146,7 @@
         self.usual_decode_rate = self.decode_rate
         self.reference_rate: float | None = None
         self.stalled = False
+        self.limited_when_slow = True
         self._prefill_free = 0.0
         self._samples = 0
         self._ends = 0.0
@@ -184,6 +187,8 @@
         """Returns how many requests the endpoint may run at its speed."""
         if self.stalled:
             return 1
+        if not self.limited_when_slow:
+            return self.declared.max_requests
         slowdown = self.slowdown()
         if slowdown <= _TOLERATED_SLOWDOWN:
             return self.declared.max_requests
--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -22,6 +22,7 @@
         "The node is shutting down with {held} requests held.",
     )
     SHUTDOWN_ENDED = (103, "The node has ended every held request.")
+    SETTINGS_READ = (105, "The settings were read: {outcome}.")
     PAUSE_NOTICED = (104, "The process was paused for {seconds} s.")
 
     REQUEST_RECEIVED = (
@@ -67,6 +68,16 @@
     CONTENT_CLEARED = (404, "Content {content} is cleared.")
     ORDER_SENT = (405, "Order {order} was sent to {endpoint}.")
 
+    ENDPOINTS_CHANGED = (
+        406,
+        "Version {version} of the endpoint directory has {ready} ready and"
+        " {draining} draining endpoints; source: {source}.",
+    )
+    ENTRY_IGNORED = (
+        407,
+        "Entry {name} of the directory names no endpoint: {reason}.",
+    )
+
     CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
     CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
     CLAIM_UNAVAILABLE = (503, "The log did not decide the claim in time.")
@@ -80,6 +91,7 @@
         602,
         "Configuration {version} was taken over from node {peer}.",
     )
+    CONFIG_REJECTED = (604, "A configuration was not taken: {reason}.")
     SNAPSHOT_APPENDED = (603, "A snapshot through {through} was appended.")
 
     MEMBER_CHANGED = (701, "Node {peer} is {state}, was {previous}.")
@@ -87,7 +99,10 @@
     VM_LIST_REACHED = (801, "The VM list is reachable: {reachable}.")
     LOG_REACHED = (802, "The log service is reachable: {reachable}.")
 
-    REQUEST_MALFORMED = (901, "A request was refused at once: {error}.")
+    REQUEST_MALFORMED = (
+        901,
+        "A request was refused at once: {error}, {detail}.",
+    )
     FRAME_REJECTED = (902, "Frames were rejected: {count}.")
 
     @property
--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -14,7 +14,7 @@
 import expression
 import msgspec
 
-from baobabmux_core import ids
+from baobabmux_core import ids, routing
 
 Tables = dict[str, dict[str, dict[str, Any]]]
 """Tables by section and name."""
@@ -30,14 +30,36 @@
     rank: int
 
 
+class Quota(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a workspace may use, counted over all nodes.
+
+    Attributes:
+        rate: Units a second.
+        burst: Units that may be used at once beyond the rate.
+        unit: "requests" or "tokens" (prompt and longest answer together).
+        plain_tokens: Tokens of a request that does not tell its own.
+    """
+
+    rate: float
+    burst: float
+    unit: str = "requests"
+    plain_tokens: int = 0
+
+
 class WorkspaceShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Share of a workspace inside a tier.
+    """Share of a workspace inside a tier, its keys and its quota.
 
     Attributes:
         weight: Relative share; workspaces without a declaration have 1.0.
+        api_keys: Keys that name the workspace on routes that require one.
+        quota: Its quota, or None without a limit.
+        rank: Rank that goes before the rank of a route's tier, or None.
     """
 
-    weight: float
+    weight: float = 1.0
+    api_keys: tuple[str, ...] = ()
+    quota: Quota | None = None
+    rank: int | None = None
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -48,12 +70,22 @@
         max_queue_requests: Requests that may wait in one group.
         max_queue_tokens: Tokens that may wait in one group.
         short_tokens: Requests with fewer tokens count as short.
+        limits_slow_endpoints: Whether an endpoint that is slower than its
+            peers runs fewer requests at a time.
+        isolates_suspects: Whether a content that may have crashed an endpoint
+            runs alone next; without it, a content is refused once endpoints
+            broke while they ran it as often as quarantine allows.
+        max_connections: Connections that each endpoint accepts from all nodes
+            together, or 0 if that is not known.
     """
 
     kind: str
     max_queue_requests: int = 500
     max_queue_tokens: int = 2_000_000
     short_tokens: int = 600
+    limits_slow_endpoints: bool = True
+    isolates_suspects: bool = True
+    max_connections: int = 0
 
 
 class Endpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -71,6 +103,10 @@
         prefill_tokens_per_second: First estimate of the prefill rate.
         decode_tokens_per_second: First estimate of one request's decode rate.
         checks_fencing: Whether it refuses orders with an old fencing number.
+        location: Data centre in which it stands when `data_centre` names a
+            cell of several data centres, or the empty string.
+        born_ms: Unix time of its start in milliseconds, or 0; a restart under
+            the same identifier has a later one.
     """
 
     service: ids.ServiceName
@@ -84,6 +120,20 @@
     prefill_tokens_per_second: float = 2000.0
     decode_tokens_per_second: float = 40.0
     checks_fencing: bool = False
+    location: ids.DataCentre = ids.DataCentre("")
+    born_ms: int = 0
+
+
+class Split(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Part of a route's traffic that goes to a service.
+
+    Attributes:
+        service: Service that gets it.
+        weight: Relative size of the part.
+    """
+
+    service: ids.ServiceName
+    weight: float
 
 
 class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -98,6 +148,19 @@
         timeout_seconds: Longest time from arrival to the end of the answer.
         output_tokens: Expected length of an answer.
         max_body_bytes: Longest body.
+        host: Host name that callers use, or the empty string for any.
+        splits: Services that share the traffic by weight; empty means that
+            all goes to `service`.
+        claims: Whether a request that is not idempotent needs an idempotency
+            key that is claimed in the log before the dispatch.
+        streaming: Whether the answer is a stream of events.
+        resumable: Whether a broken stream may go on at another endpoint.
+        max_attempts: Endpoints that one request may be sent to.
+        target_seconds: Time to the answer or to its first event that callers
+            expect, or None.
+        gap_seconds: Longest pause between events that callers expect, or
+            None.
+        anonymous: Whether callers need no API key.
     """
 
     path: str
@@ -108,6 +171,15 @@
     timeout_seconds: float = 120.0
     output_tokens: int = 256
     max_body_bytes: int = 1_000_000
+    host: str = ""
+    splits: tuple[Split, ...] = ()
+    claims: bool = True
+    streaming: bool = False
+    resumable: bool = False
+    max_attempts: int = 1
+    target_seconds: float | None = None
+    gap_seconds: float | None = None
+    anonymous: bool = True
 
 
 class Preset(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -141,6 +213,22 @@
     kept_answer_bytes: int = 16_000_000
 
 
+class CallerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of what callers may send and how long they may take.
+
+    Attributes:
+        max_header_bytes: Longest header section.
+        max_body_bytes: Longest body.
+        header_timeout_seconds: Longest time for a header section to arrive.
+        idle_timeout_seconds: Longest time between requests of a connection.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_000_000
+    header_timeout_seconds: float = 10.0
+    idle_timeout_seconds: float = 60.0
+
+
 class Configuration(msgspec.Struct, frozen=True):
     """All declarations, checked against each other.
 
@@ -153,6 +241,7 @@
         presets: Presets by name.
         active: Name of the preset in force.
         keys: Limits of idempotency keys.
+        callers: Limits of callers, or None for those of the settings.
     """
 
     tiers: dict[ids.TierName, Tier]
@@ -163,20 +252,20 @@
     active: ids.PresetName
     workspaces: dict[ids.Workspace, WorkspaceShare] = {}
     keys: KeyLimits = KeyLimits()
+    callers: CallerLimits | None = None
 
     def active_preset(self) -> Preset:
         """Returns the preset in force."""
         return self.presets[self.active]
 
-    def match_route(self, path: str) -> tuple[ids.RouteName, Route] | None:
-        """Returns the route with the longest path prefix, or None."""
-        matches = (
-            (name, route)
-            for name, route in self.routes.items()
-            if path == route.path
-            or path.startswith(route.path.rstrip("/") + "/")
-        )
-        return max(matches, key=lambda item: len(item[1].path), default=None)
+    def match_route(
+        self, path: str, host: str = ""
+    ) -> tuple[ids.RouteName, Route] | None:
+        """Returns the route with the longest path prefix, or None.
+
+        A node keeps a `routing.RouteTable` for this.
+        """
+        return routing.RouteTable(self.routes).match(host, path)
 
     def tier_rank(self, route: Route) -> int:
         """Returns the rank of a route's tier, 0 is the highest."""
@@ -242,6 +331,7 @@
     "preset": Preset,
     "active": ActivePreset,
     "limit": KeyLimits,
+    "callers": CallerLimits,
 }
 
 # Attributes of `Configuration` by section.
@@ -261,7 +351,7 @@
 }
 
 # Sections whose entries have fixed names.
-_FIXED_NAMES = {"active": "preset", "limit": "keys"}
+_FIXED_NAMES = {"active": "preset", "limit": "keys", "callers": "limits"}
 
 # Lowest and highest value by key. The upper bounds only catch slips such as
 # milliseconds given as seconds.
@@ -285,6 +375,11 @@
     "window_seconds": (1, 31_536_000),
     "kept_answers": (0, 10_000_000),
     "kept_answer_bytes": (0, 16_000_000_000),
+    "max_connections": (0, 1_000_000),
+    "max_attempts": (1, 16),
+    "max_header_bytes": (256, 1_000_000),
+    "header_timeout_seconds": (0.001, 3600),
+    "idle_timeout_seconds": (0.001, 86_400),
 }
 
 _KINDS = ("engine", "plain")
@@ -438,6 +533,7 @@
             presets=parsed["preset"],
             active=parsed["active"]["preset"].name,
             keys=parsed["limit"].get("keys", KeyLimits()),
+            callers=parsed["callers"].get("limits"),
         )
 
     def _fail(self, section: str, name: str, problem: str, remedy: str) -> None:
@@ -571,6 +667,12 @@
         for name, route in self.parsed["route"].items():
             self._refer("route", name, "service", route.service)
             self._refer("route", name, "tier", route.tier)
+            for split in route.splits:
+                self._refer("route", name, "service", split.service)
+                if not split.weight > 0:
+                    self._fail(
+                        "route", name, "a split has no weight", "above 0"
+                    )
         for name, preset in self.parsed["preset"].items():
             for tier in preset.refused_tiers:
                 self._refer("preset", name, "tier", tier)
@@ -590,7 +692,19 @@
     def _check_unique(self) -> None:
         self._unique("tier", "rank", lambda tier: tier.rank)
         self._unique("endpoint", "address", lambda item: item.address)
-        self._unique("route", "path", lambda route: route.path.rstrip("/"))
+        self._unique(
+            "route", "path", lambda route: (route.host, route.path.rstrip("/"))
+        )
+        keys: dict[str, str] = {}
+        for name, workspace in self.parsed["workspace"].items():
+            for key in workspace.api_keys:
+                if keys.setdefault(key, name) != name:
+                    self._fail(
+                        "workspace",
+                        name,
+                        f"an API key is also that of {_quote(keys[key])}",
+                        "give each workspace its own keys",
+                    )
 
     def _unique(
         self, section: str, key: str, value: Callable[[Any], Any]
--- a/packages/baobabmux-core/src/baobabmux_core/effects.py
+++ b/packages/baobabmux-core/src/baobabmux_core/effects.py
@@ -21,6 +21,10 @@
         content: Digest of route and body.
         needs_claim: Whether a claim in the log must precede the dispatch.
         idempotent: Whether a cancelled or broken run does no harm.
+        first_by: Time until which the first event is of use, in seconds, or
+            None.
+        max_attempts: Endpoints that it may be sent to.
+        cost: Units of the workspace's quota that it takes.
     """
 
     request: ids.RequestId
@@ -35,6 +39,9 @@
     content: ids.ContentDigest = ids.ContentDigest(0)
     needs_claim: bool = False
     idempotent: bool = True
+    first_by: float | None = None
+    max_attempts: int = 1
+    cost: int = 0
 
 
 class Effect(msgspec.Struct, frozen=True):
--- a/packages/baobabmux-core/src/baobabmux_core/errors.py
+++ b/packages/baobabmux-core/src/baobabmux_core/errors.py
@@ -17,6 +17,8 @@
     KEY_REUSED = "key_reused"
     NO_ROUTE = "no_route"
     METHOD_NOT_ALLOWED = "method_not_allowed"
+    KEY_UNKNOWN = "key_unknown"
+    OVER_QUOTA = "over_quota"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
     REQUEST_TIMEOUT = "request_timeout"
@@ -31,6 +33,7 @@
     NOT_READY = "not_ready"
     SHUTTING_DOWN = "shutting_down"
     QUARANTINED = "quarantined"
+    TIMED_OUT = "timed_out"
     ENDPOINT_BROKE = "endpoint_broke"
     ENDPOINT_GARBAGE = "endpoint_garbage"
     CALLER_GONE = "caller_gone"
@@ -75,6 +78,12 @@
     ErrorKind.METHOD_NOT_ALLOWED: Answer(
         405, _NOT_RUN, "The route does not allow this method."
     ),
+    ErrorKind.KEY_UNKNOWN: Answer(
+        401, _NOT_RUN, "The API key is missing or unknown."
+    ),
+    ErrorKind.OVER_QUOTA: Answer(
+        429, _NOT_RUN, "The workspace has used up its quota.", retry_after=True
+    ),
     ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN, "The body is too large."),
     ErrorKind.HEADERS_TOO_LARGE: Answer(
         431, _NOT_RUN, "The header section is too large."
@@ -129,6 +138,9 @@
     ErrorKind.QUARANTINED: Answer(
         422, _NOT_RUN, "This content has crashed endpoints and is refused."
     ),
+    ErrorKind.TIMED_OUT: Answer(
+        504, _UNKNOWN, "The endpoint did not answer in time."
+    ),
     ErrorKind.ENDPOINT_BROKE: Answer(
         502, _UNKNOWN, "The endpoint's answer broke off."
     ),
--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -42,6 +42,7 @@
         queued_at: Time at which this owner queued it.
         predicted_wait: Seconds that it was expected to wait then.
         suspect: Whether it waits to run in isolation.
+        first_by: Latest time of a first event that is of use, or infinite.
         passed: Time at which it first let a place go in favour of a warm
             endpoint, or None.
     """
@@ -50,6 +51,7 @@
         "arrival",
         "ask",
         "deadline",
+        "first_by",
         "holder",
         "key",
         "latest_start",
@@ -77,6 +79,8 @@
         self.deadline = (
             now + ask.deadline_ms / 1000 if ask.deadline_ms >= 0 else math.inf
         )
+        first_ms = ask.terms.first_ms if ask.terms is not None else -1
+        self.first_by = now + first_ms / 1000 if first_ms >= 0 else math.inf
         self.tokens = ask.prompt_tokens + ask.output_tokens
         self.short = self.tokens < short_tokens
         self.seconds = 0.0
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -19,6 +19,8 @@
     prefixes,
     quarantine,
     queues,
+    quotas,
+    retries,
     states,
 )
 
@@ -99,6 +101,8 @@
     Attributes:
         group: Group that it owns.
         notices: Messages for all nodes; the scheduler takes them out.
+        quotas: Quotas of the workspaces.
+        budget: Budget of repeated attempts at the service.
     """
 
     def __init__(
@@ -109,6 +113,8 @@
     ):
         self.group = group
         self.notices: list[messages.AnyMessage] = []
+        self.quotas = quotas.QuotaLedger()
+        self.budget = retries.AttemptBudget()
         self._suspects = suspects
         self._members: dict[ids.EndpointId, _Member] = {}
         self._service: declarations.Service | None = None
@@ -155,6 +161,7 @@
             for name, share in configuration.workspaces.items()
         }
         self._queue.set_weights(weights)
+        self.quotas.configure(configuration.workspaces, now)
         plain = self._service is not None and self._service.kind == "plain"
         for name, endpoint in declared.items():
             member = self._members.get(name)
@@ -163,6 +170,11 @@
                 continue
             member.model.declared = endpoint
             member.prefixes.capacity = endpoint.cache_tokens
+        if self._service is not None:
+            for member in self._members.values():
+                member.model.limited_when_slow = (
+                    self._service.limits_slow_endpoints
+                )
         for name in self._members.keys() - declared.keys():
             self._members[name].open = False
             if not self._members[name].model.running:
@@ -174,13 +186,18 @@
         if member is not None:
             member.open = is_open
 
-    def await_registers(self, holders: set[ids.NodeId], now: float) -> None:
+    def await_registers(
+        self,
+        holders: set[ids.NodeId],
+        now: float,
+        seconds: float = REGISTRATION_SECONDS,
+    ) -> None:
         """Withholds grants until these holders registered, for a bounded time.
 
         Without it, a new owner would grant slots that are occupied.
         """
         self._awaited = set(holders)
-        self._grants_from = now + REGISTRATION_SECONDS
+        self._grants_from = now + seconds
 
     def holder_lost(self, holder: ids.NodeId, now: float) -> None:
         """Drops a dead holder's asks; its running work expires later."""
@@ -260,7 +277,7 @@
             return []
         if (known := self._queue.entries.get(ask.request)) is not None:
             known.holder = holder
-            return []
+            return self._acknowledge(ask, holder)
         refusal = self._admission(ask, holder, now)
         if refusal is not None:
             return [refusal]
@@ -272,7 +289,18 @@
         if (refused := self._check_deadline(entry, now)) is not None:
             return [refused]
         self._queue.add(entry)
-        return self._pump(now) + self._shed(now)
+        found = self._pump(now) + self._shed(now)
+        if entry.queued:
+            found += self._acknowledge(ask, holder)
+        return found
+
+    def _acknowledge(
+        self, ask: messages.Ask, holder: ids.NodeId
+    ) -> list[effects.Effect]:
+        """Tells a holder that waits for it that its ask is queued."""
+        if ask.terms is None:
+            return []
+        return [effects.Send(holder, messages.Queued(ask.request))]
 
     def withdraw(
         self, request: ids.RequestId, holder: ids.NodeId, now: float
@@ -458,7 +486,29 @@
                 errors.ErrorKind.QUARANTINED,
                 self._suspects.retry_after(ask.content, now),
             )
-        return None
+        return self._charge(ask, holder, now)
+
+    def _charge(
+        self, ask: messages.Ask, holder: ids.NodeId, now: float
+    ) -> effects.Effect | None:
+        """Takes an ask's cost from the quota or the budget of attempts."""
+        terms = ask.terms
+        if terms is None:
+            return None
+        if terms.attempt > 1:
+            if self.budget.take(now):
+                return None
+            return _refusal(
+                holder,
+                ask.request,
+                errors.ErrorKind.NO_ENDPOINT,
+                _NO_ENDPOINT_RETRY_SECONDS,
+            )
+        self.budget.first(now)
+        wait = self.quotas.take(ask.workspace, terms.cost, now)
+        if wait is None:
+            return None
+        return _refusal(holder, ask.request, errors.ErrorKind.OVER_QUOTA, wait)
 
     def _note_present(self, entry: fairness.QueueEntry, now: float) -> None:
         self._seen_tiers[entry.ask.tier] = now
@@ -490,6 +540,14 @@
         if wait > 0.0:
             margin = self._under_pressure(self._service_margin)
         entry.latest_start = entry.deadline - min(seconds) * margin
+        if entry.first_by < math.inf:
+            fastest = min(
+                member.model.prefill_seconds(ask.prompt_tokens)
+                for member in usable
+            )
+            entry.latest_start = min(
+                entry.latest_start, entry.first_by - fastest
+            )
         late = now + wait - entry.latest_start
         if late > 0.0:
             return self._unreachable(entry, late)
@@ -736,10 +794,12 @@
         busy_cost = math.inf
         usable = in_time = has_place = False
         margin = self._under_pressure(self._service_margin)
+        avoided = self._avoided(ask)
         for name, member in self._members.items():
             model = member.model
             if (
                 not member.open
+                or name in avoided
                 or member.kept_for is not None
                 or not member.breaker.admits(now)
             ):
@@ -749,13 +809,16 @@
             usable = True
             has_place = has_place or fits
             start = now if fits else model.next_free(now)
-            end = model.predict(
+            predicted = model.predict(
                 start, ask.prompt_tokens - cached[name], ask.output_tokens
-            ).end
+            )
+            end = predicted.end
             recomputed = model.prefill_seconds(longest - cached[name])
             cost = end + _RECOMPUTE_WEIGHT * recomputed
             if now + (end - now) * margin > entry.deadline:
                 continue
+            if predicted.first_token > entry.first_by:
+                continue
             in_time = True
             if fits and cost < best_cost:
                 best = member
@@ -770,6 +833,17 @@
             return best
         return self._patience(entry, best, now)
 
+    def _avoided(self, ask: messages.Ask) -> frozenset[ids.EndpointId]:
+        """Returns the endpoints that earlier attempts met, if others exist."""
+        if ask.terms is None or not ask.terms.avoided:
+            return frozenset()
+        avoided = frozenset(ask.terms.avoided)
+        others = any(
+            member.open and name not in avoided
+            for name, member in self._members.items()
+        )
+        return avoided if others else frozenset()
+
     def _patience(
         self, entry: fairness.QueueEntry, best: _Member, now: float
     ) -> _Member | _Wait:
@@ -924,8 +998,11 @@
         if outcome is states.Outcome.CANCELLED:
             member.breaker.abandoned(now)
             return
+        if outcome is states.Outcome.REJECTED and not self._isolates():
+            # A full endpoint refuses; that is no failure of it.
+            return
         member.breaker.failed(now)
-        if outcome is not states.Outcome.BROKEN:
+        if outcome is not states.Outcome.BROKEN or not self._isolates():
             return
         member.prefixes.clear()
         if run.isolated and len(member.model.running) == 1:
@@ -953,6 +1030,9 @@
                 )
             )
 
+    def _isolates(self) -> bool:
+        return self._service is None or self._service.isolates_suspects
+
     def _is_suspect(self, content: ids.ContentDigest, now: float) -> bool:
         standing = self._suspects.standing(content, now)
         return standing is not quarantine.Standing.CLEAR
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -1,5 +1,6 @@
 """Lifecycle of the requests whose callers are connected to this node."""
 
+import collections
 import random
 from collections.abc import Callable
 
@@ -51,7 +52,18 @@
 # dropped its asks meanwhile.
 _PAUSE_SECONDS = 1.5
 _NO_ENDPOINT_RETRY_SECONDS = 2.0
-
+# An owner acknowledges an ask with terms within a round trip of a few
+# milliseconds; a busy one needs tens of them.
+_SILENCE_SECONDS = 0.15
+# An owner that left an ask unanswered is asked again after this time; until
+# then the node grants from its own share at once.
+_SILENT_SECONDS = 1.0
+_FALLBACK_LEASE_SECONDS = 1.0
+
+# Refusals that another data centre would give too.
+_FINAL_REFUSALS = frozenset(
+    {errors.ErrorKind.QUARANTINED, errors.ErrorKind.OVER_QUOTA}
+)
 _HOLDS_SLOT = frozenset(
     {
         states.RequestState.GRANTED,
@@ -80,11 +92,21 @@
         spilled: Whether it has asked another data centre.
         returns: Whether it asks its home group again when the other data
             centre refuses it, because its home group did not.
+        attempts: Number of the present attempt, from 1.
+        avoided: Endpoints that an earlier attempt met.
+        charged: Whether its workspace's quota was charged.
+        acknowledged: Whether the owner has told that it queued the ask.
+        asked_at: Time of the latest ask in seconds.
     """
 
     __slots__ = (
+        "acknowledged",
         "arrival",
         "ask_at",
+        "asked_at",
+        "attempts",
+        "avoided",
+        "charged",
         "claimed",
         "deadline",
         "dispatched",
@@ -130,6 +152,27 @@
         self.first_token: float | None = None
         self.tokens = 0
         self.progressed = 0.0
+        self.attempts = 1
+        self.avoided: tuple[ids.EndpointId, ...] = ()
+        self.charged = False
+        self.acknowledged = False
+        self.asked_at = now
+
+    def has_terms(self) -> bool:
+        """Returns whether its asks carry terms, which owners acknowledge."""
+        work = self.work
+        return (
+            work.first_by is not None
+            or work.max_attempts > 1
+            or work.cost > 0
+            or self.attempts > 1
+        )
+
+    def latest_dispatch(self) -> float:
+        """Returns the time after which a dispatch is of no use."""
+        if self.work.first_by is None:
+            return self.deadline
+        return min(self.deadline, self.work.first_by)
 
     def first_repeat(self) -> float:
         """Returns the seconds until an ask is repeated the first time."""
@@ -144,6 +187,8 @@
         held: Requests that have not ended, by identifier.
         is_open: Tells whether this node would send an endpoint new work; a
             grant may have been on its way while that changed.
+        fallback: Chooses an endpoint from the node's own share while the
+            owner is silent, or returns None.
     """
 
     def __init__(
@@ -167,6 +212,10 @@
         self._register_at = 0.0
         self._report_at = 0.0
         self._last_tick: float | None = None
+        self.fallback: Callable[[Held, float], ids.EndpointId | None] = (
+            lambda held, now: None
+        )
+        self._silent: dict[ids.NodeId, float] = {}
 
     # Commands of the caller's side.
 
@@ -184,6 +233,11 @@
         self.held[work.request] = held
         held.state = states.RequestState.QUEUED
         self._budget.deposit()
+        owner = self._owner_of(group)
+        if self._silent.get(owner, 0.0) > now and held.has_terms():
+            found = self._grant_own(held, now)
+            if found:
+                return found
         return self._ask(held, now)
 
     def cancel(
@@ -279,6 +333,13 @@
             self._learn_rate(held, output_tokens, now)
         if outcome is states.Outcome.NOT_SENT:
             return [release, *self._retry(held, now)]
+        if self._may_repeat(held, outcome):
+            held.attempts += 1
+            held.avoided = (*held.avoided, held.endpoint)
+            self._requeue(held, now)
+            held.first_token = None
+            held.tokens = 0
+            return [release, *self._ask(held, now)]
         held.state = {
             states.Outcome.COMPLETED: states.RequestState.DONE,
             states.Outcome.CANCELLED: states.RequestState.CANCELLED,
@@ -289,12 +350,50 @@
         del self.held[request]
         return [release]
 
+    def may_repeat(
+        self, request: ids.RequestId, outcome: states.Outcome
+    ) -> bool:
+        """Tells whether `finished` would try another endpoint."""
+        held = self.held.get(request)
+        return held is not None and self._may_repeat(held, outcome)
+
+    def _may_repeat(self, held: Held, outcome: states.Outcome) -> bool:
+        """Tells whether another endpoint may be tried after an attempt."""
+        work = held.work
+        if held.attempts >= work.max_attempts:
+            return False
+        if outcome is states.Outcome.REJECTED:
+            return True
+        return work.idempotent and outcome in (
+            states.Outcome.BROKEN,
+            states.Outcome.GARBAGE,
+        )
+
     # Messages of owners.
 
+    def queued(self, request: ids.RequestId, sender: ids.NodeId) -> None:
+        """Notes that the owner has queued an ask."""
+        self._silent.pop(sender, None)
+        held = self.held.get(request)
+        if held is not None and held.owner == sender:
+            held.acknowledged = True
+
+    def _grant_own(self, held: Held, now: float) -> list[effects.Effect]:
+        """Grants from the own share, because the owner is silent."""
+        endpoint = self.fallback(held, now)
+        if endpoint is None:
+            return []
+        held.endpoint = endpoint
+        held.lease_end = now + _FALLBACK_LEASE_SECONDS
+        held.state = states.RequestState.GRANTED
+        held.charged = True
+        return self._dispatch(held, now)
+
     def granted(
         self, grant: messages.Grant, sender: ids.NodeId, now: float
     ) -> list[effects.Effect]:
         """Uses a grant, or gives it back."""
+        self._silent.pop(sender, None)
         held = self.held.get(grant.request)
         if (
             held is not None
@@ -313,6 +412,7 @@
         arrived = now if self._last_tick is None else self._last_tick
         held.lease_end = arrived + grant.lease_ms / 1000
         held.state = states.RequestState.GRANTED
+        held.charged = True
         self._registers[held.group] = _EMPTY_REGISTERS
         if held.work.needs_claim and not held.claimed:
             held.state = states.RequestState.CLAIMING
@@ -335,6 +435,7 @@
                 request in time, or None.
             now: Current time in seconds.
         """
+        self._silent.pop(sender, None)
         held = self.held.get(refusal.request)
         if (
             held is None
@@ -343,7 +444,7 @@
         ):
             return []
         kind = errors.ErrorKind(refusal.kind)
-        if kind is not errors.ErrorKind.QUARANTINED:
+        if kind not in _FINAL_REFUSALS:
             if held.returns:
                 held.returns = False
                 return self._ask_group(held, held.home, now)
@@ -393,6 +494,14 @@
         """Returns the groups that hold requests of this node."""
         return {held.group for held in self.held.values()}
 
+    def running_counts(self) -> collections.Counter[ids.EndpointId]:
+        """Returns how many requests this node has at each endpoint."""
+        return collections.Counter(
+            held.endpoint
+            for held in self.held.values()
+            if held.state in _HOLDS_SLOT
+        )
+
     def register(self, group: ids.GroupId, now: float) -> list[effects.Effect]:
         """Tells the owner of a group what is in flight there."""
         owner = self._owner_of(group)
@@ -449,13 +558,18 @@
     ) -> list[effects.Effect]:
         if held.state in _RUNNING:
             return []
-        if now >= held.deadline:
+        if now >= held.latest_dispatch():
             return self._refuse(
                 held,
                 errors.ErrorKind.DEADLINE_PASSED,
                 _NO_ENDPOINT_RETRY_SECONDS,
             )
         if held.state is states.RequestState.QUEUED:
+            if self._is_unanswered(held, now):
+                if held.owner is not None:
+                    self._silent[held.owner] = now + _SILENT_SECONDS
+                if found := self._grant_own(held, now):
+                    return found
             return self._ask(held, now) if paused or now >= held.ask_at else []
         if now >= held.lease_end and (
             held.state is states.RequestState.GRANTED
@@ -464,6 +578,13 @@
             return self._ask(held, now)
         return []
 
+    def _is_unanswered(self, held: Held, now: float) -> bool:
+        return (
+            held.has_terms()
+            and not held.acknowledged
+            and now - held.asked_at >= _SILENCE_SECONDS
+        )
+
     def _register_all(self, now: float) -> list[effects.Effect]:
         """Repeats registers, so that a lost Release frees its slot."""
         busy = {
@@ -517,6 +638,9 @@
         work = held.work
         previous = held.owner
         held.owner = self._owner_of(held.group)
+        if held.owner != previous or not held.acknowledged:
+            held.acknowledged = False
+            held.asked_at = now
         held.ask_at = now + held.repeat
         held.repeat = min(_MAX_REPEAT_SECONDS, 2 * held.repeat)
         if held.owner is None:
@@ -536,9 +660,21 @@
             work.content,
             round((now - held.arrival) * 1000),
             held.spilled,
+            self._terms(held, now),
         )
         return [effects.Send(held.owner, ask)]
 
+    def _terms(self, held: Held, now: float) -> messages.AskTerms | None:
+        if not held.has_terms():
+            return None
+        first_by = held.work.first_by
+        return messages.AskTerms(
+            -1 if first_by is None else max(0, round((first_by - now) * 1000)),
+            held.attempts,
+            held.avoided,
+            0 if held.charged else held.work.cost,
+        )
+
     def _dispatch(self, held: Held, now: float) -> list[effects.Effect]:
         if now >= held.lease_end:
             # The next tick asks again. To ask at once would go on without end
@@ -551,6 +687,8 @@
         """Returns to the queue; the next tick asks again."""
         held.state = states.RequestState.QUEUED
         held.endpoint = None
+        held.acknowledged = False
+        held.asked_at = now
         held.ask_at = now
         held.repeat = held.first_repeat()
 
@@ -566,6 +704,9 @@
         self._requeue(held, now)
         held.first_token = None
         held.tokens = 0
+        if held.has_terms():
+            # The owner counts the failure and chooses another endpoint.
+            return self._ask(held, now)
         held.ask_at = now + retries.backoff(held.failures, self._generator)
         return []
 
--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -31,6 +31,10 @@
 # up at each tick would take most of a tick at hundreds of nodes.
 _TARGETS_SECONDS = 0.5
 
+# A cut rarely lasts longer than this; a node that is silent for longer has
+# most likely ended.
+_ENDED_SECONDS = 20.0
+
 # Members that are gone are remembered so that a late frame does not bring
 # them back, and forgotten so that replaced VMs do not fill the memory.
 _FORGET_SECONDS = 600.0
@@ -316,6 +320,19 @@
         nodes = [m.node for m in self._members.values() if m.state in usable]
         return sorted([*nodes, self.node])
 
+    def known(self) -> int:
+        """Returns the number of nodes that run or may run, this included.
+
+        Nodes out of reach count until they have been silent for so long that
+        they have most likely ended.
+        """
+        recent = sum(
+            member.state is not states.MemberState.GONE
+            and member.silence(self._ticked_at) <= _ENDED_SECONDS
+            for member in self._members.values()
+        )
+        return recent + 1
+
     def owner(self, group: ids.GroupId) -> ids.NodeId | None:
         """Returns the owner of a group.
 
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -31,6 +31,25 @@
     tokens: int
 
 
+class AskTerms(msgspec.Struct, frozen=True, array_like=True):
+    """Terms of an ask that many deployments do without.
+
+    They stand apart because array-like structs carry every field.
+
+    Attributes:
+        first_ms: Milliseconds from the sending until the first event is of no
+            use any more, or -1 without such a bound.
+        attempt: Number of this attempt, from 1.
+        avoided: Endpoints that an earlier attempt met.
+        cost: Units of the workspace's quota that it takes, 0 once charged.
+    """
+
+    first_ms: int = -1
+    attempt: int = 1
+    avoided: tuple[ids.EndpointId, ...] = ()
+    cost: int = 0
+
+
 class Ask(Message, frozen=True, tag=1):
     """Asks the owner of a group for a grant; repeated until answered.
 
@@ -48,6 +67,7 @@
         waited_ms: Milliseconds the request has waited at the sender, so that
             a new owner restores the order of arrival.
         spilled: Whether the sender is in another data centre.
+        terms: Further terms, or None if all have their defaults.
     """
 
     group: ids.GroupId
@@ -61,6 +81,7 @@
     content: ids.ContentDigest
     waited_ms: int = 0
     spilled: bool = False
+    terms: AskTerms | None = None
 
 
 class Withdraw(Message, frozen=True, tag=2):
@@ -166,6 +187,24 @@
     wait_ms: int
 
 
+class LinkState(msgspec.Struct, frozen=True, array_like=True):
+    """What a heartbeat tells about its link and the endpoint directory.
+
+    Attributes:
+        heard: Number of the newest frame that came from the receiver, or -1.
+        heard_incarnation: Incarnation of the receiver that sent it.
+        endpoints_version: Version of the endpoint directory that the sender
+            knows, or -1.
+        endpoints_age_ms: Milliseconds since that was known to be the newest,
+            or -1.
+    """
+
+    heard: int = -1
+    heard_incarnation: int = -1
+    endpoints_version: int = -1
+    endpoints_age_ms: int = -1
+
+
 class Heartbeat(Message, frozen=True, tag=8):
     """Tells that the sender lives.
 
@@ -178,6 +217,7 @@
         suspects: Nodes that the receiver should know as suspected; `@NAME`
             stands for a whole data centre.
         address: Where the sender takes frames, while the VM list lacks it.
+        link: State of the link and the endpoint directory, or None.
     """
 
     leaving: bool
@@ -186,6 +226,7 @@
     data_centre: ids.DataCentre = ids.DataCentre("")
     suspects: tuple[str, ...] = ()
     address: str = ""
+    link: LinkState | None = None
 
 
 class Suspect(Message, frozen=True, tag=9):
@@ -322,6 +363,54 @@
     drain: bool
 
 
+class Queued(Message, frozen=True, tag=20):
+    """Tells a holder that the owner has queued its ask."""
+
+    request: ids.RequestId
+
+
+class EndpointsAsk(Message, frozen=True, tag=21):
+    """Asks a peer for its endpoint directory if it is newer than `version`."""
+
+    version: int
+
+
+class DirectoryEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One endpoint in the directory.
+
+    Attributes:
+        name: Name that the endpoint itself knows.
+        service: Service that it runs.
+        address: IP number and port.
+        location: Data centre.
+        slots: Requests that it runs at a time.
+        draining: Whether it takes no new work.
+        born_ms: Unix time of its start in milliseconds, or 0.
+    """
+
+    name: str
+    service: ids.ServiceName
+    address: str
+    location: ids.DataCentre
+    slots: int
+    draining: bool
+    born_ms: int = 0
+
+
+class EndpointsState(Message, frozen=True, tag=22):
+    """A peer's endpoint directory.
+
+    Attributes:
+        version: Version of the directory.
+        age_ms: Milliseconds since it was known to be the newest.
+        entries: All entries.
+    """
+
+    version: int
+    age_ms: int
+    entries: tuple[DirectoryEntry, ...]
+
+
 AnyMessage = (
     Ask
     | Withdraw
@@ -342,6 +431,9 @@
     | ConfigAsk
     | ConfigState
     | DrainEndpoint
+    | Queued
+    | EndpointsAsk
+    | EndpointsState
 )
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/retries.py
+++ b/packages/baobabmux-core/src/baobabmux_core/retries.py
@@ -1,5 +1,6 @@
 """Budget and delays of repeated attempts."""
 
+import collections
 import random
 
 _BASE_SECONDS = 0.05
@@ -50,3 +51,43 @@
             return False
         self.tokens -= 1.0
         return True
+
+
+class AttemptBudget:
+    """Bounds repeated attempts of a service by its first attempts.
+
+    Attributes:
+        ratio: Repeated attempts for each first attempt.
+        slack: Repeated attempts that are always allowed in a window.
+        window_seconds: Length of the window.
+        share: Part of the budget that may be used here.
+    """
+
+    def __init__(
+        self,
+        ratio: float = 0.1,
+        slack: float = 20.0,
+        window_seconds: float = 10.0,
+    ):
+        self.ratio = ratio
+        self.slack = slack
+        self.window_seconds = window_seconds
+        self.share = 1.0
+        self._firsts: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    def first(self, now: float) -> None:
+        """Notes a first attempt."""
+        self._firsts.append(now)
+
+    def take(self, now: float) -> bool:
+        """Takes one repeated attempt; returns whether there was one."""
+        oldest = now - self.window_seconds
+        for times in (self._firsts, self._repeats):
+            while times and times[0] < oldest:
+                times.popleft()
+        allowed = self.ratio * len(self._firsts) + self.slack
+        if len(self._repeats) + 1 > self.share * allowed:
+            return False
+        self._repeats.append(now)
+        return True
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -13,13 +13,16 @@
     declarations,
     effects,
     errors,
+    fairness,
     grants,
     holders,
     ids,
     messages,
     prefixes,
     quarantine,
+    quotas,
     rendezvous,
+    retries,
     states,
 )
 
@@ -70,6 +73,11 @@
         node: Name of this node.
         data_centre: Where it stands.
         leaving: Whether it is shutting down.
+        location: Data centre in which the node stands, if `data_centre` names
+            a cell of several.
+        registration_seconds: Longest time that a new owner waits for holders
+            to register.
+        serves_while_leaving: Whether requests are taken during a shutdown.
     """
 
     def __init__(
@@ -82,6 +90,9 @@
         self.node = node
         self.data_centre = data_centre
         self.leaving = False
+        self.location = data_centre
+        self.registration_seconds = grants.REGISTRATION_SECONDS
+        self.serves_while_leaving = False
         self._membership = members
         self._configuration: declarations.Configuration | None = None
         self._holder = holders.Holder(
@@ -91,6 +102,9 @@
             lambda work: self._home_group(work.service),
             seed,
         )
+        self._holder.fallback = self._grant_from_share
+        self._attempt_budget: tuple[float, float, float] | None = None
+        self._own_quotas = quotas.QuotaLedger()
         self._owned: dict[ids.GroupId, grants.GroupOwner] = {}
         self._owners: dict[ids.GroupId, ids.NodeId | None] = {}
         self._live: set[ids.NodeId] = set()
@@ -106,6 +120,18 @@
         self._drain_repeats: dict[ids.EndpointId, tuple[int, float]] = {}
         self._loads: dict[ids.GroupId, _RemoteLoad] = {}
 
+    def set_attempt_budget(
+        self, ratio: float, slack: float, window_seconds: float
+    ) -> None:
+        """Bounds the repeated attempts of each service that is owned here.
+
+        Args:
+            ratio: Repeated attempts for each first one.
+            slack: Repeated attempts that are always allowed.
+            window_seconds: Window in which they are counted.
+        """
+        self._attempt_budget = (ratio, slack, window_seconds)
+
     # Callers.
 
     def submit(self, work: effects.Work, now: float) -> list[effects.Effect]:
@@ -171,6 +197,12 @@
             request, outcome, now, computed_tokens, output_tokens
         )
 
+    def may_repeat(
+        self, request: ids.RequestId, outcome: states.Outcome
+    ) -> bool:
+        """Tells whether `finished` would try another endpoint."""
+        return self._holder.may_repeat(request, outcome)
+
     def claim_decided(
         self,
         request: ids.RequestId,
@@ -209,6 +241,9 @@
                 found = self._holder.refused(
                     message, sender, lambda held: self._spill(held, now), now
                 )
+            case messages.Queued():
+                self._holder.queued(message.request, sender)
+                found = []
             case messages.Withdraw():
                 found = self._withdrawn(message, sender, now)
             case messages.Progress() | messages.Release():
@@ -260,6 +295,7 @@
     ) -> list[effects.Effect]:
         """Adopts a configuration."""
         self._configuration = configuration
+        self._own_quotas.configure(configuration.workspaces, now)
         for owner in self._owned.values():
             owner.configure(configuration, now)
         return self.members_changed(now)
@@ -308,6 +344,7 @@
     def tick(self, now: float) -> list[effects.Effect]:
         """Does what is due; called several times a second."""
         self._check_pause(now)
+        self._share_quotas()
         self._last_tick = now
         self._update_endpoints()
         found = self._holder.tick(now, lambda held: self._better(held, now))
@@ -415,7 +452,7 @@
     ) -> effects.Effect | None:
         if self._configuration is None:
             return _refuse(work, errors.ErrorKind.NOT_READY, 1.0)
-        if self.leaving:
+        if self.leaving and not self.serves_while_leaving:
             return _refuse(
                 work,
                 errors.ErrorKind.SHUTTING_DOWN,
@@ -708,6 +745,38 @@
                 found += self._holder.owner_changed(group, now)
         return found
 
+    def _grant_from_share(
+        self, held: holders.Held, now: float
+    ) -> ids.EndpointId | None:
+        """Returns an endpoint with a free place in this node's share.
+
+        While the owner is silent, every node may use an equal part of each
+        endpoint's places, so that together they do not overload it.
+        """
+        nodes = max(1, len(self._live))
+        running = self._holder.running_counts()
+        best: tuple[float, ids.EndpointId] | None = None
+        for name, endpoint in self._configuration.endpoints.items():
+            if endpoint.service != held.work.service or not self._is_open(name):
+                continue
+            if name in held.avoided:
+                continue
+            places = max(1, math.ceil(endpoint.max_requests / nodes))
+            if (used := running.get(name, 0)) >= places:
+                continue
+            near = endpoint.location == self.location
+            rank = (used / places, not near, name)
+            if best is None or rank < best:
+                best = rank
+        if best is None:
+            return None
+        if held.attempts > 1 or held.charged:
+            return best[-1]
+        self._own_quotas.share = 1 / nodes
+        workspace = fairness.workspace_hash(held.work.workspace)
+        wait = self._own_quotas.take(workspace, held.work.cost, now)
+        return best[-1] if wait is None else None
+
     def _check_pause(self, now: float) -> None:
         """Forgets the queues and counts of before a pause."""
         last = self._last_tick
@@ -717,10 +786,19 @@
         for group in list(self._owned):
             self._own(group, now)
 
+    def _share_quotas(self) -> None:
+        """Lets the owners use the part of quotas that this side may use."""
+        reachable = max(1, len(self._live))
+        share = reachable / max(reachable, self._membership.known())
+        for owner in self._owned.values():
+            owner.quotas.share = owner.budget.share = share
+
     def _own(self, group: ids.GroupId, now: float) -> None:
         taken = grants.GroupOwner(group, self._quarantine, now)
+        if self._attempt_budget is not None:
+            taken.budget = retries.AttemptBudget(*self._attempt_budget)
         taken.configure(self._configuration, now)
-        taken.await_registers(self._near, now)
+        taken.await_registers(self._near, now, self.registration_seconds)
         self._owned[group] = taken
         self._update_endpoints()
 
--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -62,6 +62,9 @@
     def reachable(self):
         return [node for nodes in self.centres.values() for node in nodes]
 
+    def known(self):
+        return len(self.reachable())
+
     def owner(self, group):
         return rendezvous.owner(group, self.live(group.split("@")[1]))
 
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -2,10 +2,11 @@
 
 import abc
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
-from baobabmux_core import states
+from baobabmux_core import ids, states
 from baobabmux_node import client
 
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -40,6 +41,10 @@
         body: Body.
         timeout: Seconds until the answer must have ended.
         permit: Called immediately before the first byte; False forbids it.
+        endpoint: Endpoint that is expected at the address.
+        caller: The caller's request.
+        repeatable: Whether another endpoint may be tried after a failure.
+        deadline: Time on the node's clock at which nobody waits any more.
     """
 
     address: str
@@ -49,6 +54,10 @@
     body: bytes
     timeout: float
     permit: Callable[[], bool]
+    endpoint: ids.EndpointId = ids.EndpointId("")
+    caller: Any = None
+    repeatable: bool = False
+    deadline: float = 0.0
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -68,7 +77,15 @@
 
 
 class Sink(abc.ABC):
-    """Receives an endpoint's answer part by part."""
+    """Receives an endpoint's answer part by part.
+
+    Attributes:
+        tokens: Output tokens so far.
+        last_event: Number of the last event that was passed on, or None.
+    """
+
+    tokens: int
+    last_event: int | None
 
     @abc.abstractmethod
     async def head(self, status: int, headers: dict[str, str]) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/admin.py
+++ b/packages/baobabmux-node/src/baobabmux_node/admin.py
@@ -67,7 +67,7 @@
             return responses.text("ready\n")
         if self._host.draining:
             return responses.text("shutting down\n", 503)
-        if self._host.config.state.configuration is None:
+        if self._host.configuration is None:
             reason = "no configuration from log or peers"
         else:
             reason = "not all listed peers were heard yet"
@@ -82,18 +82,17 @@
         del exchange
         host = self._host
         now = time.monotonic()
-        state = host.config.state
-        active = state.configuration and state.configuration.active
+        active = host.configuration and host.configuration.active
         return responses.json(
             {
                 "node": host.settings.node,
                 "data_centre": host.settings.data_centre,
                 "state": "leaving" if host.draining else "live",
                 "ready": host.ready(),
-                "config_version": state.version,
-                "config_through": state.through,
+                "config_version": host.config.version,
+                "config_through": host.config.through,
                 "preset": active,
-                "log_reachable": host.log.reachable,
+                "log_reachable": host.ports.reachable(),
                 "members": {
                     name: host.membership.state(name).value
                     for name in host.membership.reachable()
@@ -124,7 +123,7 @@
                 errors.ErrorKind.BAD_REQUEST, "", str(error)
             )
         host = self._host
-        configuration = host.config.state.configuration
+        configuration = host.configuration
         if configuration is None or (
             order.endpoint not in configuration.endpoints
         ):
--- a/packages/baobabmux-node/src/baobabmux_node/answers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/answers.py
@@ -101,7 +101,7 @@
         """Claims a request's key in the log and passes on the decision."""
         caller = request.caller
         entry = self._entry(caller)
-        result = await self._host.claims.claim(entry)
+        result = await self._host.ports.claims.claim(entry)
         answer = result.answer
         verdict = (
             claims.ClaimVerdict.UNAVAILABLE
@@ -162,7 +162,7 @@
             return
         self._claimed.discard(attempt)
         digest = xxhash.xxh3_64_intdigest(answer.body) if answer else 0
-        await self._host.claims.record_outcome(
+        await self._host.ports.claims.record_outcome(
             caller.key, attempt, status, ids.ContentDigest(digest)
         )
 
@@ -236,10 +236,10 @@
         match message:
             case messages.ClaimAsk():
                 await curio.spawn(
-                    self._host.claims.asked, sender, message, daemon=True
+                    self._host.ports.claims.asked, sender, message, daemon=True
                 )
             case messages.ClaimAnswer():
-                if not await self._host.claims.answered(message):
+                if not await self._host.ports.claims.answered(message):
                     self._host.metrics.stray_answers.inc()
             case messages.KeyAsk():
                 answer = self.registry.register(
@@ -304,7 +304,7 @@
             del self._key_replies[ask.attempt]
 
     def _known_claim(self, caller: held.Caller) -> held.Repeat | None:
-        state = self._host.claims.known(caller.key)
+        state = self._host.ports.claims.known(caller.key)
         if state is None:
             return None
         entry = self._entry(caller)
@@ -372,7 +372,7 @@
         attempt = _attempt(caller)
         self._claimed.discard(attempt)
         self._host.events.record(Kind.CLAIM_WITHDRAWN, caller.request)
-        await self._host.claims.withdraw(caller.key, attempt)
+        await self._host.ports.claims.withdraw(caller.key, attempt)
 
     def _alive(self, node: ids.NodeId) -> bool:
         return node in self._host.membership.reachable()
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -5,23 +5,17 @@
 import time
 
 import curio
-import msgspec
 
 from baobabmux_core import effects, errors, ids, states
 from baobabmux_node import (
     adapters,
-    engines,
     held,
+    protocols,
     responses,
     server,
     sinks,
 )
 
-_ADAPTERS: dict[str, adapters.EndpointAdapter] = {
-    "engine": engines.ModelEngineAdapter(),
-    "plain": adapters.PlainServiceAdapter(),
-}
-
 _FAILURES = {
     states.Outcome.GARBAGE: errors.ErrorKind.ENDPOINT_GARBAGE,
     states.Outcome.REJECTED: errors.ErrorKind.OVERLOADED,
@@ -29,7 +23,13 @@
 
 
 class Host(abc.ABC):
-    """What serving a caller needs from the node."""
+    """What serving a caller needs from the node.
+
+    Attributes:
+        protocol: How callers and endpoints are spoken to.
+    """
+
+    protocol: protocols.CallerProtocol
 
     @abc.abstractmethod
     async def admit(self, request: held.HeldRequest) -> None:
@@ -56,6 +56,12 @@
     ) -> None:
         """Tells the scheduler and the key store how an attempt ended."""
 
+    @abc.abstractmethod
+    def may_repeat(
+        self, request: held.HeldRequest, result: adapters.Result
+    ) -> bool:
+        """Tells whether the scheduler will try another endpoint."""
+
     @abc.abstractmethod
     async def cancel(self, request: held.HeldRequest) -> None:
         """Takes a request back that was not dispatched."""
@@ -99,6 +105,7 @@
         self.request = request
         self._sink: sinks.CallerSink | None = None
         self._attempt: curio.Task | None = None
+        self._attempts = 0
 
     async def run(self) -> None:
         """Serves the request until its final answer."""
@@ -142,19 +149,30 @@
     async def _run_attempt(self, decision: effects.Dispatch) -> None:
         caller = self.request.caller
         kind, address = self.host.endpoint(decision.endpoint)
-        self._sink = self._make_sink(kind)
-        left = caller.arrived + caller.route.timeout_seconds - time.monotonic()
+        if self._sink is None:
+            self._sink = self._make_sink(caller.route.streaming, kind)
+        self._attempts += 1
+        now = time.monotonic()
+        ends = caller.arrived + caller.route.timeout_seconds
+        if caller.work.deadline is not None:
+            ends = min(ends, caller.work.deadline)
         call = adapters.Call(
             address=address,
             method=caller.method,
             target=caller.target,
             headers=caller.headers,
             body=caller.body,
-            timeout=max(left, 0.1),
+            timeout=max(ends - now, 0.1),
             permit=self._permit,
+            endpoint=decision.endpoint,
+            caller=caller,
+            repeatable=caller.work.idempotent
+            and self._attempts < caller.work.max_attempts,
+            deadline=ends,
         )
+        adapter = self.host.protocol.adapter(kind)
         try:
-            result = await _ADAPTERS[kind].run(call, self._sink)
+            result = await adapter.run(call, self._sink)
             if result.outcome is states.Outcome.COMPLETED:
                 await self._sink.end()
         except sinks.AnswerTooLargeError as error:
@@ -165,25 +183,38 @@
         self.request.dispatched = self.host.permit(self.request)
         return self.request.dispatched
 
-    def _make_sink(self, kind: str) -> sinks.CallerSink:
+    def _make_sink(self, streaming: bool, kind: str) -> sinks.CallerSink:
         caller = self.request.caller
-        if kind == "plain":
+        if streaming:
+            sink = sinks.StreamSink
+        elif kind == "plain":
             sink = sinks.WholeSink
         elif caller.streaming:
             sink = sinks.StreamSink
         else:
             sink = sinks.CompletionSink
-        return sink(
+        made = sink(
             self.request,
             self.exchange,
             lambda tokens: self.host.progress(self.request, tokens),
         )
+        made.status_headers = lambda status: self.host.protocol.status_headers(
+            caller.public_id, status
+        )
+        return made
 
     async def _end(self, result: adapters.Result) -> None:
         self._attempt = None
         if result.outcome is states.Outcome.NOT_SENT:
             # Nothing reached the endpoint, so the scheduler decides anew.
             self.request.dispatched = False
+            self._attempts -= 1
+            await self.host.attempt_ended(self.request, result, None)
+            return
+        if self.host.may_repeat(self.request, result):
+            self.request.dispatched = False
+            if result.outcome is not states.Outcome.REJECTED:
+                self.request.may_have_run = True
             await self.host.attempt_ended(self.request, result, None)
             return
         self.request.finished = True
@@ -192,6 +223,8 @@
         if result.outcome is states.Outcome.COMPLETED:
             return
         kind = _FAILURES.get(result.outcome, errors.ErrorKind.ENDPOINT_BROKE)
+        if self.request.may_have_run:
+            kind = errors.ErrorKind.ENDPOINT_BROKE
         self.host.refused(self.request, kind)
         if not sink.caller_gone:
             await self._send_failure(kind, result.detail, sink)
@@ -200,15 +233,18 @@
         """Tells the caller of a failure after the dispatch."""
         public_id = self.request.caller.public_id
         retry_after = 1.0 if kind is errors.ErrorKind.OVERLOADED else None
-        if not sink.started:
+        protocol = self.host.protocol
+        if sink is None or not sink.started:
             await self._answer(
-                responses.problem(kind, public_id, detail, retry_after)
+                protocol.refusal(kind, public_id, detail, retry_after)
             )
             return
         # The status line has gone out; the stream ends with an error event
-        # and without its last event, so the answer cannot be taken for whole.
-        problem = errors.problem(kind, public_id, detail)
-        data = b"event: error\ndata: " + msgspec.json.encode(problem) + b"\n\n"
+        # and without its last event, or without the end of the answer, so it
+        # cannot be taken for whole.
+        data = protocol.stream_failure(kind, public_id, detail)
+        if data is None:
+            self.exchange.abort()
         try:
             await self.exchange.send(data)
             await self.exchange.finish()
@@ -220,9 +256,16 @@
             return
         self.request.finished = True
         await self.host.released(self.request)
+        sink = self._sink
+        if self.request.may_have_run or (sink is not None and sink.started):
+            # "Not run" would be wrong after an attempt that may have run.
+            kind = errors.ErrorKind.ENDPOINT_BROKE
+            self.host.refused(self.request, kind)
+            await self._send_failure(kind, detail, sink)
+            return
         self.host.refused(self.request, kind)
         await self._answer(
-            responses.problem(
+            self.host.protocol.refusal(
                 kind, self.request.caller.public_id, detail, retry_after
             )
         )
@@ -236,13 +279,12 @@
         if isinstance(first, errors.ErrorKind):
             self.host.refused(self.request, first)
             await self._answer(
-                responses.problem(first, public_id, None, retry_after=1.0)
+                self.host.protocol.refusal(first, public_id, None, 1.0)
             )
             return
-        headers = {
-            responses.RUN_STATUS_HEADER: states.RunStatus.DONE.value,
-            responses.REQUEST_ID_HEADER: public_id,
-        }
+        headers = self.host.protocol.status_headers(
+            public_id, states.RunStatus.DONE
+        )
         if first.content_type:
             headers["content-type"] = first.content_type
         await self._answer((first.status, headers, first.body))
@@ -250,14 +292,18 @@
     async def _caller_gone(self) -> None:
         if self._sink is not None:
             self._sink.caller_gone = True
-        if self.request.dispatched and not self.request.caller.route.idempotent:
+        route = self.request.caller.route
+        if self.request.dispatched and not (
+            route.idempotent or route.streaming
+        ):
+            # The run may have changed something, so it goes on to its end.
             return
         await self._stop(errors.ErrorKind.CALLER_GONE)
 
     async def _timed_out(self) -> None:
-        dispatched = self.request.dispatched
+        dispatched = self.request.dispatched or self.request.may_have_run
         kind = (
-            errors.ErrorKind.ENDPOINT_BROKE
+            errors.ErrorKind.TIMED_OUT
             if dispatched
             else errors.ErrorKind.DEADLINE_PASSED
         )
@@ -269,8 +315,8 @@
             await self._send_failure(kind, "the route's timeout passed", sink)
         else:
             await self._answer(
-                responses.problem(
-                    kind, self.request.caller.public_id, retry_after=1.0
+                self.host.protocol.refusal(
+                    kind, self.request.caller.public_id, None, 1.0
                 )
             )
 
@@ -281,8 +327,9 @@
             await self._attempt.cancel()
             self._attempt = None
         if self.request.dispatched:
+            tokens = self._sink.tokens if self._sink is not None else 0
             cancelled = adapters.Result(
-                states.Outcome.CANCELLED, output_tokens=self._sink.tokens
+                states.Outcome.CANCELLED, output_tokens=tokens
             )
             await self.host.attempt_ended(self.request, cancelled, None)
         else:
--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -1,5 +1,8 @@
 """HTTP/1.1 client connections on curio and h11."""
 
+import contextlib
+import socket
+
 import curio
 import h11
 import msgspec
@@ -40,20 +43,32 @@
     headers: dict[str, str]
 
 
+Fields = list[tuple[bytes | str, bytes | str]]
+"""Header fields in order."""
+
+
+def _new_http() -> h11.Connection:
+    return h11.Connection(
+        h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
+    )
+
+
 class ClientConnection:
-    """One connection for one request.
+    """One connection, for one request at a time.
 
     Attributes:
         address: IP number and port, as `IP:PORT`.
-        stall_seconds: Longest time without a byte from the other side.
+        stall_seconds: Longest time without a byte from the other side, or
+            None if the caller watches for it.
+        kept: Whether a pool keeps the connection after its use.
     """
 
-    def __init__(self, address: str, stall_seconds: float = 30.0):
+    def __init__(self, address: str, stall_seconds: float | None = 30.0):
         self.address = address
         self.stall_seconds = stall_seconds
-        self._http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
-        )
+        self._http = _new_http()
+        self._sent: h11.Request | None = None
+        self.kept = False
         self._socket = None
 
     async def connect(self, timeout: float) -> None:
@@ -74,10 +89,20 @@
         except (curio.TaskTimeout, OSError) as error:
             raise ConnectError(f"{self.address}: {error}") from error
 
+    async def connect_once(self, timeout: float) -> None:
+        """Opens the connection unless it is open; see `connect`."""
+        if self._socket is None:
+            await self.connect(timeout)
+
+    async def close_unless_kept(self) -> None:
+        """Closes the connection unless a pool keeps it."""
+        if not self.kept:
+            await self.close()
+
     async def request(
         self, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> None:
-        """Writes a whole request.
+        """Writes a whole request on a connection that ends with its answer.
 
         Raises:
             BrokenError: The connection broke; bytes may have been sent.
@@ -88,9 +113,19 @@
             **headers,
             "content-length": str(len(body)),
         }
-        head = h11.Request(
-            method=method, target=target, headers=list(fields.items())
-        )
+        await self.send_request(method, target, list(fields.items()), body)
+
+    async def send_request(
+        self, method: str, target: str, fields: Fields, body: bytes
+    ) -> None:
+        """Writes a whole request with exactly the given header fields.
+
+        Raises:
+            BrokenError: The connection broke; bytes may have been sent.
+        """
+        head = h11.Request(method=method, target=target, headers=fields)
+        self._sent = head
+        self.kept = False
         data = self._http.send(head)
         if body:
             data += self._http.send(h11.Data(data=body))
@@ -103,6 +138,48 @@
         except OSError as error:
             raise BrokenError(f"{self.address}: {error}") from error
 
+    def skip_answer(self) -> None:
+        """Turns to the next answer, because the one read is for another."""
+        left, closed = self._http.trailing_data
+        self._http = _new_http()
+        self._http.send(self._sent)
+        self._http.send(h11.EndOfMessage())
+        self._http.receive_data(left)
+        if closed:
+            self._http.receive_data(b"")
+
+    def recycle(self) -> bool:
+        """Prepares the connection for another request.
+
+        Returns:
+            Whether that is possible: the answer ended, nothing followed it,
+            and neither side closes.
+        """
+        http = self._http
+        if self._socket is None or any(http.trailing_data):
+            return False
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            return False
+        http.start_next_cycle()
+        return True
+
+    def is_quiet(self) -> bool:
+        """Tells whether an idle connection is open and brought nothing."""
+        try:
+            self._socket._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def shut(self) -> None:
+        """Ends the connection for a task that waits for its next bytes."""
+        if self._socket is None:
+            return
+        with contextlib.suppress(OSError):
+            self._socket._socket.shutdown(socket.SHUT_RDWR)
+
     async def head(self) -> Head:
         """Reads the status and the headers of the answer."""
         while True:
@@ -165,6 +242,8 @@
 
     async def _receive(self) -> bytes:
         try:
+            if self.stall_seconds is None:
+                return await self._socket.recv(_READ_BYTES)
             async with curio.timeout_after(self.stall_seconds):
                 return await self._socket.recv(_READ_BYTES)
         except curio.TaskTimeout as error:
--- a/packages/baobabmux-node/src/baobabmux_node/config_follower.py
+++ b/packages/baobabmux-node/src/baobabmux_node/config_follower.py
@@ -6,16 +6,23 @@
 
 import curio
 import msgspec
+import xxhash
 
-from baobabmux_core import configuration, messages, retries, streams
-from baobabmux_node import log_service, wall_clock
+from baobabmux_core import (
+    configuration,
+    declarations,
+    messages,
+    retries,
+    streams,
+)
+from baobabmux_node import log_service, ports, wall_clock
 
 STREAM = "config"
 _LONG_POLL_SECONDS = 8.0
 
 
-class ConfigFollower:
-    """Keeps the configuration up to date.
+class ConfigFollower(ports.ConfigSource):
+    """Keeps the configuration up to date from the log service.
 
     Attributes:
         state: Fold of the stream.
@@ -37,6 +44,27 @@
         self._on_change = on_change
         self._random = random.Random(seed)
 
+    @property
+    def version(self) -> int:
+        """Offset of the last accepted publication, -1 at first."""
+        return self.state.version
+
+    @property
+    def through(self) -> int:
+        """Offset of the last record that was read, -1 at first."""
+        return self.state.through
+
+    @property
+    def configuration(self) -> declarations.Configuration | None:
+        """The configuration in force, or None before the first."""
+        return self.state.configuration
+
+    def digest(self) -> str:
+        """Returns a digest of the tables in force."""
+        return xxhash.xxh3_64_hexdigest(
+            msgspec.json.encode(self.state.tables, order="sorted")
+        )
+
     async def follow(self) -> None:
         """Reads the stream until cancelled."""
         failures = 0
--- a/packages/baobabmux-node/src/baobabmux_node/endpoint_reports.py
+++ b/packages/baobabmux-node/src/baobabmux_node/endpoint_reports.py
@@ -80,7 +80,7 @@
             await curio.sleep(_POLL_SECONDS)
 
     def _engines(self) -> list[ids.EndpointId]:
-        configuration = self._host.config.state.configuration
+        configuration = self._host.configuration
         if configuration is None:
             return []
         return [
--- a/packages/baobabmux-node/src/baobabmux_node/held.py
+++ b/packages/baobabmux-node/src/baobabmux_node/held.py
@@ -25,6 +25,10 @@
         key_time_ms: Time in the key, 0 without a key.
         work: The request as scheduling knows it.
         arrived: Time of arrival on the node's clock in seconds.
+        fields: Header fields for the endpoint in order, for dialects that
+            pass them on as they came; they stand for `headers` there.
+        last_event: Number of the event after which the caller resumes a
+            stream, or None.
     """
 
     request: ids.RequestId
@@ -41,6 +45,8 @@
     key_time_ms: int
     work: effects.Work
     arrived: float
+    fields: tuple[tuple[bytes, bytes], ...] = ()
+    last_event: int | None = None
 
 
 class CallerGone(effects.Effect, frozen=True):
@@ -90,6 +96,7 @@
         finished: Whether the final answer is decided.
         endpoint: Endpoint of the dispatch, or None.
         first_token_seen: Whether the answer has begun.
+        may_have_run: Whether an earlier attempt may have been run.
     """
 
     def __init__(self, caller: Caller):
@@ -98,6 +105,7 @@
         self.finished = False
         self.endpoint: ids.EndpointId | None = None
         self.first_token_seen = False
+        self.may_have_run = False
         self._decisions = curio.Queue()
 
     async def decide(self, decision: Decision) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -92,19 +92,19 @@
         """Returns all metrics in the text format."""
         return prometheus_client.generate_latest(self.registry)
 
-    def update_control(self, transport, log) -> None:
+    def update_control(self, transport, appends: int) -> None:
         """Takes the counts of the transport and of the log service.
 
         Args:
             transport: The `peers.PeerTransport`.
-            log: The `log_service.LogService`.
+            appends: Appends to the log service so far.
         """
         self._raise(self.control_bytes.labels("sent"), transport.sent_bytes)
         self._raise(
             self.control_bytes.labels("received"), transport.received_bytes
         )
         self._raise(self.dropped_frames, transport.dropped_frames)
-        self._raise(self.log_appends, log.appends)
+        self._raise(self.log_appends, appends)
 
     def update_groups(self, groups: list[status.GroupStatus]) -> None:
         """Takes the states of the groups that this node owns."""
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -3,18 +3,17 @@
 import signal
 import time
 import zlib
+from collections.abc import Callable
 
 import curio
-import msgspec
-import xxhash
 
 from baobabmux_core import (
     catalogue,
+    declarations,
     effects,
     ids,
     membership,
     messages,
-    rendezvous,
     scheduler,
     states,
     timers,
@@ -22,21 +21,17 @@
 from baobabmux_node import (
     admin,
     answers,
-    claim_service,
-    config_follower,
     driver,
-    endpoint_reports,
     events,
-    log_service,
     metrics,
-    order_service,
+    own_ports,
     peers,
+    ports,
     responses,
     server,
     serving,
     settings,
     status,
-    vms,
     watch,
 )
 
@@ -44,9 +39,7 @@
 # An idle node wakes up less often: its ticks were half of its CPU time.
 _IDLE_TICK_SECONDS = 0.25
 _MEMBERSHIP_SECONDS = 0.25
-_VM_POLL_SECONDS = 1.0
 _METRICS_SECONDS = 1.0
-_SNAPSHOT_SECONDS = 30.0
 _LEAVE_GRACE_SECONDS = 0.3
 _CONFIG_ASK_SECONDS = 0.5
 _SETTLE_SECONDS = 5.0
@@ -62,11 +55,19 @@
     Attributes:
         settings: Settings of the node.
         draining: Whether the node is shutting down.
+        configuration: Declarations in force with the endpoints that exist
+            now, or None before the first.
+        ports: The platform.
     """
 
-    def __init__(self, node_settings: settings.Settings):
+    def __init__(
+        self,
+        node_settings: settings.Settings,
+        make_ports: Callable[["Node"], ports.Ports] = own_ports.OwnPorts,
+    ):
         self.settings = node_settings
         self.draining = False
+        self.configuration: declarations.Configuration | None = None
         self.metrics = metrics.Metrics()
         self.timers = timers.TimerService()
         self.events = events.EventRecorder(
@@ -74,36 +75,25 @@
         )
         now = self._started = time.monotonic()
         seed = zlib.crc32(node_settings.node.encode())
-        self.membership = membership.Membership(
-            node_settings.node, node_settings.data_centre, now
-        )
+        # Nodes of one cell decide together, so membership and ownership take
+        # the cell for their data centre.
+        cell = ids.DataCentre(node_settings.cell or node_settings.data_centre)
+        self.membership = membership.Membership(node_settings.node, cell, now)
         self.scheduler = scheduler.NodeScheduler(
-            node_settings.node, node_settings.data_centre, self.membership, seed
+            node_settings.node, cell, self.membership, seed
         )
+        self.scheduler.location = node_settings.data_centre
+        self.scheduler.serves_while_leaving = node_settings.serve_while_draining
+        self.cell = cell
         self.peers = peers.PeerTransport(
             node_settings.node,
             node_settings.secret,
             self.membership.peer_address,
             self.events.stamp,
         )
-        self.log = log_service.LogService(str(node_settings.log))
-        self.config = config_follower.ConfigFollower(
-            self.log,
-            node_settings.log_retention_seconds,
-            self._configured,
-            seed,
-        )
-        self.claims = claim_service.ClaimService(
-            node_settings.node,
-            node_settings.data_centre,
-            self.log,
-            self.membership,
-            self.peers.send,
-            node_settings.claim_window_seconds,
-        )
+        self.ports = make_ports(self)
+        self.config = self.ports.config
         self.answers = answers.AnswerService(self)
-        self.reports = endpoint_reports.EndpointReports(self)
-        self.orders = order_service.OrderService(self)
         self.driver = driver.SchedulerDriver(self)
         self.callers = serving.CallerService(self)
         self._watch = watch.StateWatch(self)
@@ -171,7 +161,7 @@
                 if await self.config.adopt(message):
                     self.events.record(
                         Kind.CONFIG_FROM_PEER,
-                        version=self.config.state.version,
+                        version=self.config.version,
                         peer=sender,
                     )
             case (
@@ -184,48 +174,54 @@
             ):
                 await self.answers.receive(sender, message)
             case messages.Heartbeat():
-                if message.config_version > self.config.state.version:
-                    ask = messages.ConfigAsk(self.config.state.through)
+                if message.config_version > self.config.version:
+                    ask = messages.ConfigAsk(self.config.through)
                     self.peers.enqueue(sender, ask)
+                await self.ports.receive(sender, message)
                 return False
             case _:
-                return False
+                return await self.ports.receive(sender, message)
         return True
 
     # Configuration, membership, timers.
 
-    async def _configured(self) -> None:
-        state = self.config.state
+    async def configured(self) -> None:
+        """Puts the declarations of the configuration source into force."""
+        declared = self.config.configuration
+        self.configuration = self.ports.effective(declared)
         self.events.record(
             Kind.CONFIG_IN_FORCE,
-            version=state.version,
-            preset=state.configuration.active,
-            digest=xxhash.xxh3_64_hexdigest(
-                msgspec.json.encode(state.tables, order="sorted")
-            ),
+            version=self.config.version,
+            preset=declared.active,
+            digest=self.config.digest(),
         )
-        self.metrics.config_version.set(state.version)
-        self.answers.configure(state.configuration.keys)
-        self.orders.desk.configure(state.configuration.endpoints)
+        self.metrics.config_version.set(self.config.version)
+        self.answers.configure(declared.keys)
+        self.ports.configured(declared)
+        if declared.callers is not None:
+            self._caller_server.limits = self._caller_limits(declared.callers)
+        await self.endpoints_changed()
+
+    async def endpoints_changed(self) -> None:
+        """Passes the endpoints that exist now to the scheduler."""
+        declared = self.config.configuration
+        if declared is None:
+            return
+        self.configuration = self.ports.effective(declared)
         await self.driver.apply(
-            self.scheduler.configure(state.configuration, time.monotonic())
+            self.scheduler.configure(self.configuration, time.monotonic())
         )
 
-    async def _poll_vms(self) -> None:
-        reader = vms.VmListClient(
-            str(self.settings.vms), self.settings.data_centre
+    def _caller_limits(
+        self, declared: declarations.CallerLimits
+    ) -> server.Limits:
+        return server.Limits(
+            max_header_bytes=declared.max_header_bytes,
+            max_body_bytes=declared.max_body_bytes,
+            receive_timeout_seconds=declared.header_timeout_seconds,
+            send_timeout_seconds=self.settings.send_timeout_seconds,
+            idle_timeout_seconds=declared.idle_timeout_seconds,
         )
-        reachable = True
-        while True:
-            listed = await reader.fetch(time.monotonic())
-            if listed is not None:
-                self.membership.vm_list(
-                    listed.vms, listed.as_of_ms / 1000, time.monotonic()
-                )
-            if (listed is not None) != reachable:
-                reachable = listed is not None
-                self.events.record(Kind.VM_LIST_REACHED, reachable=reachable)
-            await curio.sleep(_VM_POLL_SECONDS)
 
     def _tick_membership(self, now: float) -> None:
         changes = self.membership.tick(now)
@@ -250,16 +246,20 @@
         for target in targets:
             heartbeat = messages.Heartbeat(
                 self.draining,
-                self.config.state.version,
+                self.config.version,
                 self.scheduler.loads(now, target),
-                self.settings.data_centre,
+                self.cell,
                 self.membership.suspects_for(target),
                 self._announced_address(),
+                self.ports.link_state(*self.peers.heard_from(target)),
             )
             self.peers.enqueue(target, heartbeat)
 
     def _announced_address(self) -> str:
         """Returns the peers' address while the VM list does not tell it."""
+        if self.settings.cell:
+            # Nodes of a cell read the list rarely, so a new node tells.
+            return self.peers.address
         wildcard = self.peers.address.startswith(("0.0.0.0:", "[::]:"))
         listed = self.membership.is_listed()
         return "" if listed or wildcard else self.peers.address
@@ -273,14 +273,14 @@
     def _update_gauges(self, now: float) -> None:
         self.metrics.held.set(len(self.callers.held))
         self.metrics.members.set(len(self.membership.reachable()))
-        self.metrics.update_control(self.peers, self.log)
+        self.metrics.update_control(self.peers, self.ports.appends())
         groups = status.group_states(self.scheduler, now)
         self.metrics.update_groups(groups)
         self._watch.check(groups)
 
     def _ask_for_configuration(self, now: float) -> None:
         """Asks a peer while the own configuration is missing."""
-        if self.config.state.configuration is not None:
+        if self.configuration is not None:
             return
         for node in self.membership.reachable():
             if node != self.settings.node:
@@ -306,19 +306,6 @@
             if pause > _PAUSE_SECONDS:
                 self.events.record(Kind.PAUSE_NOTICED, seconds=round(pause, 1))
 
-    async def _append_snapshots(self) -> None:
-        while True:
-            await curio.sleep(_SNAPSHOT_SECONDS)
-            live = self.membership.reachable()
-            first = rendezvous.owner(config_follower.STREAM, live)
-            if (
-                first == self.settings.node
-                and await self.config.append_snapshot()
-            ):
-                self.events.record(
-                    Kind.SNAPSHOT_APPENDED, through=self.config.state.through
-                )
-
     # Start and stop.
 
     async def run(self) -> None:
@@ -342,13 +329,8 @@
                 self._caller_server.serve,
                 self._admin_server.serve,
                 self.peers.send_frames,
-                self._poll_vms,
-                self.config.follow,
-                self.reports.run,
-                self.orders.follow,
-                self.orders.run,
                 self._run_timers,
-                self._append_snapshots,
+                *self.ports.jobs(),
             ):
                 await self._jobs.spawn(job)
             await self._jobs.spawn(self.peers.receive_frames, self._receive)
@@ -375,7 +357,7 @@
 
     def ready(self) -> bool:
         """Tells whether callers may be sent to this node."""
-        if self.draining or self.config.state.configuration is None:
+        if self.draining or self.configuration is None:
             return False
         # Before it knows its peers a node would take owners and homes of
         # keys for its own; a list or peer out of reach delays it only so long.
@@ -402,11 +384,14 @@
             [n for n in self.membership.reachable() if n != self.settings.node]
         )
         await self.peers.notify()
+        self._caller_server.closing = True
         await curio.sleep(self.settings.announce_seconds)
+        limit = self.settings.shutdown_seconds
         while self.callers.held or self._caller_server.busy:
+            if limit is not None and time.monotonic() - now >= limit:
+                break
             await curio.sleep(_TICK_SECONDS)
-        await self.claims.settle()
-        await self.orders.release()
+        await self.ports.settle()
         # Releases and answers to peers leave before the sockets close.
         await self.peers.notify()
         await curio.sleep(_LEAVE_GRACE_SECONDS)
--- a/packages/baobabmux-node/src/baobabmux_node/order_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/order_service.py
@@ -45,8 +45,9 @@
         desk: The decisions.
     """
 
-    def __init__(self, host: "node.Node"):
+    def __init__(self, host: "node.Node", log: log_service.LogService):
         self._host = host
+        self._log = log
         self.desk = orders.OrderDesk(
             host.settings.node,
             host.settings.data_centre,
@@ -58,7 +59,7 @@
         desk = self.desk
         while True:
             try:
-                page = await self._host.log.read(
+                page = await self._log.read(
                     orders.STREAM, desk.next_offset, wait=_LONG_POLL_SECONDS
                 )
             except log_service.LogError:
@@ -102,7 +103,7 @@
         if record is None:
             return
         try:
-            await self._host.log.append(orders.STREAM, record)
+            await self._log.append(orders.STREAM, record)
         except log_service.LogError:
             # The desk asks again; a lease counts only once it is read back.
             return
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/own_ports.py
@@ -0,0 +1,124 @@
+"""The ports of a node that runs on the product's own interfaces."""
+
+import time
+import zlib
+from typing import TYPE_CHECKING
+
+import curio
+
+from baobabmux_core import catalogue, declarations, rendezvous
+from baobabmux_node import (
+    claim_service,
+    config_follower,
+    endpoint_reports,
+    intake,
+    log_service,
+    order_service,
+    ports,
+    protocols,
+    vms,
+)
+
+if TYPE_CHECKING:
+    from baobabmux_node import node
+
+_VM_POLL_SECONDS = 1.0
+_SNAPSHOT_SECONDS = 30.0
+
+Kind = catalogue.EventKind
+
+
+class OwnPorts(ports.Ports):
+    """Log service, VM list and engine protocol of the product itself.
+
+    Attributes:
+        log: Client of the log service.
+        claims: Claims of idempotency keys.
+    """
+
+    def __init__(self, host: "node.Node"):
+        settings = host.settings
+        self._host = host
+        self.log = log_service.LogService(str(settings.log))
+        self.config = config_follower.ConfigFollower(
+            self.log,
+            settings.log_retention_seconds,
+            host.configured,
+            zlib.crc32(settings.node.encode()),
+        )
+        self.claims = claim_service.ClaimService(
+            settings.node,
+            settings.data_centre,
+            self.log,
+            host.membership,
+            host.peers.send,
+            settings.claim_window_seconds,
+        )
+        self._reports = endpoint_reports.EndpointReports(host)
+        self._orders = order_service.OrderService(host, self.log)
+        self.protocol = protocols.OwnProtocol(
+            intake.Intake(
+                settings.node,
+                host.peers.incarnation,
+                settings.claim_window_seconds,
+            )
+        )
+
+    def jobs(self) -> list[ports.Job]:
+        """Returns the tasks that follow log, VM list and engines."""
+        return [
+            self._poll_vms,
+            self.config.follow,
+            self._reports.run,
+            self._orders.follow,
+            self._orders.run,
+            self._append_snapshots,
+        ]
+
+    def configured(self, configuration: declarations.Configuration) -> None:
+        """Passes the endpoints to the orders."""
+        self._orders.desk.configure(configuration.endpoints)
+
+    async def settle(self) -> None:
+        """Ends claims and orders."""
+        await self.claims.settle()
+        await self._orders.release()
+
+    def reachable(self) -> bool:
+        """Tells whether the log service answered last."""
+        return self.log.reachable
+
+    def appends(self) -> int:
+        """Returns the number of appends so far."""
+        return self.log.appends
+
+    async def _poll_vms(self) -> None:
+        settings = self._host.settings
+        reader = vms.VmListClient(str(settings.vms), settings.data_centre)
+        reachable = True
+        while True:
+            listed = await reader.fetch(time.monotonic())
+            if listed is not None:
+                self._host.membership.vm_list(
+                    listed.vms, listed.as_of_ms / 1000, time.monotonic()
+                )
+            if (listed is not None) != reachable:
+                reachable = listed is not None
+                self._host.events.record(
+                    Kind.VM_LIST_REACHED, reachable=reachable
+                )
+            await curio.sleep(_VM_POLL_SECONDS)
+
+    async def _append_snapshots(self) -> None:
+        host = self._host
+        while True:
+            await curio.sleep(_SNAPSHOT_SECONDS)
+            live = host.membership.reachable()
+            first = rendezvous.owner(config_follower.STREAM, live)
+            if (
+                first == host.settings.node
+                and await self.config.append_snapshot()
+            ):
+                host.events.record(
+                    Kind.SNAPSHOT_APPENDED, through=self.config.through
+                )
--- a/packages/baobabmux-node/src/baobabmux_node/peers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -1,5 +1,6 @@
 """Frames between nodes over pynng, driven by curio's loop."""
 
+import time
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -13,6 +14,8 @@
 _SEND_BUFFER_FRAMES = 64
 _RECEIVE_BUFFER_FRAMES = 1024
 _MAX_FRAME_BYTES = 4_000_000
+# Two heartbeats either way; a connection that lives is acknowledged sooner.
+_RECONNECT_SECONDS = 1.5
 
 # Parameter numbers of nng_init_set_parameter and their values: with the
 # defaults one socket starts 30 threads on 12 cores, with these 6.
@@ -27,6 +30,19 @@
         _nng.lib.nng_init_set_parameter(parameter, value)
 
 
+class _Sent:
+    """What a node has not acknowledged yet.
+
+    Attributes:
+        oldest_unheard: Number of the first frame that it has not heard.
+        since: Time at which that was so at the latest, in seconds.
+    """
+
+    def __init__(self, oldest_unheard: int, since: float):
+        self.oldest_unheard = oldest_unheard
+        self.since = since
+
+
 class PeerTransport:
     """Sends and receives frames; delivery is at most once.
 
@@ -40,6 +56,7 @@
         received_bytes: Bytes received.
         dropped_frames: Frames that a full buffer or an unknown address lost.
         rejected_frames: Frames that could not be decoded.
+        reconnects: Connections opened anew because they had gone silent.
     """
 
     def __init__(
@@ -61,6 +78,9 @@
         self._stamp = stamp
         self._sequence = 0
         self._pull = None
+        self.reconnects = 0
+        self._heard: dict[ids.NodeId, tuple[int, int]] = {}
+        self._sent: dict[ids.NodeId, _Sent] = {}
         self._push: dict[ids.NodeId, tuple[str, pynng.Push0]] = {}
         self._outbox: dict[ids.NodeId, list[messages.AnyMessage]] = {}
         self._ready = curio.Event()
@@ -114,11 +134,43 @@
                 except messages.FrameError:
                     self.rejected_frames += 1
                     continue
+                self._heard[frame.sender] = (frame.sequence, frame.incarnation)
                 await receiver(frame)
             await curio.sleep(0)
 
+    def heard_from(self, node: ids.NodeId) -> tuple[int, int]:
+        """Returns number and incarnation of the newest frame from a node."""
+        return self._heard.get(node, (-1, -1))
+
+    def acknowledged(
+        self, node: ids.NodeId, sequence: int, incarnation: int, now: float
+    ) -> None:
+        """Notes what a node has heard from this one.
+
+        A connection may go silent without an end. When a node that is heard
+        has missed frames for a while, the connection to it is opened anew.
+
+        Args:
+            node: Node that told.
+            sequence: Number of the newest frame that it has.
+            incarnation: Incarnation of this node that it had it from.
+            now: Current time in seconds.
+        """
+        entry = self._push.get(node)
+        sent = self._sent.get(node)
+        if entry is None or sent is None:
+            return
+        current = incarnation == self.incarnation
+        if current and sequence >= sent.oldest_unheard:
+            sent.oldest_unheard = self._sequence + 1
+            sent.since = now
+        elif now - sent.since > _RECONNECT_SECONDS:
+            self.reconnects += 1
+            self.forget(node)
+
     def forget(self, node: ids.NodeId) -> None:
         """Closes the socket to a node that is gone."""
+        self._sent.pop(node, None)
         entry = self._push.pop(node, None)
         if entry is not None:
             entry[1].close()
@@ -168,4 +220,5 @@
         # A blocking dial would log a traceback when the peer is not up.
         socket.dial(f"tcp://{address}", block=False)
         self._push[to] = (address, socket)
+        self._sent[to] = _Sent(self._sequence + 1, time.monotonic())
         return socket
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/protocols.py
@@ -0,0 +1,136 @@
+"""How callers and endpoints are spoken to: base class and own protocol."""
+
+import abc
+
+import msgspec
+
+from baobabmux_core import declarations, errors, states
+from baobabmux_node import (
+    adapters,
+    engines,
+    held,
+    intake,
+    responses,
+    server,
+)
+
+
+class CallerProtocol(abc.ABC):
+    """Translates between one protocol on the wire and the node's types."""
+
+    @abc.abstractmethod
+    async def accept(
+        self,
+        exchange: server.Exchange,
+        configuration: declarations.Configuration,
+        now: float,
+        now_ms: int,
+    ) -> held.Caller:
+        """Reads and checks a request.
+
+        Args:
+            exchange: The request.
+            configuration: Configuration in force.
+            now: Time on the node's clock in seconds.
+            now_ms: Unix time in milliseconds.
+
+        Returns:
+            The checked request.
+
+        Raises:
+            RequestError: The request is refused.
+            PeerGoneError: The caller went away.
+        """
+
+    @abc.abstractmethod
+    def public_id(self, exchange: server.Exchange) -> str:
+        """Returns the identifier that a caller knows its request by."""
+
+    @abc.abstractmethod
+    def refusal(
+        self,
+        kind: errors.ErrorKind,
+        public_id: str,
+        detail: str | None,
+        retry_after: float | None,
+    ) -> responses.Response:
+        """Builds a final answer of the node itself."""
+
+    @abc.abstractmethod
+    def status_headers(
+        self, public_id: str, status: states.RunStatus
+    ) -> dict[str, str]:
+        """Returns the fields that the node adds to an endpoint's answer."""
+
+    @abc.abstractmethod
+    def stream_failure(
+        self, kind: errors.ErrorKind, public_id: str, detail: str | None
+    ) -> bytes | None:
+        """Returns the last bytes of a stream that failed.
+
+        None means that the connection is closed without the end of the
+        answer.
+        """
+
+    @abc.abstractmethod
+    def adapter(self, kind: str) -> adapters.EndpointAdapter:
+        """Returns how a kind of service is spoken to."""
+
+
+class OwnProtocol(CallerProtocol):
+    """The product's own protocol, as docs/callers.md describes it."""
+
+    def __init__(self, own: intake.Intake):
+        self._intake = own
+        self._adapters: dict[str, adapters.EndpointAdapter] = {
+            "engine": engines.ModelEngineAdapter(),
+            "plain": adapters.PlainServiceAdapter(),
+        }
+
+    async def accept(
+        self,
+        exchange: server.Exchange,
+        configuration: declarations.Configuration,
+        now: float,
+        now_ms: int,
+    ) -> held.Caller:
+        """Reads and checks a request; see the base class."""
+        return await self._intake.accept(exchange, configuration, now, now_ms)
+
+    def public_id(self, exchange: server.Exchange) -> str:
+        """Returns the caller's identifier or a new one."""
+        # A refused request needs a name too, so that its refusal can be found.
+        return (
+            exchange.headers.get(intake.REQUEST_ID)
+            or self._intake.next_request()
+        )
+
+    def refusal(
+        self,
+        kind: errors.ErrorKind,
+        public_id: str,
+        detail: str | None,
+        retry_after: float | None,
+    ) -> responses.Response:
+        """Builds problem details."""
+        return responses.problem(kind, public_id, detail, retry_after)
+
+    def status_headers(
+        self, public_id: str, status: states.RunStatus
+    ) -> dict[str, str]:
+        """Returns run status and identifier."""
+        return {
+            responses.RUN_STATUS_HEADER: status.value,
+            responses.REQUEST_ID_HEADER: public_id,
+        }
+
+    def stream_failure(
+        self, kind: errors.ErrorKind, public_id: str, detail: str | None
+    ) -> bytes | None:
+        """Returns an error event."""
+        problem = errors.problem(kind, public_id, detail)
+        return b"event: error\ndata: " + msgspec.json.encode(problem) + b"\n\n"
+
+    def adapter(self, kind: str) -> adapters.EndpointAdapter:
+        """Returns the adapter of a kind of service."""
+        return self._adapters[kind]
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -59,11 +59,15 @@
         method: HTTP method.
         target: Path and query.
         headers: Header fields by lower-case name; the last one wins.
+        fields: All header fields in the order and spelling of the caller.
         body: Whole body, after `read_body`.
     """
 
     def __init__(self, connection: "_Connection", request: h11.Request):
         self._connection = connection
+        self.fields = [
+            (name, value) for name, value in request.headers.raw_items()
+        ]
         self.method = request.method.decode("ascii")
         self.target = request.target.decode("ascii", "replace")
         self.headers = {
@@ -125,6 +129,14 @@
         """Ends the answer."""
         await self._connection.send(h11.EndOfMessage())
 
+    def abort(self) -> None:
+        """Ends the connection without the end of the answer.
+
+        Raises:
+            PeerGoneError: Always, so that the connection is closed.
+        """
+        raise PeerGoneError("the answer is incomplete")
+
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -136,6 +148,8 @@
         port: Port that it listens on, after `start`.
         connections: Number of open connections.
         busy: Number of requests that are being handled.
+        limits: Limits in force; a change holds from the next request on.
+        closing: Whether connections end with their next answer.
     """
 
     def __init__(self, host: str, port: int, handler: Handler, limits: Limits):
@@ -144,6 +158,7 @@
         self.connections = 0
         self.busy = 0
         self.limits = limits
+        self.closing = False
         self._handler = handler
         self._socket = None
 
@@ -163,7 +178,7 @@
 
     async def _serve_connection(self, client) -> None:
         self.connections += 1
-        connection = _Connection(client, self.limits)
+        connection = _Connection(client, self)
         try:
             async with client:
                 await connection.run(self._handle)
@@ -183,11 +198,22 @@
 class _Connection:
     """State of one connection."""
 
-    def __init__(self, client, limits: Limits):
+    def __init__(self, client, server: Server):
         self.client = client
-        self.limits = limits
-        self.http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        self.server = server
+        self.received = bytearray()
+        self.http = self._new_http()
+
+    @property
+    def limits(self) -> Limits:
+        return self.server.limits
+
+    def _new_http(self) -> h11.Connection:
+        # The head is bounded by `_read_head`; the size here also bounds the
+        # lines of chunks.
+        return h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self.limits.max_header_bytes + 1,
         )
 
     async def run(self, handler: Handler) -> None:
@@ -221,24 +247,48 @@
         return Exchange(self, request)
 
     async def _next_request(self) -> h11.Request | None:
+        head = await self._read_head()
+        if head is None:
+            return None
+        _check_framing(head)
+        self.http.receive_data(head + bytes(self.received))
+        self.received.clear()
+        try:
+            event = self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise RequestError(
+                errors.ErrorKind.BAD_REQUEST, str(error)
+            ) from error
+        return event if isinstance(event, h11.Request) else None
+
+    async def _read_head(self) -> bytes | None:
+        """Takes the bytes of the next header section out of `received`.
+
+        Returns:
+            The section with its empty line, or None if the peer closed the
+            connection or sent nothing within the idle time.
+        """
         deadline: float | None = None
+        limit = self.limits.max_header_bytes
         while True:
-            try:
-                event = self.http.next_event()
-            except h11.RemoteProtocolError as error:
-                kind = (
-                    errors.ErrorKind.HEADERS_TOO_LARGE
-                    if error.error_status_hint == 431
-                    else errors.ErrorKind.BAD_REQUEST
+            # Empty lines before a request line are allowed (RFC 9112, 2.2).
+            while self.received.startswith(b"\r\n"):
+                del self.received[:2]
+            end = self.received.find(b"\r\n\r\n")
+            if end >= 0 and end + 4 <= limit:
+                head = bytes(self.received[: end + 4])
+                del self.received[: end + 4]
+                return head
+            if len(self.received) > limit:
+                raise RequestError(
+                    errors.ErrorKind.HEADERS_TOO_LARGE,
+                    f"the header section exceeds {limit} bytes",
                 )
-                raise RequestError(kind, str(error)) from error
-            if isinstance(event, h11.Request):
-                return event
-            if isinstance(event, h11.ConnectionClosed):
-                return None
+            if b"\n\n" in self.received:
+                raise _bare_line_feed()
             now = await curio.clock()
             # The first byte starts the time for the whole header section.
-            if deadline is None and self.http.trailing_data[0]:
+            if deadline is None and self.received:
                 deadline = now + self.limits.receive_timeout_seconds
             timeout = (
                 self.limits.idle_timeout_seconds
@@ -246,6 +296,8 @@
                 else max(deadline - now, 0.001)
             )
             data = await self._receive(timeout)
+            if data == b"":
+                return None
             if data is None:
                 if deadline is None:
                     return None
@@ -253,7 +305,7 @@
                     errors.ErrorKind.REQUEST_TIMEOUT,
                     "the header section did not arrive in time",
                 )
-            self.http.receive_data(data)
+            self.received += data
 
     async def read_body(self, exchange: Exchange, max_bytes: int) -> bytes:
         declared = exchange.headers.get("content-length", "0")
@@ -298,12 +350,29 @@
                 return
 
     async def send(self, event: h11.Event) -> None:
+        if self.server.closing and isinstance(event, h11.Response):
+            event = h11.Response(
+                status_code=event.status_code,
+                headers=[*event.headers, (b"connection", b"close")],
+                reason=event.reason,
+            )
         try:
             data = self.http.send(event)
         except h11.LocalProtocolError as error:
             raise PeerGoneError from error
         if not data:
             return
+        try:
+            # Most parts fit into the socket's buffer, and a timer for each
+            # would cost more than the sending.
+            sent = self.client._socket.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            raise PeerGoneError from error
+        if sent == len(data):
+            return
+        data = data[sent:]
         try:
             async with curio.timeout_after(self.limits.send_timeout_seconds):
                 await self.client.sendall(data)
@@ -351,8 +420,51 @@
         if self.http.their_state is not h11.DONE:
             await self._drain()
             return False
-        self.http.start_next_cycle()
-        return True
+        self.received += self.http.trailing_data[0]
+        closed = self.http.trailing_data[1]
+        self.http = self._new_http()
+        return not closed or bool(self.received)
+
+
+def _check_framing(head: bytes) -> None:
+    """Refuses header sections that readers of HTTP take in different ways.
+
+    Such a section can hide a second request from one of two readers
+    (RFC 9112, 11.2).
+
+    Args:
+        head: Header section up to and with its empty line.
+
+    Raises:
+        RequestError: A line ends with a bare LF or CR, a line is folded, or
+            the length of the body is given twice.
+    """
+    if head.count(b"\n") != head.count(b"\r\n"):
+        raise _bare_line_feed()
+    if head.count(b"\r") != head.count(b"\r\n"):
+        raise RequestError(
+            errors.ErrorKind.BAD_REQUEST, "a line holds a bare CR"
+        )
+    lengths = codings = 0
+    for line in head.split(b"\r\n")[1:]:
+        if line.startswith((b" ", b"\t")):
+            raise RequestError(
+                errors.ErrorKind.BAD_REQUEST, "a header field is folded"
+            )
+        name = line.partition(b":")[0].strip().lower()
+        lengths += name == b"content-length"
+        codings += name == b"transfer-encoding"
+    if lengths + codings > 1:
+        raise RequestError(
+            errors.ErrorKind.BAD_REQUEST,
+            "the length of the body is given more than once",
+        )
+
+
+def _bare_line_feed() -> RequestError:
+    return RequestError(
+        errors.ErrorKind.BAD_REQUEST, "a line ends with a bare LF"
+    )
 
 
 def _response(status: int, headers: dict[str, str]) -> h11.Response:
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -8,8 +8,6 @@
     adapters,
     callers,
     held,
-    intake,
-    responses,
     server,
     sinks,
     wall_clock,
@@ -30,32 +28,25 @@
 
     def __init__(self, host: "node.Node"):
         self.held: dict[ids.RequestId, held.HeldRequest] = {}
+        self.protocol = host.ports.protocol
         self._host = host
         self._driver = host.driver
-        self._intake = intake.Intake(
-            host.settings.node,
-            host.peers.incarnation,
-            host.settings.claim_window_seconds,
-        )
 
     async def serve(self, exchange: server.Exchange) -> None:
         """Serves one request of a caller."""
-        # A refused request needs a name too, so that its refusal can be found.
-        public_id = (
-            exchange.headers.get(intake.REQUEST_ID)
-            or self._intake.next_request()
-        )
+        public_id = self.protocol.public_id(exchange)
         try:
             caller = await self._accept(exchange)
         except server.RequestError as error:
             self._host.metrics.refused.labels("none", error.kind.value).inc()
             self._host.events.record(
-                Kind.REQUEST_MALFORMED, error=error.kind.value
+                Kind.REQUEST_MALFORMED,
+                public_id,
+                error=error.kind.value,
+                detail=error.detail,
             )
             await exchange.respond(
-                *responses.problem(
-                    error.kind, public_id, error.detail, retry_after=1.0
-                )
+                *self.protocol.refusal(error.kind, public_id, error.detail, 1.0)
             )
             return
         request = held.HeldRequest(caller)
@@ -66,11 +57,12 @@
             self.held.pop(caller.request, None)
 
     async def _accept(self, exchange: server.Exchange) -> held.Caller:
-        if self._host.draining:
+        serves = self._host.settings.serve_while_draining
+        if self._host.draining and not serves:
             raise server.RequestError(
                 errors.ErrorKind.SHUTTING_DOWN, "send it to another node"
             )
-        configuration = self._host.config.state.configuration
+        configuration = self._host.configuration
         if configuration is None:
             raise server.RequestError(
                 errors.ErrorKind.NOT_READY, "no configuration is known"
@@ -79,7 +71,7 @@
             raise server.RequestError(
                 errors.ErrorKind.OVERLOADED, "the node holds too many requests"
             )
-        return await self._intake.accept(
+        return await self.protocol.accept(
             exchange, configuration, time.monotonic(), wall_clock.unix_ms()
         )
 
@@ -113,7 +105,7 @@
 
     def endpoint(self, endpoint: ids.EndpointId) -> tuple[str, str]:
         """Returns the kind of service and the address of an endpoint."""
-        configuration = self._host.config.state.configuration
+        configuration = self._host.configuration
         declared = configuration.endpoints.get(endpoint)
         if declared is None:
             # Withdrawn between the grant and the dispatch; port 9 of the
@@ -136,6 +128,14 @@
             self._driver.pending += self._host.scheduler.first_token(name, now)
         self._driver.pending += self._host.scheduler.progress(name, tokens, now)
 
+    def may_repeat(
+        self, request: held.HeldRequest, result: adapters.Result
+    ) -> bool:
+        """Tells whether the scheduler will try another endpoint."""
+        return self._host.scheduler.may_repeat(
+            request.caller.request, result.outcome
+        )
+
     async def attempt_ended(
         self,
         request: held.HeldRequest,
--- a/packages/baobabmux-node/src/baobabmux_node/settings.py
+++ b/packages/baobabmux-node/src/baobabmux_node/settings.py
@@ -55,6 +55,12 @@
         claim_window_seconds: Greatest age of an idempotency key. Records of
             claims must outlive it, so the retention is longer.
         timeline_events: Events that the time line holds.
+        cell: Name that the data centres share whose nodes decide together, or
+            empty if each data centre decides for itself.
+        serve_while_draining: Whether requests on open connections are still
+            taken during a shutdown.
+        shutdown_seconds: Longest time of a shutdown, or None if only the
+            routes' timeouts bound it.
     """
 
     node: ids.NodeId
@@ -62,8 +68,8 @@
     callers: Address
     admin: Address
     peers: Address
-    log: Address
-    vms: Address
+    log: Address | None = None
+    vms: Address | None = None
     secret: bytes = b""
     announce_seconds: float = 1.0
     max_header_bytes: int = 16_384
@@ -74,6 +80,9 @@
     log_retention_seconds: float = _RETENTION_SECONDS
     claim_window_seconds: float = _CLAIM_WINDOW_SECONDS
     timeline_events: int = 5_000
+    cell: str = ""
+    serve_while_draining: bool = False
+    shutdown_seconds: float | None = None
 
 
 class SettingsError(msgspec.Struct, frozen=True):
@@ -95,7 +104,7 @@
 
 
 _SECTIONS: dict[str, dict[str, str]] = {
-    "node": {"id": "name", "data_centre": "name"},
+    "node": {"id": "name", "data_centre": "name", "cell": "name"},
     "listen": {
         "callers": "listen_address",
         "admin": "listen_address",
@@ -108,7 +117,11 @@
         "claim_window_seconds": "seconds",
     },
     "peers": {"secret_file": "file"},
-    "shutdown": {"announce_seconds": "seconds_or_zero"},
+    "shutdown": {
+        "announce_seconds": "seconds_or_zero",
+        "serve_while_draining": "flag",
+        "shutdown_seconds": "seconds",
+    },
     "limits": {
         "max_header_bytes": "count",
         "max_held_requests": "count",
@@ -209,6 +222,10 @@
         return _check_address(value, lowest_port=int(kind == "address"))
     if kind == "file":
         return _check_secret_file(value)
+    if kind == "flag":
+        if isinstance(value, bool):
+            return value
+        return _Wrong(f"expected true or false, got {value!r}")
     number = isinstance(value, int | float) and not isinstance(value, bool)
     if kind == "count":
         if number and isinstance(value, int) and value > 0:
--- a/packages/baobabmux-node/src/baobabmux_node/sinks.py
+++ b/packages/baobabmux-node/src/baobabmux_node/sinks.py
@@ -1,5 +1,7 @@
 """Where an endpoint's answer goes: to the caller, as a stream or whole."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from baobabmux_core import states
@@ -37,6 +39,8 @@
         tokens: Output tokens so far.
         answer: The whole answer once it has ended, or None.
         started: Whether the answer's status was sent to the caller.
+        status_headers: Returns the header fields that tell of the request.
+        last_event: Number of the last event that was passed on, or None.
     """
 
     def __init__(
@@ -52,6 +56,10 @@
         self.started = False
         self.answer: Answer | None = None
         self._on_progress = on_progress
+        self.status_headers: Callable[[states.RunStatus], dict[str, str]] = (
+            self._headers
+        )
+        self.last_event = request.caller.last_event
 
     def progress(self, tokens: int) -> None:
         """Takes the number of output tokens so far."""
@@ -96,13 +104,16 @@
         )
 
     async def head(self, status: int, headers: dict[str, str]) -> None:
-        """Starts the answer."""
+        """Starts the answer; a resumed stream keeps its first head."""
+        if self.started:
+            return
         self._status = status
         self._content_type = headers.get("content-type", "")
         self.started = True
         await self._to_caller(
             self.exchange.start(
-                status, {**headers, **self._headers(states.RunStatus.RUNNING)}
+                status,
+                {**headers, **self.status_headers(states.RunStatus.RUNNING)},
             )
         )
 
@@ -134,6 +145,7 @@
 
     async def head(self, status: int, headers: dict[str, str]) -> None:
         """Notes the status and the headers."""
+        self._body.clear()
         self._status = status
         self._sent_headers = headers
 
@@ -154,7 +166,7 @@
         await self._to_caller(
             self.exchange.respond(
                 self._status,
-                {**headers, **self._headers(states.RunStatus.DONE)},
+                {**headers, **self.status_headers(states.RunStatus.DONE)},
                 body,
             )
         )
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -55,7 +55,7 @@
         self._breakers = breakers
 
     def _check_log(self) -> None:
-        reachable = self._host.log.reachable
+        reachable = self._host.ports.reachable()
         if reachable != self._log_reachable:
             self._log_reachable = reachable
             self._host.events.record(Kind.LOG_REACHED, reachable=reachable)
--- a/packages/baobabmux-node/tests/node_test.py
+++ b/packages/baobabmux-node/tests/node_test.py
@@ -33,7 +33,7 @@
     async def fail():
         raise RuntimeError("a job failed")
 
-    monkeypatch.setattr(made, "_poll_vms", fail)
+    monkeypatch.setattr(made.ports, "_poll_vms", fail)
     with pytest.raises(RuntimeError, match="a job failed"):
         curio.run(made.run)
 
@@ -45,7 +45,7 @@
     async def fail():
         raise RuntimeError("the shutdown failed")
 
-    monkeypatch.setattr(made.claims, "settle", fail)
+    monkeypatch.setattr(made.ports.claims, "settle", fail)
     made._request_stop(0, None)
     with pytest.raises(RuntimeError, match="the shutdown failed"):
         curio.run(made.run)
