--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -122,7 +122,8 @@
         self._refused_ranks: frozenset[int] = frozenset()
         self._queue = queues.GroupQueue()
         self._running_at: dict[ids.RequestId, _Member] = {}
-        self._ended: collections.OrderedDict[ids.RequestId, None] = (
+        # Ended attempts by request.
+        self._ended: collections.OrderedDict[ids.RequestId, int] = (
             collections.OrderedDict()
         )
         self._order = itertools.count()
@@ -273,7 +274,8 @@
                 return self._repeat_grant(member, ask, holder, now)
             # The holder did not use the grant, and the endpoint has left.
             self._end_running(ask.request, now)
-        if ask.request in self._ended:
+        attempt = ask.terms.attempt if ask.terms is not None else 1
+        if attempt <= self._ended.get(ask.request, 0):
             return []
         if (known := self._queue.entries.get(ask.request)) is not None:
             known.holder = holder
@@ -912,7 +914,7 @@
             self._members.pop(member.model.endpoint, None)
 
     def _remember_ended(self, request: ids.RequestId) -> None:
-        self._ended[request] = None
+        self._ended[request] = self._ended.get(request, 0) + 1
         if len(self._ended) > _ENDED_KEPT:
             self._ended.popitem(last=False)
 
--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -131,6 +131,9 @@
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage()) or b""
         try:
+            if self.stall_seconds is None:
+                await self._socket.sendall(data)
+                return
             async with curio.timeout_after(self.stall_seconds):
                 await self._socket.sendall(data)
         except curio.TaskTimeout as error:
