Let a node end without taking a request it will not answer

Cause: on a stop the node waited for its held requests and then 0.3 s for its last frames; a request that arrived on a kept connection in that time was read, dispatched and cut off. Ruled out: the dispatch itself, whose answer was under way. Also: an owner whose running requests had no tokens divided by zero when it predicted a wait, and ended. Change: the server ends by reading idle connections no further and waiting for the answers under way; the prediction looks at tokens, not at the number of running requests.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -618,7 +618,7 @@
         for member in usable:
             model = member.model
             limit = max(1, model.limit() - math.floor(model.limit() * share))
-            if model.running:
+            if model.tokens:
                 # Long requests exhaust the tokens before the slots.
                 mean = model.tokens / len(model.running)
                 limit = min(limit, max(1, model.declared.max_tokens / mean))
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -391,6 +391,7 @@
             if limit is not None and time.monotonic() - now >= limit:
                 break
             await curio.sleep(_TICK_SECONDS)
+        await self._caller_server.finish(_LEAVE_GRACE_SECONDS)
         await self.ports.settle()
         # Releases and answers to peers leave before the sockets close.
         await self.peers.notify()
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 server on curio and h11, for callers and for operators."""
 
+import contextlib
 import http
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -12,6 +14,8 @@
 from baobabmux_node import responses
 
 _READ_BYTES = 65_536
+_FINISH_STEP_SECONDS = 0.02
+_WATCH_STOPPED_SECONDS = 1.0
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 _LOG = logging.getLogger(__name__)
 
@@ -159,6 +163,8 @@
         self.busy = 0
         self.limits = limits
         self.closing = False
+        self._finishing = False
+        self._open: set[_Connection] = set()
         self._handler = handler
         self._socket = None
 
@@ -174,17 +180,42 @@
         async with self._socket:
             while True:
                 client, _ = await self._socket.accept()
+                if self._finishing:
+                    await client.close()
+                    continue
                 await curio.spawn(self._serve_connection, client, daemon=True)
 
+    async def finish(self, seconds: float) -> None:
+        """Ends all connections without cutting a request that was read.
+
+        Idle connections are read no further, so a request that arrives now is
+        not taken and its caller can tell.
+
+        Args:
+            seconds: Longest time to wait for the answers under way.
+        """
+        self.closing = self._finishing = True
+        for connection in self._open:
+            if connection.idle:
+                connection.stop_reading()
+        try:
+            async with curio.timeout_after(seconds):
+                while self._open:
+                    await curio.sleep(_FINISH_STEP_SECONDS)
+        except curio.TaskTimeout:
+            return
+
     async def _serve_connection(self, client) -> None:
         self.connections += 1
         connection = _Connection(client, self)
+        self._open.add(connection)
         try:
             async with client:
                 await connection.run(self._handle)
         except (OSError, PeerGoneError):
             pass
         finally:
+            self._open.discard(connection)
             self.connections -= 1
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -203,6 +234,15 @@
         self.server = server
         self.received = bytearray()
         self.http = self._new_http()
+        # Whether no request has begun to be handled.
+        self.idle = True
+        self._stopped = False
+
+    def stop_reading(self) -> None:
+        """Takes no further request; what was read is still answered."""
+        self._stopped = True
+        with contextlib.suppress(OSError):
+            self.client._socket.shutdown(socket.SHUT_RD)
 
     @property
     def limits(self) -> Limits:
@@ -218,9 +258,11 @@
 
     async def run(self, handler: Handler) -> None:
         while True:
+            self.idle = True
             exchange = await self._next_exchange()
             if exchange is None:
                 return
+            self.idle = False
             try:
                 await handler(exchange)
             except RequestError as error:
@@ -345,6 +387,10 @@
     async def watch(self) -> None:
         while True:
             data = await self.client.recv(_READ_BYTES)
+            if not data and self._stopped:
+                # This side ended the reading, so nothing is known.
+                await curio.sleep(_WATCH_STOPPED_SECONDS)
+                continue
             self.http.receive_data(data)
             if not data:
                 return
