--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -14,6 +14,7 @@
     ids,
     membership,
     messages,
+    rendezvous,
     scheduler,
     states,
     timers,
@@ -255,6 +256,23 @@
             )
             self.peers.enqueue(target, heartbeat)
 
+    async def send_heartbeats(self) -> None:
+        """Tells all reachable nodes at once what heartbeats tell."""
+        own = self.settings.node
+        self._send_heartbeats(
+            [node for node in self.membership.reachable() if node != own]
+        )
+        await self.peers.notify()
+
+    def place(self, task: str) -> int:
+        """Returns this node's place in the order of nodes for a task, from 0.
+
+        A node that does not count as live comes after all others.
+        """
+        order = rendezvous.rank(task, self.membership.live(self.cell))
+        own = self.settings.node
+        return order.index(own) if own in order else len(order)
+
     def _announced_address(self) -> str:
         """Returns the peers' address while the VM list does not tell it."""
         if self.settings.cell:
@@ -380,18 +398,15 @@
         self.events.record(Kind.SHUTDOWN_STARTED, held=len(self.callers.held))
         self.membership.leave(now)
         await self.driver.apply(self.scheduler.leave(now))
-        self._send_heartbeats(
-            [n for n in self.membership.reachable() if n != self.settings.node]
-        )
-        await self.peers.notify()
+        await self.send_heartbeats()
         self._caller_server.closing = True
         await curio.sleep(self.settings.announce_seconds)
+        self._caller_server.finish()
         limit = self.settings.shutdown_seconds
         while self.callers.held or self._caller_server.busy:
             if limit is not None and time.monotonic() - now >= limit:
                 break
             await curio.sleep(_TICK_SECONDS)
-        await self._caller_server.finish(_LEAVE_GRACE_SECONDS)
         await self.ports.settle()
         # Releases and answers to peers leave before the sockets close.
         await self.peers.notify()
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -14,7 +14,6 @@
 from baobabmux_node import responses
 
 _READ_BYTES = 65_536
-_FINISH_STEP_SECONDS = 0.02
 _WATCH_STOPPED_SECONDS = 1.0
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 _LOG = logging.getLogger(__name__)
@@ -150,7 +149,8 @@
 
     Attributes:
         port: Port that it listens on, after `start`.
-        connections: Number of open connections.
+        connections: Number of open connections; none is left once an ending
+            server has answered all.
         busy: Number of requests that are being handled.
         limits: Limits in force; a change holds from the next request on.
         closing: Whether connections end with their next answer.
@@ -185,25 +185,16 @@
                     continue
                 await curio.spawn(self._serve_connection, client, daemon=True)
 
-    async def finish(self, seconds: float) -> None:
-        """Ends all connections without cutting a request that was read.
+    def finish(self) -> None:
+        """Takes no further request; those that were read are answered.
 
         Idle connections are read no further, so a request that arrives now is
         not taken and its caller can tell.
-
-        Args:
-            seconds: Longest time to wait for the answers under way.
         """
         self.closing = self._finishing = True
         for connection in self._open:
             if connection.idle:
                 connection.stop_reading()
-        try:
-            async with curio.timeout_after(seconds):
-                while self._open:
-                    await curio.sleep(_FINISH_STEP_SECONDS)
-        except curio.TaskTimeout:
-            return
 
     async def _serve_connection(self, client) -> None:
         self.connections += 1
