--- /dev/null
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -0,0 +1,238 @@
+"""Tests of asks with terms: attempts, first events, quotas, a silent owner."""
+
+import pytest
+
+from baobabmux_core import (
+    declarations,
+    effects,
+    errors,
+    fairness,
+    grants,
+    holders,
+    messages,
+    quarantine,
+    states,
+)
+
+_GROUP = "drafting@cell"
+_WORKSPACE = "bank-a"
+
+
+def _configuration(endpoints=2, quota=None, **endpoint):
+    values = {
+        "max_requests": 2,
+        "max_tokens": 1_000_000,
+        "prefill_tokens_per_second": 10_000.0,
+        "decode_tokens_per_second": 100.0,
+        **endpoint,
+    }
+    return declarations.Configuration(
+        tiers={"tender": declarations.Tier(0)},
+        workspaces={_WORKSPACE: declarations.WorkspaceShare(quota=quota)},
+        services={
+            "drafting": declarations.Service(
+                "engine", isolates_suspects=False, limits_slow_endpoints=False
+            )
+        },
+        endpoints={
+            f"e{n}": declarations.Endpoint(
+                "drafting", "cell", f"vm{n}", f"127.0.0.1:{n + 1}", **values
+            )
+            for n in range(endpoints)
+        },
+        routes={},
+        presets={"p": declarations.Preset(short_share=0, high_tier_share=0)},
+        active="p",
+    )
+
+
+def _owner(**fields):
+    owner = grants.GroupOwner(_GROUP, quarantine.Quarantine(), 100.0)
+    owner.configure(_configuration(**fields), 100.0)
+    return owner
+
+
+def _ask(request, now_ms=0, prompt=100, **terms):
+    del now_ms
+    return messages.Ask(
+        _GROUP, request, 0, fairness.workspace_hash(_WORKSPACE), 60_000,
+        prompt, 100, (), 1, terms=messages.AskTerms(**terms),
+    )  # fmt: skip
+
+
+def _results(found):
+    return [effect.message for effect in found]
+
+
+def test_second_attempt_avoids_the_endpoint_of_the_first():
+    """Guards against a retry at the endpoint that has just failed."""
+    owner = _owner()
+    (grant,) = _results(owner.ask(_ask("r"), "n1", 100.0))
+    failed = messages.Release(
+        _GROUP, "r", grant.endpoint, "broken", -1, 0, 10, 0
+    )
+    owner.release(failed, "n1", 100.1)
+    again = _ask("r", attempt=2, avoided=(grant.endpoint,))
+    (second,) = _results(owner.ask(again, "n1", 100.1))
+    assert isinstance(second, messages.Grant)
+    assert second.endpoint != grant.endpoint
+
+
+def test_late_copy_of_an_ended_attempt_is_not_granted():
+    """Guards against a second run because of a repeated message."""
+    owner = _owner()
+    (grant,) = _results(owner.ask(_ask("r"), "n1", 100.0))
+    done = messages.Release(
+        _GROUP, "r", grant.endpoint, "completed", -1, 10, 10, 100
+    )
+    owner.release(done, "n1", 101.0)
+    assert owner.ask(_ask("r"), "n1", 101.1) == []
+
+
+def test_attempts_beyond_the_budget_are_refused():
+    """Guards against retries without bound while all answers are lost."""
+    owner = _owner()
+    owner.budget.slack = 1.0
+    owner.budget.ratio = 0.0
+    kinds = []
+    for number in range(3):
+        found = owner.ask(_ask(f"r{number}", attempt=2), "n1", 100.0)
+        kinds.append(type(_results(found)[0]).__name__)
+    assert kinds == ["Grant", "Refusal", "Refusal"]
+
+
+def test_quota_is_charged_once_for_each_request():
+    """Guards against a workspace that pays again for each attempt."""
+    quota = declarations.Quota(rate=1.0, burst=400.0, unit="tokens")
+    owner = _owner(quota=quota)
+    (grant,) = _results(owner.ask(_ask("r1", cost=90), "n1", 100.0))
+    assert isinstance(grant, messages.Grant)
+    (refusal,) = _results(owner.ask(_ask("r2", cost=90), "n1", 100.0))
+    assert refusal.kind == errors.ErrorKind.OVER_QUOTA.value
+    assert refusal.retry_after_ms >= 1000
+    (again,) = _results(owner.ask(_ask("r3", attempt=2), "n1", 100.0))
+    assert isinstance(again, messages.Grant)
+
+
+def test_waiting_ask_is_acknowledged():
+    """Guards against a holder that takes a busy owner for a silent one."""
+    owner = _owner(endpoints=1)
+    for number in range(2):
+        owner.ask(_ask(f"r{number}"), "n1", 100.0)
+    found = _results(owner.ask(_ask("late"), "n1", 100.0))
+    assert found == [messages.Queued("late")]
+    assert _results(owner.ask(_ask("late"), "n1", 100.2)) == found
+
+
+def test_request_whose_first_event_would_be_useless_is_refused_at_once():
+    """Guards against a burst of large prompts that wait in vain."""
+    owner = _owner(endpoints=1)
+    found = owner.ask(_ask("r", prompt=50_000, first_ms=1000), "n1", 100.0)
+    (refusal,) = _results(found)
+    assert refusal.kind == errors.ErrorKind.DEADLINE_UNREACHABLE.value
+
+
+def _work(request="r", **fields):
+    values = {
+        "route": "wording",
+        "service": "drafting",
+        "tier": 0,
+        "workspace": _WORKSPACE,
+        "deadline": 160.0,
+        "prompt_tokens": 100,
+        "output_tokens": 100,
+        "max_attempts": 2,
+        **fields,
+    }
+    return effects.Work(request=request, **values)
+
+
+@pytest.fixture
+def holder():
+    made = holders.Holder(
+        "n1", lambda group: "n2", lambda endpoint: True, lambda work: _GROUP, 1
+    )
+    made.tick(100.0, lambda held: None)
+    return made
+
+
+def _tick(holder, now):
+    return holder.tick(now, lambda held: None)
+
+
+def test_silent_owner_makes_the_holder_use_its_own_share(holder):
+    """Guards against requests that wait for a dead or frozen owner."""
+    holder.fallback = lambda held, now: "e1"
+    holder.submit(_work(), _GROUP, 160.0, 100.0)
+    assert _tick(holder, 100.1) == []
+    (dispatch,) = _tick(holder, 100.2)
+    assert dispatch == effects.Dispatch("r", "e1")
+    assert holder.start_dispatch("r", 100.2)
+    # The next request does not wait for it again.
+    assert holder.submit(_work("s"), _GROUP, 160.0, 100.3) == [
+        effects.Dispatch("s", "e1")
+    ]
+
+
+def test_acknowledged_ask_waits_for_the_owner(holder):
+    """Guards against a queue that holders pass by while the owner is busy."""
+    holder.fallback = lambda held, now: "e1"
+    holder.submit(_work(), _GROUP, 160.0, 100.0)
+    holder.queued("r", "n2")
+    assert _tick(holder, 100.4) == []
+    assert holder.held["r"].state is states.RequestState.QUEUED
+
+
+def test_grant_that_comes_after_the_own_share_was_used_is_returned(holder):
+    """Guards against a slot that a woken owner keeps for nobody."""
+    holder.fallback = lambda held, now: "e1"
+    holder.submit(_work(), _GROUP, 160.0, 100.0)
+    _tick(holder, 100.2)
+    holder.start_dispatch("r", 100.2)
+    (returned,) = holder.granted(messages.Grant("r", "e2", 3000), "n2", 100.3)
+    assert isinstance(returned.message, messages.Withdraw)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "idempotent", "repeats"),
+    [
+        (states.Outcome.REJECTED, False, True),
+        (states.Outcome.BROKEN, True, True),
+        (states.Outcome.BROKEN, False, False),
+        (states.Outcome.GARBAGE, True, True),
+        (states.Outcome.CANCELLED, True, False),
+        (states.Outcome.COMPLETED, True, False),
+    ],
+)
+def test_only_what_may_run_again_is_repeated(
+    holder, outcome, idempotent, repeats
+):
+    """Guards against a second run of what must run once."""
+    holder.submit(_work(idempotent=idempotent), _GROUP, 160.0, 100.0)
+    holder.granted(messages.Grant("r", "e1", 3000), "n2", 100.0)
+    holder.start_dispatch("r", 100.0)
+    assert holder.may_repeat("r", outcome) == repeats
+    found = holder.finished("r", outcome, 100.5, -1, 0)
+    asks = [e.message for e in found if isinstance(e.message, messages.Ask)]
+    assert len(asks) == repeats
+    if repeats:
+        assert asks[0].terms.attempt == 2
+        assert asks[0].terms.avoided == ("e1",)
+        assert asks[0].terms.cost == 0
+
+
+def test_attempts_end_with_the_route_s_bound(holder):
+    """Guards against more endpoints than the operator allows."""
+    holder.submit(_work(max_attempts=1), _GROUP, 160.0, 100.0)
+    holder.granted(messages.Grant("r", "e1", 3000), "n2", 100.0)
+    holder.start_dispatch("r", 100.0)
+    assert not holder.may_repeat("r", states.Outcome.REJECTED)
+
+
+def test_request_is_refused_when_its_first_event_is_of_no_use(holder):
+    """Guards against a refusal that is held back until the deadline."""
+    holder.submit(_work(first_by=101.0), _GROUP, 160.0, 100.0)
+    holder.queued("r", "n2")
+    assert _tick(holder, 100.9) == []
+    found = _tick(holder, 101.0)
+    assert any(isinstance(effect, effects.Refuse) for effect in found)
--- /dev/null
+++ b/packages/baobabmux-core/tests/quotas_test.py
@@ -0,0 +1,67 @@
+"""Tests of quotas: a workspace that sends many times its usual."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from baobabmux_core import declarations, fairness, quotas
+
+_NAME = "bank-a"
+_HASH = fairness.workspace_hash(_NAME)
+
+
+def _workspaces(rate=100.0, burst=100.0):
+    quota = declarations.Quota(rate, burst, unit="tokens")
+    return {_NAME: declarations.WorkspaceShare(quota=quota)}
+
+
+def _ledger(now=0.0, **fields):
+    ledger = quotas.QuotaLedger()
+    ledger.configure(_workspaces(**fields), now)
+    return ledger
+
+
+@given(
+    st.lists(st.tuples(st.floats(0.0, 0.5), st.integers(1, 60)), max_size=200),
+    st.sampled_from([1.0, 0.5]),
+)
+def test_any_window_stays_within_rate_and_burst(arrivals, share):
+    """Guards against a burst of one workspace that exceeds its quota."""
+    ledger = _ledger()
+    ledger.share = share
+    now = 0.0
+    taken = []
+    for pause, cost in arrivals:
+        now += pause
+        if ledger.take(_HASH, cost, now) is None:
+            taken.append((now, cost))
+    for first, (start, _) in enumerate(taken):
+        for end, _ in taken[first:]:
+            used = sum(cost for at, cost in taken if start <= at <= end)
+            # A request above the share of the burst leaves a debt.
+            allowed = share * (100.0 * (end - start) + 100.0) + 60
+            assert used <= allowed + 1e-6
+
+
+def test_refusal_tells_when_there_is_room():
+    """Guards against a Retry-After at which the workspace is refused again."""
+    ledger = _ledger()
+    assert ledger.take(_HASH, 20, 0.0) is None
+    wait = ledger.take(_HASH, 40, 0.0)
+    assert wait > 0.0
+    assert ledger.take(_HASH, 40, wait - 0.05) is not None
+    assert ledger.take(_HASH, 40, wait + 0.001) is None
+
+
+def test_configuration_keeps_what_was_used():
+    """Guards against a change of the configuration that refills a quota."""
+    ledger = _ledger()
+    ledger.take(_HASH, 25, 0.0)
+    ledger.configure(_workspaces(), 0.0)
+    assert ledger.take(_HASH, 20, 0.0) is not None
+    ledger.configure(_workspaces(rate=10.0, burst=10.0), 0.0)
+    assert ledger.take(_HASH, 5, 0.0) is not None
+
+
+def test_workspace_without_quota_is_free():
+    """Guards against a limit that nobody declared."""
+    assert _ledger().take(fairness.workspace_hash("other"), 10**9, 0.0) is None
--- /dev/null
+++ b/packages/baobabmux-node/tests/server_test.py
@@ -0,0 +1,140 @@
+"""Tests of the HTTP server: framing, stops and limits."""
+
+import contextlib
+
+import curio
+import pytest
+
+from baobabmux_node import server
+
+_GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class _Served:
+    """A server whose handler answers each request with its body's length."""
+
+    def __init__(self, **limits):
+        self.seen = []
+        self.gate = curio.Event()
+        self.gate_paths = set()
+        self.server = server.Server(
+            "127.0.0.1", 0, self._handle, server.Limits(**limits)
+        )
+        self.server.start()
+
+    async def _handle(self, exchange):
+        await exchange.read_body(1000)
+        self.seen.append((exchange.method, exchange.target, exchange.body))
+        if exchange.path in self.gate_paths:
+            await self.gate.wait()
+        await exchange.respond(200, {}, str(len(exchange.body)).encode())
+
+    async def connect(self):
+        return await curio.open_connection("127.0.0.1", self.server.port)
+
+
+async def _read_all(peer, seconds=5.0):
+    data = b""
+    with contextlib.suppress(ConnectionError):
+        async with curio.timeout_after(seconds):
+            while part := await peer.recv(65536):
+                data += part
+    return data
+
+
+def _answers_to(data, **limits):
+    """Returns what a server answers to bytes until it closes."""
+
+    async def run():
+        served = _Served(**limits)
+        task = await curio.spawn(served.server.serve, daemon=True)
+        peer = await served.connect()
+        await peer.sendall(data)
+        answer = await _read_all(peer)
+        await peer.close()
+        await task.cancel()
+        return answer, served.seen
+
+    return curio.run(run)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+        b"Content-Length: 4\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+        b"Content-Length: 5\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: x\nContent-Length: 0\r\n\r\n",
+        b"POST /a HTTP/1.1\nHost: x\nContent-Length: 0\n\n",
+        b"POST /a HTTP/1.1\r\nHost: x\r\nA: b\r\n folded\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length : 4\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: x\r\nA: b\rc\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, gzip"
+        b"\r\n\r\n",
+    ],
+)
+def test_ambiguous_framing_is_refused_and_ends_the_connection(head):
+    """Guards against a second request that is hidden inside another."""
+    smuggled = b"0\r\n\r\n" + _GET
+    answer, seen = _answers_to(head + smuggled)
+    assert seen == []
+    assert answer.count(b"HTTP/1.1 ") == 1
+    assert answer.split()[1] in (b"400", b"501")
+    assert b"connection: close" in answer.lower()
+
+
+def test_requests_that_arrive_together_are_answered_in_order():
+    """Guards against bytes that get lost between two requests."""
+    post = b"POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+    last = b"GET /c HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    answer, seen = _answers_to(_GET + post + last)
+    assert [entry[1] for entry in seen] == ["/a", "/b", "/c"]
+    assert seen[1][2] == b"abc"
+    assert answer.count(b"HTTP/1.1 200") == 3
+
+
+def test_long_header_section_is_refused():
+    """Guards against a caller that fills the memory."""
+    head = b"GET /a HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 600 + b"\r\n\r\n"
+    answer, seen = _answers_to(head, max_header_bytes=500)
+    assert answer.startswith(b"HTTP/1.1 431")
+    assert seen == []
+
+
+def test_slow_header_section_is_refused():
+    """Guards against connections that callers keep half open."""
+    answer, _ = _answers_to(
+        b"GET /a HTTP/1.1\r\nHo", receive_timeout_seconds=0.1
+    )
+    assert answer.startswith(b"HTTP/1.1 408")
+
+
+def test_ending_server_answers_what_it_read_and_takes_nothing_more():
+    """Guards against a stop that cuts a request or takes one too late."""
+
+    async def run():
+        served = _Served()
+        served.gate_paths.add("/slow")
+        await curio.spawn(served.server.serve, daemon=True)
+        busy = await served.connect()
+        idle = await served.connect()
+        await busy.sendall(_GET.replace(b"/a", b"/slow"))
+        await idle.sendall(_GET)
+        first = await idle.recv(65536)
+        while len(served.seen) < 2:
+            await curio.sleep(0.01)
+        served.server.finish()
+        assert b"connection: close" not in first.lower()
+        assert await _read_all(idle) == b""
+        await served.gate.set()
+        answer = await _read_all(busy)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in answer.lower()
+        while served.server.connections:
+            await curio.sleep(0.01)
+        assert len(served.seen) == 2
+
+    curio.run(run)
