Write bounded log lines to standard output and tell the inputs of decisions

Cause: logs went to standard error by blocking writes, without a bound, and a refusal's line did not say what it was decided on. Change: lines wait in a bounded buffer and are written only when the reader takes them; routine lines beyond 600 a second are counted (event 106, metric log_lines_dropped); grants and refusals tell queue, places, predicted wait and configuration version, dispatches the age of the endpoint directory and the time left. SIGHUP reads the settings again.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -23,6 +23,10 @@
     )
     SHUTDOWN_ENDED = (103, "The node has ended every held request.")
     SETTINGS_READ = (105, "The settings were read: {outcome}.")
+    LINES_COUNTED = (
+        106,
+        "{count} routine events of a busy second were counted, not written.",
+    )
     PAUSE_NOTICED = (104, "The process was paused for {seconds} s.")
 
     REQUEST_RECEIVED = (
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -103,6 +103,7 @@
         notices: Messages for all nodes; the scheduler takes them out.
         quotas: Quotas of the workspaces.
         budget: Budget of repeated attempts at the service.
+        last_asked: Request of the newest ask, or None.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         self.notices: list[messages.AnyMessage] = []
         self.quotas = quotas.QuotaLedger()
         self.budget = retries.AttemptBudget()
+        self.last_asked: ids.RequestId | None = None
         self._suspects = suspects
         self._members: dict[ids.EndpointId, _Member] = {}
         self._service: declarations.Service | None = None
@@ -248,6 +250,21 @@
                     counts[rank] += len(queue)
         return dict(counts)
 
+    def is_running(self, request: ids.RequestId) -> bool:
+        """Returns whether a request holds a granted place."""
+        return request in self._running_at
+
+    def facts(self, now: float) -> dict[str, int]:
+        """Returns what a decision was based on, for the log."""
+        usable = self._usable(now)
+        return {
+            "queue": self.queue_length(),
+            "occupied": sum(member.model.used(now) for member in usable),
+            "places": sum(member.model.limit() for member in usable),
+            "endpoints": len(usable),
+            "wait_ms": round(self.wait(now) * 1000),
+        }
+
     def wait(self, now: float) -> float:
         """Predicts how long a request behind the queue waits, in seconds."""
         usable = self._usable(now)
@@ -266,6 +283,7 @@
         self, ask: messages.Ask, holder: ids.NodeId, now: float
     ) -> list[effects.Effect]:
         """Queues a request, grants it or refuses it."""
+        self.last_asked = ask.request
         if (member := self._running_at.get(ask.request)) is not None:
             if (
                 member.open
--- a/packages/baobabmux-core/src/baobabmux_core/quotas.py
+++ b/packages/baobabmux-core/src/baobabmux_core/quotas.py
@@ -78,8 +78,7 @@
         rate = max(self.share * bucket.quota.rate, 1e-9)
         return (needed - bucket.level) / rate
 
-    def give_back(self, workspace: int, cost: int) -> None:
-        """Returns what was charged for a request that was not run."""
+    def level(self, workspace: int) -> float | None:
+        """Returns the units left, or None without a quota."""
         bucket = self._buckets.get(workspace)
-        if bucket is not None:
-            bucket.level += cost
+        return None if bucket is None else bucket.level
--- a/packages/baobabmux-core/src/baobabmux_core/retries.py
+++ b/packages/baobabmux-core/src/baobabmux_core/retries.py
@@ -82,12 +82,16 @@
 
     def take(self, now: float) -> bool:
         """Takes one repeated attempt; returns whether there was one."""
+        if self.left(now) < 1.0:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def left(self, now: float) -> float:
+        """Returns the repeated attempts that are left in the window."""
         oldest = now - self.window_seconds
         for times in (self._firsts, self._repeats):
             while times and times[0] < oldest:
                 times.popleft()
         allowed = self.ratio * len(self._firsts) + self.slack
-        if len(self._repeats) + 1 > self.share * allowed:
-            return False
-        self._repeats.append(now)
-        return True
+        return self.share * allowed - len(self._repeats)
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -397,6 +397,36 @@
         """Returns the requests that wait in the owned groups."""
         return sum(owner.queue_length() for owner in self._owned.values())
 
+    def facts(self, request: ids.RequestId, now: float) -> dict[str, int]:
+        """Returns what an owner knew when it decided about a request.
+
+        Returns:
+            Waiting requests, occupied and usable places and the predicted
+            wait of the group that was asked last for the request; empty if no
+            owned group knows it.
+        """
+        for owner in self._owned.values():
+            if owner.last_asked == request or owner.is_running(request):
+                return owner.facts(now)
+        return {}
+
+    def attempt_budgets(self, now: float) -> dict[ids.GroupId, float]:
+        """Returns the repeated attempts that owned groups may still make."""
+        return {
+            group: owner.budget.left(now)
+            for group, owner in self._owned.items()
+        }
+
+    def quota_levels(self) -> dict[ids.Workspace, float]:
+        """Returns what is left of quotas, of the group that has least."""
+        levels: dict[ids.Workspace, float] = {}
+        for owner in self._owned.values():
+            for name in self._configuration.workspaces:
+                level = owner.quotas.level(fairness.workspace_hash(name))
+                if level is not None:
+                    levels[name] = min(level, levels.get(name, math.inf))
+        return levels
+
     def queued_by_tier(self, group: ids.GroupId) -> dict[int, int]:
         """Returns the requests that wait in an owned group, by tier rank."""
         owner = self._owned.get(group)
--- a/packages/baobabmux-node/src/baobabmux_node/driver.py
+++ b/packages/baobabmux-node/src/baobabmux_node/driver.py
@@ -106,6 +106,7 @@
                     message.request,
                     group=message.group,
                     holder=sender,
+                    attempt=message.terms.attempt if message.terms else 1,
                 )
             case messages.Grant() if sender == own:
                 self._host.events.record(
@@ -113,10 +114,21 @@
                     message.request,
                     message.endpoint,
                     holder=to,
+                    **self._host.scheduler.facts(
+                        message.request, time.monotonic()
+                    ),
                 )
             case messages.Refusal() if sender == own:
                 self._host.events.record(
-                    Kind.REFUSAL_SENT, message.request, error=message.kind
+                    Kind.REFUSAL_SENT,
+                    message.request,
+                    error=message.kind,
+                    holder=to,
+                    retry_after_ms=message.retry_after_ms,
+                    config=self._host.config.version,
+                    **self._host.scheduler.facts(
+                        message.request, time.monotonic()
+                    ),
                 )
             case messages.Release() if to == own:
                 self._host.events.record(
--- a/packages/baobabmux-node/src/baobabmux_node/main.py
+++ b/packages/baobabmux-node/src/baobabmux_node/main.py
@@ -6,7 +6,7 @@
 import curio
 from absl import app, flags
 
-from baobabmux_node import events, node, peers, settings
+from baobabmux_node import logs, node, peers, settings
 
 _SETTINGS = flags.DEFINE_string("settings", None, "Settings file (TOML).")
 _CHECK = flags.DEFINE_bool(
@@ -35,9 +35,10 @@
         return _EXIT_SETTINGS
     if _CHECK.value:
         return 0
-    events.start_logging()
     peers.limit_threads()
-    curio.run(node.Node(loaded.ok).run)
+    made = node.Node(loaded.ok)
+    made.lines = logs.start()
+    curio.run(made.run)
     return 0
 
 
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -84,6 +84,47 @@
         self.log_appends = self._counter(
             "log_appends", "Appends to the log service"
         )
+        self.log_lines = self._counter(
+            "log_lines_dropped",
+            "Log lines that were counted or dropped instead of written",
+            ["reason"],
+        )
+        self.waiting = prometheus_client.Histogram(
+            "baobabmux_waiting_seconds",
+            "Time from arrival to the dispatch of an attempt",
+            ["tier"],
+            registry=self.registry,
+            buckets=(0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10),
+        )
+        self.attempts = self._counter(
+            "attempts", "Attempts at endpoints", ["service", "outcome"]
+        )
+        self.endpoints_age = self._gauge(
+            "endpoints_age_seconds",
+            "Time since the endpoint directory was known to be current",
+        )
+        self.endpoints = self._gauge(
+            "endpoints", "Endpoints that take new work"
+        )
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the platform's store", ["kind"]
+        )
+        self.endpoint_connections = self._counter(
+            "endpoint_connections",
+            "Connections to endpoints, opened or used again",
+            ["how"],
+        )
+        self.peer_reconnects = self._counter(
+            "peer_reconnects", "Connections to nodes that had gone silent"
+        )
+        self.quota_level = self._gauge(
+            "quota_level", "Units left of a quota at its owner", ["workspace"]
+        )
+        self.attempt_budget = self._gauge(
+            "attempt_budget",
+            "Repeated attempts left in the window of an owned group",
+            ["group"],
+        )
         self.stray_answers = self._counter(
             "stray_answers", "Answers that matched no request"
         )
@@ -106,6 +147,32 @@
         self._raise(self.dropped_frames, transport.dropped_frames)
         self._raise(self.log_appends, appends)
 
+    def update_platform(self, ports, transport, now: float) -> None:
+        """Takes the counts of the platform's ports and of the transport.
+
+        Args:
+            ports: The `ports.Ports`.
+            transport: The `peers.PeerTransport`.
+            now: Time on the node's clock in seconds.
+        """
+        for kind, count in ports.store_calls().items():
+            self._raise(self.store_calls.labels(kind), count)
+        opened, reused = ports.connections()
+        self._raise(self.endpoint_connections.labels("opened"), opened)
+        self._raise(self.endpoint_connections.labels("reused"), reused)
+        self._raise(self.peer_reconnects, transport.reconnects)
+        self.endpoints_age.set(ports.endpoints_age_ms(now) / 1000)
+
+    def update_logs(self, counted: int, dropped: int) -> None:
+        """Takes the counts of lines that were not written.
+
+        Args:
+            counted: Routine lines beyond the bound of a second.
+            dropped: Lines for which a slow reader left no room.
+        """
+        self._raise(self.log_lines.labels("routine"), counted)
+        self._raise(self.log_lines.labels("reader"), dropped)
+
     def update_groups(self, groups: list[status.GroupStatus]) -> None:
         """Takes the states of the groups that this node owns."""
         # Groups and endpoints that moved to another owner disappear here.
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -24,6 +24,7 @@
     answers,
     driver,
     events,
+    logs,
     metrics,
     own_ports,
     peers,
@@ -59,6 +60,7 @@
         configuration: Declarations in force with the endpoints that exist
             now, or None before the first.
         ports: The platform.
+        lines: Writer of log lines, or None if nobody reads them.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.settings = node_settings
         self.draining = False
         self.configuration: declarations.Configuration | None = None
+        self.lines: logs.LineWriter | None = None
         self.metrics = metrics.Metrics()
         self.timers = timers.TimerService()
         self.events = events.EventRecorder(
@@ -99,6 +102,8 @@
         self.callers = serving.CallerService(self)
         self._watch = watch.StateWatch(self)
         self._stop_requested = False
+        self._reload_requested = False
+        self._told_unwritten = 0
         self._caller_server = self._listener(
             node_settings.callers, self.callers.serve
         )
@@ -291,11 +296,27 @@
     def _update_gauges(self, now: float) -> None:
         self.metrics.held.set(len(self.callers.held))
         self.metrics.members.set(len(self.membership.reachable()))
+        self.metrics.update_platform(self.ports, self.peers, now)
+        if self.configuration is not None:
+            self.metrics.endpoints.set(len(self.configuration.endpoints))
+        for group, left in self.scheduler.attempt_budgets(now).items():
+            self.metrics.attempt_budget.labels(group).set(left)
+        for name, level in self.scheduler.quota_levels().items():
+            self.metrics.quota_level.labels(name).set(level)
+        dropped = 0 if self.lines is None else self.lines.dropped
+        self.metrics.update_logs(self.events.unwritten, dropped)
+        self._record_unwritten()
         self.metrics.update_control(self.peers, self.ports.appends())
         groups = status.group_states(self.scheduler, now)
         self.metrics.update_groups(groups)
         self._watch.check(groups)
 
+    def _record_unwritten(self) -> None:
+        count = self.events.unwritten - self._told_unwritten
+        if count:
+            self._told_unwritten = self.events.unwritten
+            self.events.record(Kind.LINES_COUNTED, count=count)
+
     def _ask_for_configuration(self, now: float) -> None:
         """Asks a peer while the own configuration is missing."""
         if self.configuration is not None:
@@ -314,7 +335,11 @@
         while True:
             started = time.monotonic()
             self.timers.run_due(started)
+            if self.lines is not None:
+                self.lines.flush()
             await self.driver.apply([])
+            if self._reload_requested:
+                self._reload()
             if self._stop_requested and not stopping:
                 stopping = True
                 await self._jobs.spawn(self._shut_down)
@@ -334,7 +359,7 @@
         """
         signal.signal(signal.SIGTERM, self._request_stop)
         signal.signal(signal.SIGINT, self._request_stop)
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        signal.signal(signal.SIGHUP, self._request_reload)
         self._caller_server.start()
         self._admin_server.start()
         self.peers.start(self.settings.peers.host, self.settings.peers.port)
@@ -353,6 +378,8 @@
                 await self._jobs.spawn(job)
             await self._jobs.spawn(self.peers.receive_frames, self._receive)
         self.peers.close()
+        if self.lines is not None:
+            self.lines.flush()
         if self._jobs.completed.exception is not None:
             raise self._jobs.completed.exception
 
@@ -382,6 +409,15 @@
         waited = time.monotonic() - self._started
         return self.membership.settled() or waited > _SETTLE_SECONDS
 
+    def _request_reload(self, signum, frame) -> None:
+        del signum, frame
+        self._reload_requested = True
+
+    def _reload(self) -> None:
+        """Reads the settings again, after SIGHUP."""
+        self._reload_requested = False
+        self.events.record(Kind.SETTINGS_READ, outcome=self.ports.reload())
+
     def _request_stop(self, signum, frame) -> None:
         del signum, frame
         # The handler only sets a flag; the timer task notices it.
--- a/packages/baobabmux-node/src/baobabmux_node/ports.py
+++ b/packages/baobabmux-node/src/baobabmux_node/ports.py
@@ -96,6 +96,27 @@
     async def settle(self) -> None:
         """Ends what is under way before the node ends."""
 
+    def endpoints_version(self) -> int:
+        """Returns the version of the endpoint directory, -1 without one."""
+        return -1
+
+    def endpoints_age_ms(self, now: float) -> int:
+        """Returns its age in milliseconds, -1 without one."""
+        del now
+        return -1
+
+    def store_calls(self) -> dict[str, int]:
+        """Returns the calls to the platform's store so far, by kind."""
+        return {}
+
+    def connections(self) -> tuple[int, int]:
+        """Returns connections to endpoints so far: opened and used again."""
+        return 0, 0
+
+    def reload(self) -> str:
+        """Reads the settings again; returns what came of it."""
+        return "settings take effect with a restart"
+
     def reachable(self) -> bool:
         """Tells whether the platform's store answered last."""
         return True
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -86,6 +86,11 @@
             caller.request,
             route=caller.route_name,
             public_id=caller.public_id,
+            tier=caller.route.tier,
+            workspace=caller.workspace,
+            prompt_tokens=caller.work.prompt_tokens,
+            config=self._host.config.version,
+            deadline_ms=_left_ms(caller.work.deadline, caller.arrived),
         )
         repeat = await self._host.answers.register(request)
         if repeat is not None:
@@ -100,7 +105,21 @@
         name = request.caller.request
         permitted = self._host.scheduler.start_dispatch(name, time.monotonic())
         kind = Kind.REQUEST_DISPATCHED if permitted else Kind.DISPATCH_FORBIDDEN
-        self._host.events.record(kind, name, request.endpoint or "")
+        now = time.monotonic()
+        if permitted:
+            self._host.metrics.waiting.labels(
+                request.caller.route.tier
+            ).observe(now - request.caller.arrived)
+        self._host.events.record(
+            kind,
+            name,
+            request.endpoint or "",
+            config=self._host.config.version,
+            endpoints=self._host.ports.endpoints_version(),
+            endpoints_age_ms=self._host.ports.endpoints_age_ms(now),
+            waited_ms=round((now - request.caller.arrived) * 1000),
+            left_ms=_left_ms(request.caller.work.deadline, now),
+        )
         return permitted
 
     def endpoint(self, endpoint: ids.EndpointId) -> tuple[str, str]:
@@ -151,7 +170,12 @@
             request.endpoint or "",
             outcome=result.outcome.value,
             detail=result.detail,
+            age_ms=round((now - request.caller.arrived) * 1000),
+            output_tokens=result.output_tokens,
         )
+        self._host.metrics.attempts.labels(
+            request.caller.work.service, result.outcome.value
+        ).inc()
         self._count(request, result, now)
         if result.outcome is not states.Outcome.NOT_SENT:
             await self._host.answers.ended(request, result, answer)
@@ -190,15 +214,25 @@
         self._host.metrics.refused.labels(
             request.caller.route.tier, kind.value
         ).inc()
+        caller = request.caller
+        now = time.monotonic()
         self._host.events.record(
-            Kind.REQUEST_REFUSED, request.caller.request, error=kind.value
+            Kind.REQUEST_REFUSED,
+            caller.request,
+            request.endpoint or "",
+            error=kind.value,
+            run_status=errors.ANSWERS[kind].run_status.value,
+            public_id=caller.public_id,
+            age_ms=round((now - caller.arrived) * 1000),
+            left_ms=_left_ms(caller.work.deadline, now),
+            config=self._host.config.version,
         )
 
     def _count(self, request, result, now) -> None:
         caller = request.caller
         if result.outcome is states.Outcome.NOT_SENT:
             return
-        service = caller.route.service
+        service = caller.work.service
         whole = result.outcome is states.Outcome.COMPLETED
         in_time = whole and now <= caller.work.deadline
         if whole:
@@ -216,3 +250,7 @@
         if not in_time:
             wasted = computed or caller.work.prompt_tokens
             self._host.metrics.wasted_prefill.labels(service).inc(wasted)
+
+
+def _left_ms(deadline: float | None, now: float) -> int | None:
+    return None if deadline is None else round((deadline - now) * 1000)
--- /dev/null
+++ b/packages/baobabmux-node/tests/logs_test.py
@@ -0,0 +1,76 @@
+"""Tests of the log writer: readers that are slow, stop or go away."""
+
+import fcntl
+import os
+
+from baobabmux_core import catalogue
+from baobabmux_node import events, logs
+
+_LINE = b"x" * 99 + b"\n"
+
+
+def _read(descriptor):
+    os.set_blocking(descriptor, False)
+    data = b""
+    while True:
+        try:
+            part = os.read(descriptor, 65536)
+        except BlockingIOError:
+            return data
+        if not part:
+            return data
+        data += part
+
+
+def test_reader_that_stops_reading_does_not_block_the_node():
+    """Guards against a node that stands still because nobody reads its log."""
+    reader, end = os.pipe()
+    fcntl.fcntl(end, fcntl.F_SETPIPE_SZ, 4096)
+    writer = logs.LineWriter(end, max_waiting_bytes=10_000)
+    for _ in range(500):
+        writer.take(_LINE)
+        writer.flush()
+    assert writer.dropped > 300
+    assert writer.waiting_bytes <= 10_000
+    text = b""
+    while writer.waiting_bytes:
+        text += _read(reader)
+        writer.flush()
+    text += _read(reader)
+    lines = text.splitlines()
+    assert len(lines) == 500 - writer.dropped
+    assert set(lines) == {_LINE.strip()}
+    os.close(reader)
+    os.close(end)
+
+
+def test_reader_that_goes_away_is_counted():
+    """Guards against a node that ends with its log's reader."""
+    reader, end = os.pipe()
+    os.close(reader)
+    writer = logs.LineWriter(end)
+    for _ in range(3):
+        writer.take(_LINE)
+        writer.flush()
+    assert writer.dropped >= 2
+    os.close(end)
+
+
+def test_busy_second_counts_routine_lines_and_writes_all_refusals(monkeypatch):
+    """Guards against a burst whose refusals are missing from the log."""
+    written = []
+    monkeypatch.setattr(
+        events.eliot,
+        "log_message",
+        lambda message_type, **fields: written.append(fields["kind"]),
+    )
+    monkeypatch.setattr(events.wall_clock, "unix_ms", lambda: 5_000_000)
+    recorder = events.EventRecorder("n1", 10)
+    kind = catalogue.EventKind
+    for _ in range(2000):
+        recorder.record(kind.REQUEST_RECEIVED, "r")
+        recorder.record(kind.REQUEST_REFUSED, "r", error="overloaded")
+    assert written.count(kind.REQUEST_REFUSED.number) == 2000
+    routine = written.count(kind.REQUEST_RECEIVED.number)
+    assert 0 < routine < 2000
+    assert recorder.unwritten == 2000 - routine
