Give the quota of refused requests back and start new owners within the tolerance

Cause: a request was charged when it was asked for, also if it was refused for want of a place, and each new owner started with a quarter of the burst, so workspaces were refused below their quota. Ruled out: a wrong unit; costs are the two numbers of the request. Change: refused and withdrawn requests are given back; a new owner starts with what the tolerance of the quota leaves.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -206,7 +206,7 @@
         """Drops a dead holder's asks; its running work expires later."""
         self._awaited.discard(holder)
         for entry in self._queue.held_by(holder):
-            self._dequeue(entry)
+            self._drop(entry)
         for member in self._members.values():
             for run in member.model.running.values():
                 if run.holder == holder and run.expires is None:
@@ -307,6 +307,7 @@
         entry.suspect = self._is_suspect(ask.content, now)
         self._note_present(entry, now)
         if (refused := self._check_deadline(entry, now)) is not None:
+            self._refund(ask)
             return [refused]
         self._queue.add(entry)
         found = self._pump(now) + self._shed(now)
@@ -328,7 +329,7 @@
         """Drops a queued request or takes back its unused grant."""
         entry = self._queue.entries.get(request)
         if entry is not None and entry.holder == holder:
-            self._dequeue(entry)
+            self._drop(entry)
             return self._pump(now)
         member = self._running_at.get(request)
         if member is None or member.model.running[request].holder != holder:
@@ -665,7 +666,7 @@
                 )
                 late = now + wait - entry.latest_start
                 if late > 0.0:
-                    self._dequeue(entry)
+                    self._drop(entry)
                     refused.append(self._unreachable(entry, late))
         return refused
 
@@ -674,7 +675,7 @@
         while (entry := self._queue.pop_late(now)) is not None:
             late = now + self._wait_of(entry, now) - entry.latest_start
             self._wait_margin.learn(entry.predicted_wait, now - entry.queued_at)
-            self._dequeue(entry)
+            self._drop(entry)
             refused.append(self._unreachable(entry, late))
         return refused
 
@@ -688,7 +689,7 @@
             or self.queued_tokens() > self._service.max_queue_tokens
         ):
             entry = self._queue.newest_of_lowest()
-            self._dequeue(entry)
+            self._drop(entry)
             shed.append(
                 _refusal(
                     entry.holder,
@@ -711,6 +712,15 @@
         if self._isolated == entry.ask.request and not granted:
             self._end_isolation()
 
+    def _drop(self, entry: fairness.QueueEntry) -> None:
+        """Removes a request that is not run from here."""
+        self._dequeue(entry)
+        self._refund(entry.ask)
+
+    def _refund(self, ask: messages.Ask) -> None:
+        if ask.terms is not None and ask.terms.cost:
+            self.quotas.give_back(ask.workspace, ask.terms.cost)
+
     # Grants.
 
     def _withholds(self, now: float) -> bool:
@@ -738,7 +748,7 @@
                 if member is not None:
                     grants.append(self._grant(entry, member, now))
                     continue
-                self._dequeue(entry)
+                self._drop(entry)
                 grants.append(self._unreachable(entry, entry.seconds))
             if blocked.short:
                 # A lower tier must not take what this one waits for.
--- a/packages/baobabmux-core/src/baobabmux_core/quotas.py
+++ b/packages/baobabmux-core/src/baobabmux_core/quotas.py
@@ -1,17 +1,44 @@
 """Quotas of workspaces, counted where grants are decided."""
 
+import msgspec
+
 from baobabmux_core import declarations, fairness, ids
 
-# Share of the burst that a new owner grants at once: it does not know what
-# was used just before, and a whole burst at each change would exceed the
-# quota.
-_FIRST_SHARE = 0.25
+# Owners change at most about twice within a window.
+_OWNERS_IN_WINDOW = 2
+
+
+class Tolerance(msgspec.Struct, frozen=True):
+    """By how much a quota may be exceeded in a window.
+
+    Attributes:
+        window_seconds: Length of the window.
+        share: Part of what the quota allows in the window.
+        units: Units besides.
+    """
+
+    window_seconds: float = 10.0
+    share: float = 0.0
+    units: float = 0.0
+
+    def first_level(self, quota: declarations.Quota) -> float:
+        """Returns the units that a new owner may grant at once.
+
+        It does not know what was granted just before, so it starts with what
+        the tolerance leaves for a change of owners, or with a quarter of the
+        burst if that is more.
+        """
+        allowed = quota.rate * self.window_seconds + quota.burst
+        spare = (self.share * allowed + self.units) / _OWNERS_IN_WINDOW
+        return min(quota.burst, max(spare, 0.25 * quota.burst))
 
 
 class _Bucket:
-    def __init__(self, quota: declarations.Quota, now: float):
+    def __init__(
+        self, quota: declarations.Quota, tolerance: Tolerance, now: float
+    ):
         self.quota = quota
-        self.level = _FIRST_SHARE * quota.burst
+        self.level = tolerance.first_level(quota)
         self.filled_at = now
 
     def fill(self, share: float, now: float) -> None:
@@ -30,8 +57,9 @@
             nodes that may also grant are out of reach.
     """
 
-    def __init__(self):
+    def __init__(self, tolerance: Tolerance = Tolerance()):
         self.share = 1.0
+        self._tolerance = tolerance
         self._buckets: dict[int, _Bucket] = {}
 
     def configure(
@@ -46,7 +74,9 @@
             if workspace.quota is None:
                 continue
             digest = fairness.workspace_hash(name)
-            bucket = known.get(digest) or _Bucket(workspace.quota, now)
+            bucket = known.get(digest) or _Bucket(
+                workspace.quota, self._tolerance, now
+            )
             if bucket.quota != workspace.quota:
                 bucket.fill(self.share, now)
                 bucket.quota = workspace.quota
@@ -78,6 +108,12 @@
         rate = max(self.share * bucket.quota.rate, 1e-9)
         return (needed - bucket.level) / rate
 
+    def give_back(self, workspace: int, cost: int) -> None:
+        """Returns what was charged for a request that is not run."""
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            bucket.level += cost
+
     def level(self, workspace: int) -> float | None:
         """Returns the units left, or None without a quota."""
         bucket = self._buckets.get(workspace)
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -104,6 +104,7 @@
         )
         self._holder.fallback = self._grant_from_share
         self._attempt_budget: tuple[float, float, float] | None = None
+        self._quota_tolerance = quotas.Tolerance()
         self._own_quotas = quotas.QuotaLedger()
         self._owned: dict[ids.GroupId, grants.GroupOwner] = {}
         self._owners: dict[ids.GroupId, ids.NodeId | None] = {}
@@ -132,6 +133,10 @@
         """
         self._attempt_budget = (ratio, slack, window_seconds)
 
+    def set_quota_tolerance(self, tolerance: quotas.Tolerance) -> None:
+        """Tells by how much quotas may be exceeded when owners change."""
+        self._quota_tolerance = tolerance
+
     # Callers.
 
     def submit(self, work: effects.Work, now: float) -> list[effects.Effect]:
@@ -827,6 +832,7 @@
         taken = grants.GroupOwner(group, self._quarantine, now)
         if self._attempt_budget is not None:
             taken.budget = retries.AttemptBudget(*self._attempt_budget)
+        taken.quotas = quotas.QuotaLedger(self._quota_tolerance)
         taken.configure(self._configuration, now)
         taken.await_registers(self._near, now, self.registration_seconds)
         self._owned[group] = taken
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -236,3 +236,19 @@
     assert _tick(holder, 100.9) == []
     found = _tick(holder, 101.0)
     assert any(isinstance(effect, effects.Refuse) for effect in found)
+
+
+def test_refused_request_gives_its_quota_back():
+    """Guards against a burst whose refusals use up the workspace's quota."""
+    quota = declarations.Quota(rate=0.001, burst=1000.0, unit="tokens")
+    owner = _owner(endpoints=1, quota=quota)
+    before = owner.quotas.level(fairness.workspace_hash(_WORKSPACE))
+    late = _ask("r1", prompt=50_000, first_ms=1000, cost=100)
+    (refusal,) = _results(owner.ask(late, "n1", 100.0))
+    assert refusal.kind == errors.ErrorKind.DEADLINE_UNREACHABLE.value
+    for number in range(2):
+        owner.ask(_ask(f"s{number}"), "n1", 100.0)
+    owner.ask(_ask("waits", cost=100), "n1", 100.0)
+    owner.withdraw("waits", "n1", 100.0)
+    level = owner.quotas.level(fairness.workspace_hash(_WORKSPACE))
+    assert level == before
--- a/packages/baobabmux-core/tests/quotas_test.py
+++ b/packages/baobabmux-core/tests/quotas_test.py
@@ -65,3 +65,12 @@
 def test_workspace_without_quota_is_free():
     """Guards against a limit that nobody declared."""
     assert _ledger().take(fairness.workspace_hash("other"), 10**9, 0.0) is None
+
+
+def test_new_owner_starts_with_what_the_tolerance_leaves():
+    """Guards against refusals below the quota after each change of owners."""
+    quota = declarations.Quota(rate=100.0, burst=100.0)
+    wide = quotas.Tolerance(window_seconds=8.0, share=0.1, units=200.0)
+    none = quotas.Tolerance()
+    assert wide.first_level(quota) == 100.0
+    assert none.first_level(quota) == 25.0
