Serve requests that can be on time before those that cannot

Cause: a request waited until its first event was of no use at all, so in a burst the queue grew to that length and most of what was served was late. Ruled out: too few places in use; the engines were full. Change: a request is refused at once if it would be late by the time that the predicted wait is over; one that becomes late while it waits goes behind the others of its tier. A wait is predicted as none while places are free and grants only withheld for a moment.

--- a/packages/baobabmux-core/src/baobabmux_core/effects.py
+++ b/packages/baobabmux-core/src/baobabmux_core/effects.py
@@ -23,6 +23,8 @@
         idempotent: Whether a cancelled or broken run does no harm.
         first_by: Time until which the first event is of use, in seconds, or
             None.
+        target_by: Time until which the first event is on time, in seconds, or
+            None.
         max_attempts: Endpoints that it may be sent to.
         cost: Units of the workspace's quota that it takes.
     """
@@ -40,6 +42,7 @@
     needs_claim: bool = False
     idempotent: bool = True
     first_by: float | None = None
+    target_by: float | None = None
     max_attempts: int = 1
     cost: int = 0
 
--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -42,6 +42,9 @@
         queued_at: Time at which this owner queued it.
         predicted_wait: Seconds that it was expected to wait then.
         suspect: Whether it waits to run in isolation.
+        target_by: Time after which a first event is late, or infinite.
+        late: Whether it can no longer be on time; it then gets what the
+            others of its tier leave.
         first_by: Latest time of a first event that is of use, or infinite.
         passed: Time at which it first let a place go in favour of a warm
             endpoint, or None.
@@ -54,6 +57,7 @@
         "first_by",
         "holder",
         "key",
+        "late",
         "latest_start",
         "passed",
         "predicted_wait",
@@ -62,6 +66,7 @@
         "seconds",
         "short",
         "suspect",
+        "target_by",
         "tokens",
     )
 
@@ -80,6 +85,9 @@
             now + ask.deadline_ms / 1000 if ask.deadline_ms >= 0 else math.inf
         )
         first_ms = ask.terms.first_ms if ask.terms is not None else -1
+        target_ms = ask.terms.target_ms if ask.terms is not None else -1
+        self.target_by = now + target_ms / 1000 if target_ms > 0 else math.inf
+        self.late = False
         self.first_by = now + first_ms / 1000 if first_ms >= 0 else math.inf
         self.tokens = ask.prompt_tokens + ask.output_tokens
         self.short = self.tokens < short_tokens
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -50,6 +50,9 @@
 # Workspaces whose last requests are checked at a time; a check takes time in
 # proportion to all waiting workspaces.
 _CHECKED_WORKSPACES = 8
+# Time of a first event besides the prefill: the dispatch, one step of a full
+# batch and the way back.
+_FIRST_EVENT_SECONDS = 0.1
 # Share of refused requests at which the whole margin on service times is
 # kept, and the weight of one request in that share.
 _PRESSURE = 0.1
@@ -284,6 +287,7 @@
     ) -> list[effects.Effect]:
         """Queues a request, grants it or refuses it."""
         self.last_asked = ask.request
+        self._queue.move_late(now)
         if (member := self._running_at.get(ask.request)) is not None:
             if (
                 member.open
@@ -309,7 +313,7 @@
         if (refused := self._check_deadline(entry, now)) is not None:
             self._refund(ask)
             return [refused]
-        self._queue.add(entry)
+        self._queue.add(entry, self._on_time_start(entry))
         found = self._pump(now) + self._shed(now)
         if entry.queued:
             found += self._acknowledge(ask, holder)
@@ -445,6 +449,7 @@
 
     def tick(self, now: float) -> list[effects.Effect]:
         """Refuses what cannot end in time and grants what waited."""
+        self._queue.move_late(now)
         found = self._refuse_unreachable(now)
         if now >= self._check_at:
             self._check_at = now + _CHECK_SECONDS
@@ -554,6 +559,7 @@
             for member in usable
         ]
         entry.seconds = statistics.fmean(seconds)
+        entry.late = self._on_time_start(entry) < now
         entry.predicted_wait = self._wait_of(entry, now)
         wait = entry.predicted_wait * self._under_pressure(self._wait_margin)
         # Without a wait, an attempt costs nobody else a place.
@@ -569,12 +575,31 @@
             entry.latest_start = min(
                 entry.latest_start, entry.first_by - fastest
             )
+            if now + wait > self._on_time_start(entry) and not entry.late:
+                # Others will use the places until it is late, so it would
+                # only wait in vain.
+                late = now + wait - self._on_time_start(entry)
+                return self._unreachable(entry, late)
         late = now + wait - entry.latest_start
         if late > 0.0:
             return self._unreachable(entry, late)
         self._pressure -= _PRESSURE_WEIGHT * self._pressure
         return None
 
+    def _on_time_start(self, entry: fairness.QueueEntry) -> float:
+        """Returns the latest start at which the first event is on time."""
+        if entry.target_by == math.inf:
+            return math.inf
+        usable = [m for m in self._members.values() if m.open]
+        fastest = min(
+            (
+                member.model.prefill_seconds(entry.ask.prompt_tokens)
+                for member in usable
+            ),
+            default=0.0,
+        )
+        return entry.target_by - fastest - _FIRST_EVENT_SECONDS
+
     def _under_pressure(self, margin: deadlines.ErrorMargin) -> float:
         """Returns the factor on a prediction for admission.
 
@@ -592,8 +617,13 @@
         queues = [q for r, q in self._queue.tiers.items() if r < entry.ask.tier]
         own = self._queue.tiers.get(entry.ask.tier)
         ahead = sum(queue.seconds for queue in queues)
+        waiting = sum(len(queue) for queue in queues)
         if own is not None:
             ahead += own.ahead_seconds(entry)
+            waiting += len(own)
+        if 0 < waiting < self._free_places(usable, now):
+            # Grants are withheld for a moment; all of them have a place.
+            return 0.0
         wait = self._class_wait(entry, ahead, usable, now)
         if not entry.short or wait <= 0.0:
             return wait
@@ -610,6 +640,12 @@
         )
         return min(wait, ahead / slots) if slots else wait
 
+    def _free_places(self, usable: list[_Member], now: float) -> int:
+        return sum(
+            max(0, member.model.limit() - member.model.used(now))
+            for member in usable
+        )
+
     def _class_wait(
         self,
         entry: fairness.QueueEntry,
@@ -736,26 +772,43 @@
         grants: list[effects.Effect] = []
         blocked = _Blocked()
         waiting_above = False
-        for rank in sorted({*self._queue.tiers, *self._queue.suspect_tiers}):
+        for rank in sorted(
+            {
+                *self._queue.tiers,
+                *self._queue.late_tiers,
+                *self._queue.suspect_tiers,
+            }
+        ):
             suspects = self._queue.suspect_tiers.get(rank)
             if suspects and len(suspects) and not waiting_above:
                 grants += self._isolate(suspects, now)
-            queue = self._queue.tiers.get(rank)
-            if queue is None or not len(queue):
-                continue
-            while (found := self._next(queue, blocked, now)) is not None:
-                entry, member = found
-                if member is not None:
-                    grants.append(self._grant(entry, member, now))
+            for tiers in (self._queue.tiers, self._queue.late_tiers):
+                queue = tiers.get(rank)
+                if queue is None or not len(queue) or blocked.short:
                     continue
-                self._drop(entry)
-                grants.append(self._unreachable(entry, entry.seconds))
+                grants += self._grant_queue(queue, blocked, now)
+                waiting_above = waiting_above or len(queue) > 0
             if blocked.short:
                 # A lower tier must not take what this one waits for.
                 break
-            waiting_above = waiting_above or len(queue) > 0
         return grants
 
+    def _grant_queue(
+        self, queue: fairness.TierQueue, blocked: _Blocked, now: float
+    ) -> list[effects.Effect]:
+        """Grants from one queue what has a place."""
+        found = []
+        while (chosen := self._next(queue, blocked, now)) is not None:
+            entry, member = chosen
+            if member is not None:
+                found.append(self._grant(entry, member, now))
+            elif entry.target_by < math.inf and not entry.late:
+                self._queue.set_late(entry)
+            else:
+                self._drop(entry)
+                found.append(self._unreachable(entry, entry.seconds))
+        return found
+
     def _next(
         self, queue: fairness.TierQueue, blocked: _Blocked, now: float
     ) -> tuple[fairness.QueueEntry, _Member | None] | None:
@@ -847,7 +900,8 @@
             cost = end + _RECOMPUTE_WEIGHT * recomputed
             if now + (end - now) * margin > entry.deadline:
                 continue
-            if predicted.first_token > entry.first_by:
+            useful = entry.first_by if entry.late else entry.target_by
+            if predicted.first_token > min(useful, entry.first_by):
                 continue
             in_time = True
             if fits and cost < best_cost:
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -668,11 +668,15 @@
         if not held.has_terms():
             return None
         first_by = held.work.first_by
+        target_by = held.work.target_by
         return messages.AskTerms(
             -1 if first_by is None else max(0, round((first_by - now) * 1000)),
             held.attempts,
             held.avoided,
             0 if held.charged else held.work.cost,
+            -1
+            if target_by is None
+            else max(0, round((target_by - now) * 1000)),
         )
 
     def _dispatch(self, held: Held, now: float) -> list[effects.Effect]:
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -42,12 +42,15 @@
         attempt: Number of this attempt, from 1.
         avoided: Endpoints that an earlier attempt met.
         cost: Units of the workspace's quota that it takes, 0 once charged.
+        target_ms: Milliseconds from the sending until the first event is
+            late, or -1 if that does not matter.
     """
 
     first_ms: int = -1
     attempt: int = 1
     avoided: tuple[ids.EndpointId, ...] = ()
     cost: int = 0
+    target_ms: int = -1
 
 
 class Ask(Message, frozen=True, tag=1):
--- a/packages/baobabmux-core/src/baobabmux_core/queues.py
+++ b/packages/baobabmux-core/src/baobabmux_core/queues.py
@@ -16,17 +16,21 @@
     Attributes:
         tiers: Queues by tier rank, in order of rank.
         suspect_tiers: The same for suspect contents.
+        late_tiers: The same for requests that can no longer be on time.
         entries: All waiting requests by identifier.
         by_content: Waiting requests by content.
     """
 
     def __init__(self):
         self.tiers: dict[int, fairness.TierQueue] = {}
+        self.late_tiers: dict[int, fairness.TierQueue] = {}
         self.suspect_tiers: dict[int, fairness.TierQueue] = {}
         self.entries: dict[ids.RequestId, fairness.QueueEntry] = {}
         self.by_content: dict[ids.ContentDigest, set[ids.RequestId]] = {}
         # By the latest time to start; entries that no longer wait stay in it.
         self._latest: list[tuple[float, int, fairness.QueueEntry]] = []
+        # By the latest time to start on time, in the same way.
+        self._on_time: list[tuple[float, int, fairness.QueueEntry]] = []
         self._weights: dict[int, float] = {}
         self._order = itertools.count()
 
@@ -47,7 +51,9 @@
         """
         waiting = [
             (rank, suspect, queue)
-            for suspect, tiers in enumerate((self.tiers, self.suspect_tiers))
+            for suspect, tiers in enumerate(
+                (self.tiers, self.late_tiers, self.suspect_tiers)
+            )
             for rank, queue in tiers.items()
             if len(queue)
         ]
@@ -75,12 +81,36 @@
                 return entry
         return None
 
-    def add(self, entry: fairness.QueueEntry) -> None:
-        """Adds a request."""
+    def set_late(self, entry: fairness.QueueEntry) -> None:
+        """Lets a waiting request go behind those that can be on time."""
+        self._queue_of(entry).remove(entry)
+        entry.late = True
+        self._queue_of(entry).add(entry)
+
+    def move_late(self, now: float) -> None:
+        """Lets all requests that can no longer be on time go behind."""
+        while self._on_time and self._on_time[0][0] < now:
+            entry = heapq.heappop(self._on_time)[2]
+            if entry.queued and not entry.late and not entry.suspect:
+                self.set_late(entry)
+
+    def add(
+        self, entry: fairness.QueueEntry, on_time_start: float = math.inf
+    ) -> None:
+        """Adds a request.
+
+        Args:
+            entry: The request.
+            on_time_start: Latest time to start it so that it is on time.
+        """
         ask = entry.ask
         self._queue_of(entry).add(entry)
         self.entries[ask.request] = entry
         self.by_content.setdefault(ask.content, set()).add(ask.request)
+        if on_time_start < math.inf:
+            heapq.heappush(
+                self._on_time, (on_time_start, next(self._order), entry)
+            )
         if entry.latest_start < math.inf:
             heapq.heappush(
                 self._latest, (entry.latest_start, next(self._order), entry)
@@ -105,10 +135,16 @@
             del self.by_content[ask.content]
 
     def _all(self) -> list[fairness.TierQueue]:
-        return [*self.tiers.values(), *self.suspect_tiers.values()]
+        return [
+            *self.tiers.values(),
+            *self.late_tiers.values(),
+            *self.suspect_tiers.values(),
+        ]
 
     def _queue_of(self, entry: fairness.QueueEntry) -> fairness.TierQueue:
-        tiers = self.suspect_tiers if entry.suspect else self.tiers
+        tiers = self.late_tiers if entry.late else self.tiers
+        if entry.suspect:
+            tiers = self.suspect_tiers
         queue = tiers.get(entry.ask.tier)
         if queue is not None:
             return queue
--- a/packages/baobabmux-core/src/baobabmux_core/quotas.py
+++ b/packages/baobabmux-core/src/baobabmux_core/quotas.py
@@ -33,6 +33,10 @@
         return min(quota.burst, max(spare, 0.25 * quota.burst))
 
 
+NO_TOLERANCE = Tolerance()
+"""A quota that must not be exceeded."""
+
+
 class _Bucket:
     def __init__(
         self, quota: declarations.Quota, tolerance: Tolerance, now: float
@@ -57,7 +61,7 @@
             nodes that may also grant are out of reach.
     """
 
-    def __init__(self, tolerance: Tolerance = Tolerance()):
+    def __init__(self, tolerance: Tolerance = NO_TOLERANCE):
         self.share = 1.0
         self._tolerance = tolerance
         self._buckets: dict[int, _Bucket] = {}
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -104,7 +104,7 @@
         )
         self._holder.fallback = self._grant_from_share
         self._attempt_budget: tuple[float, float, float] | None = None
-        self._quota_tolerance = quotas.Tolerance()
+        self._quota_tolerance = quotas.NO_TOLERANCE
         self._own_quotas = quotas.QuotaLedger()
         self._owned: dict[ids.GroupId, grants.GroupOwner] = {}
         self._owners: dict[ids.GroupId, ids.NodeId | None] = {}
