Let streams that broke off go on before other requests

Cause: an engine that crashed in a burst left streams whose target had passed; their second attempt was refused at admission and the caller's answer cut. Ruled out: the budget of attempts, which had room. Change: a resumed stream asks with a rank above all tiers, a target of one pause and as long as callers wait for a pause.

--- a/packages/baobabmux-core/src/baobabmux_core/effects.py
+++ b/packages/baobabmux-core/src/baobabmux_core/effects.py
@@ -25,6 +25,7 @@
             None.
         target_by: Time until which the first event is on time, in seconds, or
             None.
+        gap_seconds: Longest pause in a stream that callers expect, or None.
         max_attempts: Endpoints that it may be sent to.
         cost: Units of the workspace's quota that it takes.
     """
@@ -43,6 +44,7 @@
     idempotent: bool = True
     first_by: float | None = None
     target_by: float | None = None
+    gap_seconds: float | None = None
     max_attempts: int = 1
     cost: int = 0
 
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -575,11 +575,12 @@
             entry.latest_start = min(
                 entry.latest_start, entry.first_by - fastest
             )
-            if now + wait > self._on_time_start(entry) and not entry.late:
+            first = ask.terms is not None and ask.terms.attempt == 1
+            on_time = self._on_time_start(entry)
+            if first and now + wait > on_time and not entry.late:
                 # Others will use the places until it is late, so it would
                 # only wait in vain.
-                late = now + wait - self._on_time_start(entry)
-                return self._unreachable(entry, late)
+                return self._unreachable(entry, now + wait - on_time)
         late = now + wait - entry.latest_start
         if late > 0.0:
             return self._unreachable(entry, late)
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -60,6 +60,12 @@
 _SILENT_SECONDS = 1.0
 _FALLBACK_LEASE_SECONDS = 1.0
 
+# A stream that broke off goes on before all other requests: its caller has
+# a part of the answer and gives up after a pause.
+RESUMED_RANK = -1
+# Callers give a stream up after a pause of about eight times what they expect.
+_GIVEN_UP_GAPS = 7.0
+
 # Refusals that another data centre would give too.
 _FINAL_REFUSALS = frozenset(
     {errors.ErrorKind.QUARANTINED, errors.ErrorKind.OVER_QUOTA}
@@ -97,6 +103,8 @@
         charged: Whether its workspace's quota was charged.
         acknowledged: Whether the owner has told that it queued the ask.
         asked_at: Time of the latest ask in seconds.
+        broke_at: Time at which its stream broke off after the first event, or
+            None.
     """
 
     __slots__ = (
@@ -106,6 +114,7 @@
         "asked_at",
         "attempts",
         "avoided",
+        "broke_at",
         "charged",
         "claimed",
         "deadline",
@@ -157,6 +166,19 @@
         self.charged = False
         self.acknowledged = False
         self.asked_at = now
+        self.broke_at: float | None = None
+
+    def target_by(self) -> float | None:
+        """Returns the time after which its next event is late, or None."""
+        if self.broke_at is None or self.work.gap_seconds is None:
+            return self.work.target_by
+        return self.broke_at + self.work.gap_seconds
+
+    def useful_by(self) -> float | None:
+        """Returns the time until which its next event is of use, or None."""
+        if self.broke_at is None or self.work.gap_seconds is None:
+            return self.work.first_by
+        return self.broke_at + _GIVEN_UP_GAPS * self.work.gap_seconds
 
     def has_terms(self) -> bool:
         """Returns whether its asks carry terms, which owners acknowledge."""
@@ -170,9 +192,10 @@
 
     def latest_dispatch(self) -> float:
         """Returns the time after which a dispatch is of no use."""
-        if self.work.first_by is None:
+        useful_by = self.useful_by()
+        if useful_by is None:
             return self.deadline
-        return min(self.deadline, self.work.first_by)
+        return min(self.deadline, useful_by)
 
     def first_repeat(self) -> float:
         """Returns the seconds until an ask is repeated the first time."""
@@ -335,6 +358,8 @@
             return [release, *self._retry(held, now)]
         if self._may_repeat(held, outcome):
             held.attempts += 1
+            if held.first_token is not None:
+                held.broke_at = now
             held.avoided = (*held.avoided, held.endpoint)
             self._requeue(held, now)
             held.first_token = None
@@ -651,7 +676,7 @@
         ask = messages.Ask(
             held.group,
             work.request,
-            work.tier,
+            work.tier if held.broke_at is None else RESUMED_RANK,
             fairness.workspace_hash(work.workspace),
             remaining,
             work.prompt_tokens,
@@ -667,8 +692,8 @@
     def _terms(self, held: Held, now: float) -> messages.AskTerms | None:
         if not held.has_terms():
             return None
-        first_by = held.work.first_by
-        target_by = held.work.target_by
+        first_by = held.useful_by()
+        target_by = held.target_by()
         return messages.AskTerms(
             -1 if first_by is None else max(0, round((first_by - now) * 1000)),
             held.attempts,
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -252,3 +252,33 @@
     owner.withdraw("waits", "n1", 100.0)
     level = owner.quotas.level(fairness.workspace_hash(_WORKSPACE))
     assert level == before
+
+
+def test_broken_stream_goes_on_before_other_requests(holder):
+    """Guards against a caller that loses the answer that it has begun.
+
+    The load is a crash of an engine in a burst: the targets of its streams
+    have passed, and others wait for places.
+    """
+    work = _work(first_by=101.0, target_by=100.8, gap_seconds=0.4)
+    holder.submit(work, _GROUP, 160.0, 100.0)
+    holder.granted(messages.Grant("r", "e1", 3000), "n2", 100.0)
+    holder.start_dispatch("r", 100.0)
+    holder.first_token("r", 100.5)
+    found = holder.finished("r", states.Outcome.BROKEN, 103.0, -1, 50)
+    (ask,) = [e.message for e in found if isinstance(e.message, messages.Ask)]
+    assert ask.tier == holders.RESUMED_RANK
+    assert ask.terms.target_ms == 400
+    assert ask.terms.first_ms == 2800
+    owner = _owner(endpoints=1)
+    for number in range(2):
+        owner.ask(_ask(f"s{number}"), "n1", 103.0)
+    owner.ask(_ask("waits"), "n1", 103.0)
+    owner.ask(ask, "n1", 103.0)
+    done = messages.Release(_GROUP, "s0", "e0", "completed", -1, 9, 9, 9)
+    granted = [
+        message.request
+        for message in _results(owner.release(done, "n1", 103.1))
+        if isinstance(message, messages.Grant)
+    ]
+    assert granted == ["r"]
