--- a/packages/baobabmux-ctl/src/baobabmux_ctl/command.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/command.py
@@ -6,7 +6,7 @@
 
 from absl import flags
 
-from baobabmux_ctl import exits, transport
+from baobabmux_ctl import exits, logfiles, nodes, transport
 
 
 class Command(abc.ABC):
@@ -99,6 +99,26 @@
             "Admin addresses of nodes, IP:PORT separated by commas.",
         )
 
+    def _define_logs(self) -> None:
+        self._define(
+            flags.DEFINE_string,
+            "logs",
+            None,
+            "Folder with log files of nodes, instead of --nodes.",
+        )
+
+    def _request_timelines(
+        self, request: str = "", endpoint: str = "", since_ms: int = 0
+    ) -> nodes.Answers:
+        """Returns events from the nodes or from their log files."""
+        if self.flags.logs:
+            return logfiles.request_timelines(
+                self.flags.logs, request, endpoint, since_ms
+            )
+        return nodes.request_timelines(
+            self._node_addresses(), request, endpoint, since_ms
+        )
+
     def _log_address(self) -> transport.Address:
         if not self.flags.log:
             raise self.usage_error("--log is missing")
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/explain.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/explain.py
@@ -57,7 +57,7 @@
     """Tells a request's life from the events of all nodes."""
 
     name = "explain"
-    usage = "REQUEST --nodes IP:PORT,… [--json]"
+    usage = "REQUEST (--nodes IP:PORT,… | --logs FOLDER) [--json]"
     summary = "Tells what happened to one request, in sentences."
     details = (
         "REQUEST is the identifier that the caller sent or received in the\n"
@@ -69,12 +69,12 @@
     def __init__(self):
         super().__init__()
         self._define_nodes()
+        self._define_logs()
 
     def run(self, arguments: list[str]) -> exits.ExitCode:
         """Prints the story."""
         request = self._exactly(arguments, "request")
-        addresses = self._node_addresses()
-        answers = nodes.request_timelines(addresses, request)
+        answers = self._request_timelines(request)
         nodes.require_some(answers)
         found = timelines.merged(answers)
         if not found:
@@ -84,7 +84,7 @@
                 "(nodes keep recent events only; name all nodes)",
             )
         since_ms = hlc.wall_ms(found[0].hlc)
-        around = nodes.timelines(addresses, since_ms=since_ms)
+        around = self._request_timelines(since_ms=since_ms)
         story = tell(request, found, timelines.merged(around))
         self._print(story, answers.missing)
         return exits.ExitCode.DONE
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/timeline.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/timeline.py
@@ -19,7 +19,8 @@
 
     name = "timeline"
     usage = (
-        "--nodes IP:PORT,… [--request ID] [--endpoint ID] [--node NAME] "
+        "(--nodes IP:PORT,… | --logs FOLDER) [--request ID] "
+        "[--endpoint ID] [--node NAME] "
         "[--since 5m] [--html FILE] [--json]"
     )
     summary = "Shows the recent events of nodes in one order."
@@ -31,6 +32,7 @@
     def __init__(self):
         super().__init__()
         self._define_nodes()
+        self._define_logs()
         text = flags.DEFINE_string
         self._define(text, "request", "", "Only events of this request.")
         self._define(text, "endpoint", "", "Only events of this endpoint.")
@@ -49,8 +51,7 @@
         if arguments:
             raise self.usage_error("expected no argument")
         since_ms = parse_since(self.flags.since, time.time())
-        answers = nodes.request_timelines(
-            self._node_addresses(),
+        answers = self._request_timelines(
             self.flags.request,
             self.flags.endpoint,
             since_ms,
--- /dev/null
+++ b/packages/baobabmux-ctl/tests/logfiles_test.py
@@ -0,0 +1,71 @@
+"""Tests of the story of a request from log files alone."""
+
+import json
+
+import pytest
+
+from baobabmux_core import catalogue, hlc
+from baobabmux_ctl import exits, logfiles, main
+
+_KIND = catalogue.EventKind
+
+
+def _line(milliseconds, kind, node, request, endpoint="", **fields):
+    return json.dumps(
+        {
+            "hlc": hlc.pack(1_700_000_000_000 + milliseconds, 0),
+            "kind": kind.number,
+            "node": node,
+            "request": request,
+            "endpoint": endpoint,
+            "fields": fields,
+            "message_type": "x",
+        }
+    )
+
+
+@pytest.fixture
+def folder(tmp_path):
+    (tmp_path / "n1.log").write_text(
+        '{"event":"listening","node":"n1"}\n'
+        + _line(
+            0,
+            _KIND.REQUEST_RECEIVED,
+            "n1",
+            "n1-1",
+            route="draft",
+            public_id="mine",
+        )
+        + "\n"
+        + _line(9, _KIND.REQUEST_REFUSED, "n1", "n1-1", error="overloaded")
+        + "\nnot a line of a node\n"
+        + _line(12, _KIND.REQUEST_RECEIVED, "n1", "n1-2", public_id="x")[:-9]
+    )
+    (tmp_path / "n2.log").write_text(
+        "  17.25 n2 "
+        + _line(4, _KIND.REQUEST_ASKED, "n2", "n1-1", group="g", holder="n1")
+        + "\n"
+    )
+    return tmp_path
+
+
+def test_story_is_put_together_from_the_files_of_all_nodes(folder, capsys):
+    """Guards against a failed request that nobody can explain later."""
+    code = main.main(["explain", "mine", f"--logs={folder}"])
+    said = capsys.readouterr().out
+    assert code == exits.ExitCode.DONE
+    assert said.index("arrived") < said.index("asks") < said.index("ended with")
+    assert "overloaded" in said
+
+
+def test_filters_hold_for_files(folder):
+    """Guards against a time line that is too long to read."""
+    found = logfiles.request_timelines(str(folder), since_ms=1_700_000_000_005)
+    events = [e for one in found.found.values() for e in one.events]
+    assert [event.kind for event in events] == [_KIND.REQUEST_REFUSED.number]
+
+
+def test_folder_that_is_missing_is_one_clear_line(tmp_path):
+    """Guards against a traceback for a mistyped folder."""
+    with pytest.raises(exits.CommandError, match="cannot be read"):
+        logfiles.request_timelines(str(tmp_path / "gone"))
