Notice silent nodes sooner and leave out endpoints that cannot be reached

Cause: in a cut a silent owner was replaced after 1.5 s, and nodes that granted from their own share tried endpoints of the other side again and again, 0.3 s each. Ruled out: the owner's own breakers, which opened in time. Change: heartbeats each 0.25 s on the platform (a setting elsewhere); an endpoint that could not be connected to is left out of the own share for 1.5 s.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -59,6 +59,9 @@
 # then the node grants from its own share at once.
 _SILENT_SECONDS = 1.0
 _FALLBACK_LEASE_SECONDS = 1.0
+# A data centre that is cut off stays so for seconds, and an attempt to
+# connect costs a request a third of one.
+_UNREACHABLE_SECONDS = 1.5
 
 # A stream that broke off goes on before all other requests: its caller has
 # a part of the answer and gives up after a pause.
@@ -210,6 +213,8 @@
         held: Requests that have not ended, by identifier.
         is_open: Tells whether this node would send an endpoint new work; a
             grant may have been on its way while that changed.
+        unreachable: Endpoints that could not be connected to, with the time
+            until which the own share leaves them out.
         fallback: Chooses an endpoint from the node's own share while the
             owner is silent, or returns None.
     """
@@ -235,6 +240,7 @@
         self._register_at = 0.0
         self._report_at = 0.0
         self._last_tick: float | None = None
+        self.unreachable: dict[ids.EndpointId, float] = {}
         self.fallback: Callable[[Held, float], ids.EndpointId | None] = (
             lambda held, now: None
         )
@@ -355,6 +361,7 @@
         if outcome is states.Outcome.COMPLETED:
             self._learn_rate(held, output_tokens, now)
         if outcome is states.Outcome.NOT_SENT:
+            self.unreachable[held.endpoint] = now + _UNREACHABLE_SECONDS
             return [release, *self._retry(held, now)]
         if self._may_repeat(held, outcome):
             held.attempts += 1
@@ -390,6 +397,7 @@
         if outcome is states.Outcome.REJECTED:
             return True
         return work.idempotent and outcome in (
+            states.Outcome.FAILED,
             states.Outcome.BROKEN,
             states.Outcome.GARBAGE,
         )
--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -142,11 +142,18 @@
         node: Name of this node.
         data_centre: Where this node stands.
         leaving: Whether this node is shutting down.
+        least_interval: Shortest time between two heartbeats to a node in
+            seconds; the same on all nodes.
     """
 
     def __init__(
-        self, node: ids.NodeId, data_centre: ids.DataCentre, now: float
+        self,
+        node: ids.NodeId,
+        data_centre: ids.DataCentre,
+        now: float,
+        least_interval: float = _LEAST_INTERVAL_SECONDS,
     ):
+        self.least_interval = least_interval
         self.node = node
         self.data_centre = data_centre
         self.leaving = False
@@ -380,7 +387,7 @@
         Delegates also send to the delegates elsewhere, at the same total
         rate, so their interval is longer; see `detection_seconds`.
         """
-        return _interval(self._sizes.get(data_centre, 1) - 1)
+        return self._interval(self._sizes.get(data_centre, 1) - 1)
 
     def detection_seconds(self, data_centre: ids.DataCentre) -> float:
         """Returns the longest silence before any member is suspected.
@@ -652,7 +659,7 @@
             for name, size in self._sizes.items()
             if name != data_centre
         )
-        return _interval(self._sizes.get(data_centre, 1) - 1 + others)
+        return self._interval(self._sizes.get(data_centre, 1) - 1 + others)
 
     def _count_sizes(self) -> None:
         # Suspected members count: the interval must not shrink on one side
@@ -675,7 +682,7 @@
             self._targets = self._all_targets(now)
             self._targets_until = now + _TARGETS_SECONDS
         targets = self._targets
-        interval = _interval(len(targets))
+        interval = self._interval(len(targets))
         send_at = {}
         self._due = []
         for index, node in enumerate(targets):
@@ -769,6 +776,9 @@
             if member.data_centre == data_centre and member.state is state
         ]
 
+    def _interval(self, peers: int) -> float:
+        return max(self.least_interval, peers / _HEARTBEATS_PER_SECOND)
+
     def _forget_answers(self) -> None:
         self._live.cache_clear()
         self._owner.cache_clear()
@@ -776,10 +786,6 @@
         self._targets_until = self._ticked_at
 
 
-def _interval(peers: int) -> float:
-    return max(_LEAST_INTERVAL_SECONDS, peers / _HEARTBEATS_PER_SECOND)
-
-
 def _mark_absent(member: _Member, now: float) -> None:
     if member.listed:
         member.listed = False
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -796,6 +796,8 @@
                 continue
             if name in held.avoided:
                 continue
+            if self._holder.unreachable.get(name, 0.0) > now:
+                continue
             places = max(1, math.ceil(endpoint.max_requests / nodes))
             if (used := running.get(name, 0)) >= places:
                 continue
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -40,7 +40,7 @@
 _TICK_SECONDS = 0.05
 # An idle node wakes up less often: its ticks were half of its CPU time.
 _IDLE_TICK_SECONDS = 0.25
-_MEMBERSHIP_SECONDS = 0.25
+_MEMBERSHIP_SECONDS = 0.125
 _METRICS_SECONDS = 1.0
 _LEAVE_GRACE_SECONDS = 0.3
 _CONFIG_ASK_SECONDS = 0.5
@@ -82,7 +82,12 @@
         # Nodes of one cell decide together, so membership and ownership take
         # the cell for their data centre.
         cell = ids.DataCentre(node_settings.cell or node_settings.data_centre)
-        self.membership = membership.Membership(node_settings.node, cell, now)
+        self.membership = membership.Membership(
+            node_settings.node,
+            cell,
+            now,
+            node_settings.heartbeat_seconds,
+        )
         self.scheduler = scheduler.NodeScheduler(
             node_settings.node, cell, self.membership, seed
         )
--- a/packages/baobabmux-node/src/baobabmux_node/settings.py
+++ b/packages/baobabmux-node/src/baobabmux_node/settings.py
@@ -55,6 +55,7 @@
         claim_window_seconds: Greatest age of an idempotency key. Records of
             claims must outlive it, so the retention is longer.
         timeline_events: Events that the time line holds.
+        heartbeat_seconds: Shortest time between two heartbeats to a node.
         cell: Name that the data centres share whose nodes decide together, or
             empty if each data centre decides for itself.
         serve_while_draining: Whether requests on open connections are still
@@ -80,6 +81,7 @@
     log_retention_seconds: float = _RETENTION_SECONDS
     claim_window_seconds: float = _CLAIM_WINDOW_SECONDS
     timeline_events: int = 5_000
+    heartbeat_seconds: float = 0.5
     cell: str = ""
     serve_while_draining: bool = False
     shutdown_seconds: float | None = None
@@ -116,7 +118,7 @@
         "log_retention_seconds": "seconds",
         "claim_window_seconds": "seconds",
     },
-    "peers": {"secret_file": "file"},
+    "peers": {"secret_file": "file", "heartbeat_seconds": "seconds"},
     "shutdown": {
         "announce_seconds": "seconds_or_zero",
         "serve_while_draining": "flag",
