Keep endpoints in use that fail some runs; try streams of guessed length

Change: a failed run (new outcome 'failed') or a lost answer counts into the endpoint's failure share, which makes it cost more; only what cannot be connected to opens the breaker on services without isolation of suspects. A stream's guessed length refuses it only while others wait.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -43,6 +43,10 @@
 _PRESENT_SECONDS = 30.0
 _NO_ENDPOINT_RETRY_SECONDS = 2.0
 _MIN_RETRY_SECONDS = 0.5
+# Weight of one run in the failure share of its endpoint.
+_FAILURE_WEIGHT = 0.1
+# Time that a failed run costs its caller: about that of a second attempt.
+_FAILURE_SECONDS = 1.0
 # A holder that is gone keeps its in-flight work counted at least so long.
 _ORPHAN_SECONDS = 1.0
 # Slow checks of rates and backlog happen this often.
@@ -94,6 +98,8 @@
         self.breaker = breakers.CircuitBreaker()
         self.prefixes = prefixes.PrefixIndex(declared.cache_tokens)
         self.open = True
+        # Recent share of runs that failed or broke off, from 0 to 1.
+        self.failure_share = 0.0
         # Request that this endpoint is kept empty for, because it runs alone.
         self.kept_for: ids.RequestId | None = None
 
@@ -568,6 +574,10 @@
             margin = self._under_pressure(self._service_margin)
         entry.latest_start = entry.deadline - min(seconds) * margin
         if entry.first_by < math.inf:
+            if wait <= 0.0:
+                # The length of a stream is a guess, and a free place costs
+                # nobody else one.
+                entry.latest_start = entry.deadline
             fastest = min(
                 member.model.prefill_seconds(ask.prompt_tokens)
                 for member in usable
@@ -899,7 +909,9 @@
             end = predicted.end
             recomputed = model.prefill_seconds(longest - cached[name])
             cost = end + _RECOMPUTE_WEIGHT * recomputed
-            if now + (end - now) * margin > entry.deadline:
+            cost += _FAILURE_SECONDS * member.failure_share
+            ends_in_time = now + (end - now) * margin <= entry.deadline
+            if not ends_in_time and entry.first_by == math.inf:
                 continue
             useful = entry.first_by if entry.late else entry.target_by
             if predicted.first_token > min(useful, entry.first_by):
@@ -1074,6 +1086,11 @@
         now: float,
     ) -> None:
         """Draws conclusions about endpoint and content from an outcome."""
+        if outcome is not states.Outcome.CANCELLED:
+            good = outcome is states.Outcome.COMPLETED
+            member.failure_share += _FAILURE_WEIGHT * (
+                (not good) - member.failure_share
+            )
         if outcome is states.Outcome.COMPLETED:
             member.breaker.succeeded()
             if self._suspects.clear(run.content, now):
@@ -1083,8 +1100,11 @@
         if outcome is states.Outcome.CANCELLED:
             member.breaker.abandoned(now)
             return
-        if outcome is states.Outcome.REJECTED and not self._isolates():
-            # A full endpoint refuses; that is no failure of it.
+        if not self._isolates() and outcome is not states.Outcome.NOT_SENT:
+            # A full endpoint refuses, a run may fail, and an answer may be
+            # lost while the endpoint serves others. One that is down cannot
+            # be connected to.
+            member.breaker.abandoned(now)
             return
         member.breaker.failed(now)
         if outcome is not states.Outcome.BROKEN or not self._isolates():
--- a/packages/baobabmux-core/src/baobabmux_core/states.py
+++ b/packages/baobabmux-core/src/baobabmux_core/states.py
@@ -34,6 +34,7 @@
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"  # No byte reached the endpoint.
     REJECTED = "rejected"  # The endpoint answered that it did not run it.
+    FAILED = "failed"  # The endpoint answered that its run failed.
     BROKEN = "broken"  # The answer broke off and could not be resumed.
     GARBAGE = "garbage"  # The endpoint's answer violated its protocol.
 
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -3,6 +3,7 @@
 import pytest
 
 from baobabmux_core import (
+    breakers,
     declarations,
     effects,
     errors,
@@ -11,6 +12,7 @@
     holders,
     messages,
     quarantine,
+    scheduler,
     states,
 )
 
@@ -282,3 +284,96 @@
         if isinstance(message, messages.Grant)
     ]
     assert granted == ["r"]
+
+
+def test_endpoint_out_of_reach_is_left_out_of_the_own_share():
+    """Guards against a cut-off side that tries the other side's endpoints.
+
+    The load is a data centre that is cut off from its owner and from most
+    endpoints.
+    """
+
+    class Members:
+        def live(self, centre):
+            return ["n1", "n2"]
+
+        def reachable(self):
+            return ["n1", "n2"]
+
+        def known(self):
+            return 2
+
+        def owner(self, group):
+            return "n2"
+
+        def endpoint_vm_state(self, vm):
+            return states.EndpointState.LIVE
+
+    node = scheduler.NodeScheduler("n1", "cell", Members(), 1)
+    node.configure(_configuration(endpoints=2), 100.0)
+    tried = []
+    for number in range(4):
+        now = 100.0 + number
+        request = f"r{number}"
+        found = node.submit(_work(request, deadline=now + 60.0), now)
+        found += node.tick(now) + node.tick(now + 0.2)
+        dispatched = [
+            effect for effect in found if isinstance(effect, effects.Dispatch)
+        ]
+        (dispatch,) = dispatched
+        tried.append(dispatch.endpoint)
+        assert node.start_dispatch(request, now + 0.2)
+        failed = dispatch.endpoint == "e0"
+        outcome = (
+            states.Outcome.NOT_SENT if failed else (states.Outcome.COMPLETED)
+        )
+        node.finished(request, outcome, now + 0.5)
+        node.cancel(request, now + 0.5)
+    assert tried.count("e0") <= 2
+    assert tried[1] == "e1"
+
+
+def test_endpoint_that_fails_some_runs_is_used_less_and_not_left_out():
+    """Guards against idle places while all endpoints fail part of their runs.
+
+    The load is a service whose replicas all answer some requests with
+    errors, while their health is good.
+    """
+    owner = _owner(endpoints=2)
+    for number in range(10):
+        (grant,) = _results(owner.ask(_ask(f"r{number}"), "n1", 100.0))
+        failed = messages.Release(
+            _GROUP, f"r{number}", grant.endpoint, "failed", -1, 0, 9, 0
+        )
+        owner.release(failed, "n1", 100.0)
+    for number in range(4):
+        found = _results(owner.ask(_ask(f"s{number}"), "n1", 100.0))
+        assert isinstance(found[0], messages.Grant)
+
+
+def test_endpoint_that_cannot_be_connected_to_is_left_out():
+    """Guards against requests that wait for a replica that is down."""
+    owner = _owner(endpoints=2)
+    tried = []
+    for number in range(12):
+        found = _results(owner.ask(_ask(f"r{number}"), "n1", 100.0))
+        tried.append(found[0].endpoint)
+        down = found[0].endpoint == "e0"
+        outcome = "not_sent" if down else "completed"
+        release = messages.Release(
+            _GROUP, f"r{number}", found[0].endpoint, outcome, -1, 9, 9, 9
+        )
+        owner.release(release, "n1", 100.0)
+    assert tried.count("e0") <= 2
+
+
+def test_only_endpoint_that_cannot_be_connected_to_is_tried_rarely():
+    """Guards against a connection for each request to a dead replica."""
+    owner = _owner(endpoints=1)
+    for number in range(2):
+        owner.ask(_ask(f"r{number}"), "n1", 100.0)
+        release = messages.Release(
+            _GROUP, f"r{number}", "e0", "not_sent", -1, 9, 9, 9
+        )
+        owner.release(release, "n1", 100.0)
+    assert owner.breaker("e0").state is breakers.BreakerState.OPEN
--- a/packages/baobabmux-core/tests/late_requests_test.py
+++ b/packages/baobabmux-core/tests/late_requests_test.py
@@ -169,3 +169,14 @@
         burst.step()
     first = "late" if late_tier == 0 else "new"
     assert all(name.startswith(first) for name in burst.granted)
+
+
+def test_long_stream_is_tried_while_places_are_free():
+    """Guards against refusals on a guessed length with idle engines."""
+    burst = _Burst()
+    ask = messages.Ask(
+        _GROUP, "long", 0, 1, 5_000, 100, 1000, (), 1,
+        terms=messages.AskTerms(first_ms=2000, target_ms=800),
+    )  # fmt: skip
+    (grant,) = burst.owner.ask(ask, "n1", burst.now)
+    assert isinstance(grant.message, messages.Grant)
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -247,7 +247,7 @@
                 await connection.read(MAX_BODY_BYTES)
                 await self._keep(call, connection, head)
             return adapters.Result(
-                states.Outcome.BROKEN, f"the endpoint failed: {head.status}"
+                states.Outcome.FAILED, f"the endpoint failed: {head.status}"
             )
         streams = "text/event-stream" in head.headers.get("content-type", "")
         if streams and verdict is Verdict.ANSWER:
