--- a/packages/baobabmux-ctl/src/baobabmux_ctl/explain.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/explain.py
@@ -104,7 +104,7 @@
             seconds = (hlc.wall_ms(event.hlc) - start) / 1000
             output.result(
                 f"  +{seconds:8.3f} s  {event.node}: "
-                f"{sentences.sentence(event)}"
+                f"{sentences.sentence(event)}{sentences.inputs(event)}"
             )
         output.result(f"Conclusion: {story.conclusion}")
 
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/sentences.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/sentences.py
@@ -27,6 +27,22 @@
     return kind.sentence.format_map(fields).strip()
 
 
+def inputs(event: timeline.Event) -> str:
+    """Returns the fields that the sentence leaves out, or the empty string.
+
+    They are what a decision was based on, with ages and versions.
+    """
+    kind = catalogue.by_number(event.kind)
+    if kind is None:
+        return ""
+    rest = [
+        f"{name}={value}"
+        for name, value in event.fields.items()
+        if f"{{{name}}}" not in kind.sentence and value not in ("", None)
+    ]
+    return f" ({', '.join(rest)})" if rest else ""
+
+
 def title(event: timeline.Event) -> str:
     """Returns the name of an event's kind."""
     kind = catalogue.by_number(event.kind)
