Offer keys, hosts, splits, quotas and attempts on the product's own interface

Cause: what the platform needed could be declared but was read by its adapter alone, and the own intake built a route table for each request. Change: the intake matches host and path in a table made once for each configuration, reads API keys, chooses among splits, charges quotas and passes the number of attempts on. A stream that has begun is repeated only where it can be resumed.

--- a/packages/baobabmux-core/src/baobabmux_core/access.py
+++ b/packages/baobabmux-core/src/baobabmux_core/access.py
@@ -15,6 +15,20 @@
             for key in workspace.api_keys
         }
 
+    def bearer(self, authorization: str) -> ids.Workspace | None:
+        """Returns the workspace of an `Authorization` field, or None.
+
+        Args:
+            authorization: Value of the field; only the scheme `Bearer`
+                (RFC 6750) carries a key.
+        """
+        scheme, _, key = authorization.partition(" ")
+        return (
+            self.workspace(key.strip())
+            if scheme.lower() == "bearer"
+            else (None)
+        )
+
     def workspace(self, key: str) -> ids.Workspace | None:
         """Returns the workspace of a key, or None if the key is unknown."""
         return self._workspaces.get(key)
--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -383,6 +383,7 @@
 }
 
 _KINDS = ("engine", "plain")
+_UNITS = ("requests", "tokens")
 _METHODS = ("DELETE", "GET", "PATCH", "POST", "PUT")
 
 # "/" separates section and name in publications, "@" service and data centre
@@ -697,6 +698,7 @@
         )
         keys: dict[str, str] = {}
         for name, workspace in self.parsed["workspace"].items():
+            self._check_quota(name, workspace.quota)
             for key in workspace.api_keys:
                 if keys.setdefault(key, name) != name:
                     self._fail(
@@ -706,6 +708,24 @@
                         "give each workspace its own keys",
                     )
 
+    def _check_quota(self, name: str, quota: Quota | None) -> None:
+        if quota is None:
+            return
+        if quota.unit not in _UNITS:
+            self._fail(
+                "workspace",
+                name,
+                f"quota unit {_quote(quota.unit)} is unknown",
+                f"known: {_names(_UNITS)}",
+            )
+        if not (quota.rate > 0 and quota.burst > 0):
+            self._fail(
+                "workspace",
+                name,
+                "quota rate or burst is not above 0",
+                "leave quota out for no limit",
+            )
+
     def _unique(
         self, section: str, key: str, value: Callable[[Any], Any]
     ) -> None:
--- a/packages/baobabmux-core/src/baobabmux_core/effects.py
+++ b/packages/baobabmux-core/src/baobabmux_core/effects.py
@@ -26,6 +26,8 @@
         target_by: Time until which the first event is on time, in seconds, or
             None.
         gap_seconds: Longest pause in a stream that callers expect, or None.
+        resumable: Whether another endpoint may go on with a stream that has
+            begun.
         max_attempts: Endpoints that it may be sent to.
         cost: Units of the workspace's quota that it takes.
     """
@@ -45,6 +47,7 @@
     first_by: float | None = None
     target_by: float | None = None
     gap_seconds: float | None = None
+    resumable: bool = False
     max_attempts: int = 1
     cost: int = 0
 
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -396,6 +396,9 @@
             return False
         if outcome is states.Outcome.REJECTED:
             return True
+        if held.first_token is not None and not work.resumable:
+            # The caller has a part of the answer already.
+            return False
         return work.idempotent and outcome in (
             states.Outcome.FAILED,
             states.Outcome.BROKEN,
--- a/packages/baobabmux-core/src/baobabmux_core/quotas.py
+++ b/packages/baobabmux-core/src/baobabmux_core/quotas.py
@@ -53,6 +53,21 @@
         self.level = min(ceiling, self.level + gained)
 
 
+def cost(share: declarations.WorkspaceShare | None, tokens: int | None) -> int:
+    """Returns the units that a request takes of its workspace's quota.
+
+    Args:
+        share: Declaration of the workspace, or None.
+        tokens: Prompt tokens and longest answer together, or None if the
+            request does not tell.
+    """
+    if share is None or share.quota is None:
+        return 0
+    if share.quota.unit != "tokens":
+        return 1
+    return share.quota.plain_tokens if tokens is None else tokens
+
+
 class QuotaLedger:
     """Token buckets of the workspaces.
 
--- a/packages/baobabmux-core/tests/declarations_test.py
+++ b/packages/baobabmux-core/tests/declarations_test.py
@@ -152,3 +152,22 @@
         tables.setdefault(section, {}).update(entries)
     (error,) = declarations.parse(tables, known=known).error
     assert expected in str(error)
+
+
+def test_wrong_quota_and_doubled_key_are_told():
+    """Guards against a key that names two workspaces."""
+    tables = {
+        "tier": {"tender": {"rank": 0}},
+        "preset": {"ordinary": {}},
+        "active": {"preset": {"name": "ordinary"}},
+        "workspace": {
+            "a": {"api_keys": ["k"]},
+            "b": {
+                "api_keys": ["k"],
+                "quota": {"rate": 0, "burst": 1, "unit": "words"},
+            },
+        },
+    }
+    errors = [str(error) for error in declarations.parse(tables).error]
+    assert len(errors) == 3
+    assert all('workspace "b"' in error for error in errors)
--- a/packages/baobabmux-node/src/baobabmux_node/intake.py
+++ b/packages/baobabmux-node/src/baobabmux_node/intake.py
@@ -7,12 +7,15 @@
 import xxhash
 
 from baobabmux_core import (
+    access,
     declarations,
     effects,
     errors,
     ids,
     keys,
     prefixes,
+    quotas,
+    routing,
 )
 from baobabmux_node import adapters, held, server
 
@@ -47,6 +50,9 @@
     def __init__(
         self, node: ids.NodeId, incarnation: int, window_seconds: float
     ):
+        self._routed: declarations.Configuration | None = None
+        self._routes = routing.RouteTable({})
+        self._keys = access.KeyTable({})
         self.node = node
         self.window_seconds = window_seconds
         self.incarnation = incarnation
@@ -80,7 +86,12 @@
             RequestError: The request is refused.
             PeerGoneError: The caller went away.
         """
-        matched = configuration.match_route(exchange.path)
+        if configuration is not self._routed:
+            self._routed = configuration
+            self._routes = routing.RouteTable(configuration.routes)
+            self._keys = access.KeyTable(configuration.workspaces)
+        host = exchange.headers.get("host", "")
+        matched = self._routes.match(host, exchange.path)
         if matched is None:
             raise server.RequestError(
                 errors.ErrorKind.NO_ROUTE, f"no route matches {exchange.path}"
@@ -92,9 +103,7 @@
                 f"{exchange.method} is not in {', '.join(route.methods)}",
             )
         public_id = _identifier(exchange, REQUEST_ID)
-        workspace = ids.Workspace(
-            _identifier(exchange, WORKSPACE) or _DEFAULT_WORKSPACE
-        )
+        workspace = self._workspace(exchange, route)
         deadline = now + _deadline_seconds(exchange, route)
         await exchange.read_body(route.max_body_bytes)
         request = self.next_request()
@@ -104,27 +113,34 @@
         key, key_time_ms = _key(
             exchange, name, route, workspace, now_ms, window_seconds
         )
-        service = configuration.services[route.service]
+        chosen = routing.choose_service(route, public_id or request)
+        service = configuration.services[chosen]
         completion = (
             _completion(exchange.body) if service.kind == "engine" else None
         )
+        prompt = _prompt_tokens(exchange.body, completion)
+        output = _output_tokens(route, completion)
+        share = configuration.workspaces.get(workspace)
         work = effects.Work(
             request=request,
             route=name,
-            service=route.service,
+            service=chosen,
             tier=configuration.tier_rank(route),
             workspace=workspace,
             deadline=deadline,
-            prompt_tokens=_prompt_tokens(exchange.body, completion),
-            output_tokens=_output_tokens(route, completion),
+            prompt_tokens=prompt,
+            output_tokens=output,
             prefixes=(
                 prefixes.digest_prompt(completion.prompt.encode())
                 if completion
                 else ()
             ),
             content=content_digest(name, exchange),
-            needs_claim=not route.idempotent,
+            needs_claim=not route.idempotent and route.claims,
             idempotent=route.idempotent,
+            resumable=route.resumable,
+            max_attempts=route.max_attempts,
+            cost=quotas.cost(share, prompt + output if completion else None),
         )
         return held.Caller(
             request=request,
@@ -134,7 +150,9 @@
             workspace=workspace,
             method=exchange.method,
             target=exchange.target,
-            headers=_endpoint_headers(exchange, request, public_id),
+            headers=_endpoint_headers(
+                exchange, request, public_id, keyed=not route.anonymous
+            ),
             body=_engine_body(exchange.body) if completion else exchange.body,
             streaming=completion is not None and completion.stream,
             key=key,
@@ -143,6 +161,21 @@
             arrived=now,
         )
 
+    def _workspace(
+        self, exchange: server.Exchange, route: declarations.Route
+    ) -> ids.Workspace:
+        if route.anonymous:
+            return ids.Workspace(
+                _identifier(exchange, WORKSPACE) or _DEFAULT_WORKSPACE
+            )
+        found = self._keys.bearer(exchange.headers.get("authorization", ""))
+        if found is None:
+            raise server.RequestError(
+                errors.ErrorKind.KEY_UNKNOWN,
+                "send an API key as Authorization: Bearer KEY",
+            )
+        return found
+
 
 def content_digest(
     route: ids.RouteName, exchange: server.Exchange
@@ -191,7 +224,7 @@
 ) -> tuple[ids.KeyHash | None, int]:
     text = exchange.headers.get(IDEMPOTENCY_KEY)
     if text is None:
-        if not route.idempotent:
+        if not route.idempotent and route.claims:
             raise server.RequestError(
                 errors.ErrorKind.KEY_REQUIRED,
                 f"send the header {IDEMPOTENCY_KEY}",
@@ -240,12 +273,25 @@
 
 
 def _endpoint_headers(
-    exchange: server.Exchange, request: ids.RequestId, public_id: str
+    exchange: server.Exchange,
+    request: ids.RequestId,
+    public_id: str,
+    *,
+    keyed: bool,
 ) -> dict[str, str]:
+    """Returns the fields for the endpoint.
+
+    Args:
+        exchange: The caller's request.
+        request: Identifier in the system.
+        public_id: Identifier that the caller gave, or empty.
+        keyed: Whether the caller's API key was read here; it is then not
+            passed on.
+    """
     passed = {
         name: value
         for name, value in adapters.end_to_end(exchange.headers).items()
-        if name not in _OWN_HEADERS
+        if name not in _OWN_HEADERS and not (keyed and name == "authorization")
     }
     return {
         **passed,
