--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -35,6 +35,11 @@
 # most likely ended.
 _ENDED_SECONDS = 20.0
 
+# Frames of a former incarnation do not arrive so late after the last frame of
+# the next one; a lower incarnation is then a start after the VM's clock was
+# set back.
+_OLD_FRAMES_SECONDS = 3.0
+
 # Members that are gone are remembered so that a late frame does not bring
 # them back, and forgotten so that replaced VMs do not fill the memory.
 _FORGET_SECONDS = 600.0
@@ -237,9 +242,10 @@
         if member is None:
             member = _Member(node, now, absent_since=now)
             self._members[node] = member
-        if incarnation < member.incarnation:
+        stepped_back = member.silence(now) > _OLD_FRAMES_SECONDS
+        if incarnation < member.incarnation and not stepped_back:
             return
-        restarted = -1 < member.incarnation < incarnation
+        restarted = -1 < member.incarnation != incarnation
         if restarted:
             member.leaving = False
         member.incarnation = incarnation
--- a/packages/baobabmux-node/src/baobabmux_node/admin.py
+++ b/packages/baobabmux-node/src/baobabmux_node/admin.py
@@ -1,13 +1,12 @@
 """Admin listener: health, metrics, status, time line and drain."""
 
-import time
 import urllib.parse
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from baobabmux_core import catalogue, errors, ids
-from baobabmux_node import responses, server, status
+from baobabmux_node import clock, responses, server, status
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -81,7 +80,7 @@
     def _status(self, exchange: server.Exchange) -> responses.Response:
         del exchange
         host = self._host
-        now = time.monotonic()
+        now = clock.now()
         active = host.configuration and host.configuration.active
         return responses.json(
             {
@@ -146,7 +145,7 @@
         )
         await host.driver.apply(
             host.scheduler.drain_endpoint(
-                order.endpoint, order.drain, time.monotonic()
+                order.endpoint, order.drain, clock.now()
             )
         )
 
--- a/packages/baobabmux-node/src/baobabmux_node/answers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/answers.py
@@ -1,7 +1,6 @@
 """Repeated sends: each meets the first request with its key."""
 
 import collections
-import time
 from typing import TYPE_CHECKING
 
 import curio
@@ -18,7 +17,7 @@
     rendezvous,
     states,
 )
-from baobabmux_node import adapters, held, sinks
+from baobabmux_node import adapters, clock, held, sinks
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -188,7 +187,7 @@
                 continue
             self._registered[attempt] = (ask, home)
             if home == own:
-                self.registry.register(ask, own, time.monotonic())
+                self.registry.register(ask, own, clock.now())
             else:
                 self._host.peers.enqueue(home, ask)
 
@@ -242,9 +241,7 @@
                 if not await self._host.ports.claims.answered(message):
                     self._host.metrics.stray_answers.inc()
             case messages.KeyAsk():
-                answer = self.registry.register(
-                    message, sender, time.monotonic()
-                )
+                answer = self.registry.register(message, sender, clock.now())
                 self._host.peers.enqueue(sender, answer)
             case messages.KeyAnswer():
                 waiting = self._key_replies.get(message.attempt)
@@ -292,7 +289,7 @@
         """Registers a key at its home; None if the home does not answer."""
         own = self._host.settings.node
         if home == own:
-            return self.registry.register(ask, own, time.monotonic())
+            return self.registry.register(ask, own, clock.now())
         replies: curio.Queue = curio.Queue()
         self._key_replies[ask.attempt] = replies
         try:
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -2,13 +2,13 @@
 
 import abc
 import contextlib
-import time
 
 import curio
 
 from baobabmux_core import effects, errors, ids, states
 from baobabmux_node import (
     adapters,
+    clock,
     held,
     protocols,
     responses,
@@ -152,7 +152,7 @@
         if self._sink is None:
             self._sink = self._make_sink(caller.route.streaming, kind)
         self._attempts += 1
-        now = time.monotonic()
+        now = clock.now()
         ends = caller.arrived + caller.route.timeout_seconds
         if caller.work.deadline is not None:
             ends = min(ends, caller.work.deadline)
--- a/packages/baobabmux-node/src/baobabmux_node/claim_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/claim_service.py
@@ -4,7 +4,6 @@
 their claims to one of them; when it does not answer, they append themselves.
 """
 
-import time
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -18,7 +17,7 @@
     messages,
     states,
 )
-from baobabmux_node import log_service
+from baobabmux_node import clock, log_service
 
 PARTITIONS = 4
 """Streams that claims are spread over, by key."""
@@ -124,10 +123,10 @@
         """
         answers: curio.Queue = curio.Queue()
         self._waiting[entry.attempt] = answers
-        started = time.monotonic()
+        started = clock.now()
         try:
             for tries, batcher in enumerate(self._batchers(entry.key)):
-                left = started + _CLAIM_TIMEOUT_SECONDS - time.monotonic()
+                left = started + _CLAIM_TIMEOUT_SECONDS - clock.now()
                 if left <= 0:
                     break
                 answer = await self._ask(
@@ -144,7 +143,7 @@
     async def withdraw(self, key: ids.KeyHash, attempt: ids.AttemptId) -> None:
         """Withdraws a claim that will never run; kept through an outage."""
         partition = await self._partition(key)
-        partition.batcher.withdraw(key, attempt, time.monotonic())
+        partition.batcher.withdraw(key, attempt, clock.now())
         await partition.queued.set()
 
     async def record_outcome(
@@ -157,7 +156,7 @@
         """Records how a claimed request ended; kept through an outage."""
         partition = await self._partition(key)
         partition.batcher.record_outcome(
-            key, attempt, status, answer, time.monotonic()
+            key, attempt, status, answer, clock.now()
         )
         await partition.queued.set()
 
@@ -189,8 +188,8 @@
 
     async def settle(self, timeout: float = 5.0) -> None:
         """Waits until outcomes and withdrawals are in the log."""
-        end = time.monotonic() + timeout
-        while time.monotonic() < end and any(
+        end = clock.now() + timeout
+        while clock.now() < end and any(
             partition.batcher.busy for partition in self._partitions.values()
         ):
             await curio.sleep(_BATCH_POLL_SECONDS)
@@ -227,7 +226,7 @@
     ) -> None:
         if not partition.caught_up:
             await self._catch_up(partition)
-        answers = partition.batcher.ask(entry, time.monotonic())
+        answers = partition.batcher.ask(entry, clock.now())
         await partition.queued.set()
         await self._deliver(answers)
 
@@ -268,7 +267,7 @@
             except log_service.LogError:
                 partition.caught_up = False
                 partition.failures += 1
-                answers = partition.batcher.failed(time.monotonic())
+                answers = partition.batcher.failed(clock.now())
                 await self._deliver(answers)
                 await curio.sleep(_LOG_RETRY_SECONDS)
 
@@ -287,9 +286,7 @@
         records = [msgspec.structs.asdict(item) for item in page.records]
         # A full page says nothing about the end of the stream.
         end = page.next if len(records) < _PAGE_RECORDS else None
-        answers = partition.batcher.read(
-            records, time.monotonic(), end, page.first
-        )
+        answers = partition.batcher.read(records, clock.now(), end, page.first)
         partition.caught_up = end is not None
         partition.failures = 0
         await self._deliver(answers)
@@ -298,7 +295,7 @@
         """Appends batches while the partition is in use."""
         batcher = partition.batcher
         while True:
-            record = batcher.next_batch(time.monotonic())
+            record = batcher.next_batch(clock.now())
             if record is None:
                 if batcher.busy:
                     await curio.sleep(_BATCH_POLL_SECONDS)
@@ -311,7 +308,7 @@
             except log_service.LogError:
                 offset = None
                 await curio.sleep(_LOG_RETRY_SECONDS)
-            batcher.appended(offset, time.monotonic())
+            batcher.appended(offset, clock.now())
             if offset is None:
                 await self._resolve(partition)
 
--- a/packages/baobabmux-node/src/baobabmux_node/config_follower.py
+++ b/packages/baobabmux-node/src/baobabmux_node/config_follower.py
@@ -1,7 +1,6 @@
 """Follows the configuration on the log and among peers."""
 
 import random
-import time
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -15,7 +14,7 @@
     retries,
     streams,
 )
-from baobabmux_node import log_service, ports, wall_clock
+from baobabmux_node import clock, log_service, ports, wall_clock
 
 STREAM = "config"
 _LONG_POLL_SECONDS = 8.0
@@ -79,7 +78,7 @@
                 await curio.sleep(delay)
                 continue
             failures = 0
-            self.log_reached_at = time.monotonic()
+            self.log_reached_at = clock.now()
             await self._fold(page)
 
     async def adopt(self, message: messages.ConfigState) -> bool:
--- a/packages/baobabmux-node/src/baobabmux_node/driver.py
+++ b/packages/baobabmux-node/src/baobabmux_node/driver.py
@@ -7,6 +7,7 @@
 import curio
 
 from baobabmux_core import catalogue, effects, errors, ids, messages
+from baobabmux_node import clock
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -38,7 +39,7 @@
                     self.record_message(to, to, effect.message)
                     queue.extend(
                         self._host.scheduler.receive(
-                            to, effect.message, time.monotonic()
+                            to, effect.message, clock.now()
                         )
                     )
                 case effects.Send():
@@ -82,7 +83,7 @@
             self._host.scheduler.claim_decided(
                 name,
                 won,
-                time.monotonic(),
+                clock.now(),
                 kind=kind,
                 retry_after=retry_after,
             )
@@ -114,9 +115,7 @@
                     message.request,
                     message.endpoint,
                     holder=to,
-                    **self._host.scheduler.facts(
-                        message.request, time.monotonic()
-                    ),
+                    **self._host.scheduler.facts(message.request, clock.now()),
                 )
             case messages.Refusal() if sender == own:
                 self._host.events.record(
@@ -126,9 +125,7 @@
                     holder=to,
                     retry_after_ms=message.retry_after_ms,
                     config=self._host.config.version,
-                    **self._host.scheduler.facts(
-                        message.request, time.monotonic()
-                    ),
+                    **self._host.scheduler.facts(message.request, clock.now()),
                 )
             case messages.Release() if to == own:
                 self._host.events.record(
--- a/packages/baobabmux-node/src/baobabmux_node/endpoint_reports.py
+++ b/packages/baobabmux-node/src/baobabmux_node/endpoint_reports.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from baobabmux_core import ids
-from baobabmux_node import client
+from baobabmux_node import client, clock
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -107,7 +107,7 @@
     async def _take_load(
         self, endpoint: ids.EndpointId, report: LoadReport
     ) -> None:
-        now = time.monotonic()
+        now = clock.now()
         age = max(0.0, time.time() - report.as_of_ms / 1000)
         await self._host.driver.apply(
             self._host.scheduler.load_report(
@@ -121,7 +121,7 @@
         )
 
     def _take_events(self, endpoint: ids.EndpointId, page: CacheEvents) -> None:
-        now = time.monotonic()
+        now = clock.now()
         for event in page.events:
             self._host.scheduler.cache_event(
                 endpoint,
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -1,7 +1,6 @@
 """One node: connects the decisions in the core with sockets and clocks."""
 
 import signal
-import time
 import zlib
 from collections.abc import Callable
 
@@ -22,6 +21,7 @@
 from baobabmux_node import (
     admin,
     answers,
+    clock,
     driver,
     events,
     logs,
@@ -77,7 +77,7 @@
         self.events = events.EventRecorder(
             node_settings.node, node_settings.timeline_events
         )
-        now = self._started = time.monotonic()
+        now = self._started = clock.now()
         seed = zlib.crc32(node_settings.node.encode())
         # Nodes of one cell decide together, so membership and ownership take
         # the cell for their data centre.
@@ -130,7 +130,7 @@
     # Messages from other nodes.
 
     async def _receive(self, frame: messages.Frame) -> None:
-        now = time.monotonic()
+        now = clock.now()
         self.events.heard(frame.hlc)
         self._note_sender(frame, now)
         decided: list[effects.Effect] = []
@@ -220,7 +220,7 @@
             return
         self.configuration = self.ports.effective(declared)
         await self.driver.apply(
-            self.scheduler.configure(self.configuration, time.monotonic())
+            self.scheduler.configure(self.configuration, clock.now())
         )
 
     def _caller_limits(
@@ -253,7 +253,7 @@
         self._send_heartbeats(self.membership.heartbeat_targets(now))
 
     def _send_heartbeats(self, targets: list[ids.NodeId]) -> None:
-        now = time.monotonic()
+        now = clock.now()
         for target in targets:
             heartbeat = messages.Heartbeat(
                 self.draining,
@@ -331,14 +331,14 @@
                 self.peers.enqueue(node, messages.ConfigAsk(-1))
 
     async def _run_timers(self) -> None:
-        now = time.monotonic()
+        now = clock.now()
         self.timers.once(now + _TICK_SECONDS, self._tick_scheduler)
         self.timers.every(_MEMBERSHIP_SECONDS, now, self._tick_membership)
         self.timers.every(_METRICS_SECONDS, now, self._update_gauges)
         self.timers.every(_CONFIG_ASK_SECONDS, now, self._ask_for_configuration)
         stopping = False
         while True:
-            started = time.monotonic()
+            started = clock.now()
             self.timers.run_due(started)
             if self.lines is not None:
                 self.lines.flush()
@@ -349,8 +349,8 @@
                 stopping = True
                 await self._jobs.spawn(self._shut_down)
             due = self.timers.next_due() or started
-            await curio.sleep(max(due - time.monotonic(), 0.001))
-            pause = time.monotonic() - max(due, started)
+            await curio.sleep(max(due - clock.now(), 0.001))
+            pause = clock.now() - max(due, started)
             if pause > _PAUSE_SECONDS:
                 self.events.record(Kind.PAUSE_NOTICED, seconds=round(pause, 1))
 
@@ -411,7 +411,7 @@
             return False
         # Before it knows its peers a node would take owners and homes of
         # keys for its own; a list or peer out of reach delays it only so long.
-        waited = time.monotonic() - self._started
+        waited = clock.now() - self._started
         return self.membership.settled() or waited > _SETTLE_SECONDS
 
     def _request_reload(self, signum, frame) -> None:
@@ -434,7 +434,7 @@
         Every held request has a route timeout, so the wait is bounded by the
         longest one.
         """
-        now = time.monotonic()
+        now = clock.now()
         self.draining = True
         self.events.record(Kind.SHUTDOWN_STARTED, held=len(self.callers.held))
         self.membership.leave(now)
@@ -445,7 +445,7 @@
         self._caller_server.finish()
         limit = self.settings.shutdown_seconds
         while self.callers.held or self._caller_server.busy:
-            if limit is not None and time.monotonic() - now >= limit:
+            if limit is not None and clock.now() - now >= limit:
                 break
             await curio.sleep(_TICK_SECONDS)
         await self.ports.settle()
--- a/packages/baobabmux-node/src/baobabmux_node/order_service.py
+++ b/packages/baobabmux-node/src/baobabmux_node/order_service.py
@@ -1,13 +1,12 @@
 """Sends orders to the endpoints of the data centre under a lease."""
 
-import time
 from typing import TYPE_CHECKING
 
 import curio
 import msgspec
 
 from baobabmux_core import catalogue, ids, orders, rendezvous
-from baobabmux_node import client, log_service, wall_clock
+from baobabmux_node import client, clock, log_service, wall_clock
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -65,7 +64,7 @@
             except log_service.LogError:
                 await curio.sleep(_LOG_RETRY_SECONDS)
                 continue
-            now = time.monotonic()
+            now = clock.now()
             for record in page.records:
                 desk.apply(record.offset, record.data, record.time_ms, now)
 
@@ -74,7 +73,7 @@
         snapshot_at = 0.0
         while True:
             await curio.sleep(_STEP_SECONDS)
-            now = time.monotonic()
+            now = clock.now()
             if self._is_first() and self.desk.has_desired():
                 await self._append(self.desk.ask_lease(now))
                 if now >= snapshot_at:
@@ -88,7 +87,7 @@
 
     async def release(self) -> None:
         """Gives the lease up for a graceful shutdown."""
-        await self._append(self.desk.release(time.monotonic()))
+        await self._append(self.desk.release(clock.now()))
 
     def _is_first(self) -> bool:
         host = self._host
@@ -122,7 +121,7 @@
         try:
             async with curio.timeout_after(orders.ORDER_TIMEOUT_SECONDS):
                 await connection.connect(2.0)
-                if not self.desk.start(order, time.monotonic()):
+                if not self.desk.start(order, clock.now()):
                     return
                 self._host.events.record(
                     Kind.ORDER_SENT,
@@ -139,12 +138,12 @@
                 head = await connection.head()
             self._conclude(order, head)
         except (curio.TaskTimeout, client.ClientError):
-            self.desk.failed(order, time.monotonic())
+            self.desk.failed(order, clock.now())
         finally:
             await connection.close()
 
     def _conclude(self, order: orders.Order, head: client.Head) -> None:
-        now = time.monotonic()
+        now = clock.now()
         if head.status in (200, 201, 202):
             self.desk.applied(order, now)
         elif head.status == 409:
@@ -167,7 +166,7 @@
                 state = _subjects(read.endpoint, decoded)
         except (client.ClientError, msgspec.DecodeError, ValueError):
             state = None
-        self.desk.state_read(read, state, time.monotonic())
+        self.desk.state_read(read, state, clock.now())
 
     def _address(self, endpoint: ids.EndpointId) -> str:
         return self._host.callers.endpoint(endpoint)[1]
--- a/packages/baobabmux-node/src/baobabmux_node/own_ports.py
+++ b/packages/baobabmux-node/src/baobabmux_node/own_ports.py
@@ -1,6 +1,5 @@
 """The ports of a node that runs on the product's own interfaces."""
 
-import time
 import zlib
 from typing import TYPE_CHECKING
 
@@ -9,6 +8,7 @@
 from baobabmux_core import catalogue, declarations, rendezvous
 from baobabmux_node import (
     claim_service,
+    clock,
     config_follower,
     endpoint_reports,
     intake,
@@ -97,10 +97,10 @@
         reader = vms.VmListClient(str(settings.vms), settings.data_centre)
         reachable = True
         while True:
-            listed = await reader.fetch(time.monotonic())
+            listed = await reader.fetch(clock.now())
             if listed is not None:
                 self._host.membership.vm_list(
-                    listed.vms, listed.as_of_ms / 1000, time.monotonic()
+                    listed.vms, listed.as_of_ms / 1000, clock.now()
                 )
             if (listed is not None) != reachable:
                 reachable = listed is not None
--- a/packages/baobabmux-node/src/baobabmux_node/peers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -1,6 +1,5 @@
 """Frames between nodes over pynng, driven by curio's loop."""
 
-import time
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -9,7 +8,7 @@
 from pynng import _nng
 
 from baobabmux_core import ids, messages
-from baobabmux_node import wall_clock
+from baobabmux_node import clock, wall_clock
 
 _SEND_BUFFER_FRAMES = 64
 _RECEIVE_BUFFER_FRAMES = 1024
@@ -220,5 +219,5 @@
         # A blocking dial would log a traceback when the peer is not up.
         socket.dial(f"tcp://{address}", block=False)
         self._push[to] = (address, socket)
-        self._sent[to] = _Sent(self._sequence + 1, time.monotonic())
+        self._sent[to] = _Sent(self._sequence + 1, clock.now())
         return socket
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -6,13 +6,12 @@
 import enum
 import itertools
 import re
-import time
 
 import curio
 import msgspec
 
 from baobabmux_core import ids, states
-from baobabmux_node import adapters, client
+from baobabmux_node import adapters, client, clock
 
 # A handshake takes a few milliseconds; an endpoint whose first packet is lost
 # or that has gone dark is given up in favour of another one.
@@ -163,7 +162,7 @@
         self._connection = connection
 
     async def run(self) -> None:
-        while (left := self.due - time.monotonic()) > 0:
+        while (left := self.due - clock.now()) > 0:
             await curio.sleep(min(left, _WATCH_SECONDS))
         self.expired = True
         self._connection.shut()
@@ -188,7 +187,7 @@
         if call.repeatable:
             # A connection that the endpoint has just dropped leaves open
             # whether the request was run, so only these may meet one.
-            connection = await self.pool.take(call.endpoint, time.monotonic())
+            connection = await self.pool.take(call.endpoint, clock.now())
         if connection is None:
             connection = client.ClientConnection(call.address, None)
             self.pool.opened += 1
@@ -202,7 +201,7 @@
                 )
             if call.repeatable:
                 first = self._dialect.patience(call).first_seconds
-                watch = _Watch(connection, time.monotonic() + first)
+                watch = _Watch(connection, clock.now() + first)
                 watcher = await curio.spawn(watch.run, daemon=True)
             return await self._exchange(call, sink, connection, watch)
         except client.ClientError as error:
@@ -266,7 +265,7 @@
 
     async def _keep(self, call, connection, head) -> None:
         connection.kept = True
-        await self.pool.put(call.endpoint, connection, head, time.monotonic())
+        await self.pool.put(call.endpoint, connection, head, clock.now())
 
     async def _relay_events(self, call, sink, connection, watch, head) -> None:
         """Passes whole events on, each number once."""
@@ -286,7 +285,7 @@
             if not events:
                 continue
             if watch is not None:
-                watch.due = time.monotonic() + gap
+                watch.due = clock.now() + gap
             await sink.head(head.status, headers)
             await sink.data(events)
             sink.progress(sink.tokens + count * tokens_each)
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -1,12 +1,12 @@
 """Serves callers: from the arrival of a request to its final answer."""
 
-import time
 from typing import TYPE_CHECKING
 
 from baobabmux_core import catalogue, errors, ids, states
 from baobabmux_node import (
     adapters,
     callers,
+    clock,
     held,
     server,
     sinks,
@@ -72,7 +72,7 @@
                 errors.ErrorKind.OVERLOADED, "the node holds too many requests"
             )
         return await self.protocol.accept(
-            exchange, configuration, time.monotonic(), wall_clock.unix_ms()
+            exchange, configuration, clock.now(), wall_clock.unix_ms()
         )
 
     async def admit(self, request: held.HeldRequest) -> None:
@@ -97,15 +97,15 @@
             await request.decide(repeat)
             return
         await self._driver.apply(
-            self._host.scheduler.submit(caller.work, time.monotonic())
+            self._host.scheduler.submit(caller.work, clock.now())
         )
 
     def permit(self, request: held.HeldRequest) -> bool:
         """Takes the one-way step before the first byte."""
         name = request.caller.request
-        permitted = self._host.scheduler.start_dispatch(name, time.monotonic())
+        permitted = self._host.scheduler.start_dispatch(name, clock.now())
         kind = Kind.REQUEST_DISPATCHED if permitted else Kind.DISPATCH_FORBIDDEN
-        now = time.monotonic()
+        now = clock.now()
         if permitted:
             self._host.metrics.waiting.labels(
                 request.caller.route.tier
@@ -135,7 +135,7 @@
     def progress(self, request: held.HeldRequest, tokens: int) -> None:
         """Tells the scheduler of output tokens."""
         name = request.caller.request
-        now = time.monotonic()
+        now = clock.now()
         if not request.first_token_seen:
             request.first_token_seen = True
             self._host.events.record(
@@ -163,7 +163,7 @@
     ) -> None:
         """Tells the scheduler and the key store how an attempt ended."""
         name = request.caller.request
-        now = time.monotonic()
+        now = clock.now()
         self._host.events.record(
             Kind.ATTEMPT_ENDED,
             name,
@@ -193,9 +193,7 @@
         """Takes a request back that was not dispatched."""
         name = request.caller.request
         await self._host.answers.released(request)
-        await self._driver.apply(
-            self._host.scheduler.cancel(name, time.monotonic())
-        )
+        await self._driver.apply(self._host.scheduler.cancel(name, clock.now()))
 
     async def released(self, request: held.HeldRequest) -> None:
         """Opens the key of a request that was refused without a run."""
@@ -215,7 +213,7 @@
             request.caller.route.tier, kind.value
         ).inc()
         caller = request.caller
-        now = time.monotonic()
+        now = clock.now()
         self._host.events.record(
             Kind.REQUEST_REFUSED,
             caller.request,
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -1,13 +1,12 @@
 """Tests of the relay against an endpoint that answers with chosen bytes."""
 
 import contextlib
-import time
 
 import curio
 import pytest
 
 from baobabmux_core import states
-from baobabmux_node import adapters, relay
+from baobabmux_node import adapters, clock, relay
 
 _HEAD = b"HTTP/1.1 200 OK\r\nrequest: %s\r\n"
 _WHOLE = _HEAD + b"content-length: 3\r\n\r\nabc"
@@ -127,7 +126,7 @@
                 permit=lambda: True,
                 endpoint=name,
                 repeatable=repeatable,
-                deadline=time.monotonic() + 5.0,
+                deadline=clock.now() + 5.0,
             )
             results.append(await adapter.run(call, last))
         return results, last
@@ -242,7 +241,7 @@
         adapter = relay.RelayAdapter(_Dialect())
         call = adapters.Call(
             "127.0.0.1:1", "GET", "/", {}, b"", 5.0, lambda: True,
-            deadline=time.monotonic() + 5.0,
+            deadline=clock.now() + 5.0,
         )  # fmt: skip
         return await adapter.run(call, _Sink())
 
