--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from baobabmux_core import states
-from baobabmux_node import adapters, clock, relay
+from baobabmux_node import adapters, client, clock, relay
 
 _HEAD = b"HTTP/1.1 200 OK\r\nrequest: %s\r\n"
 _WHOLE = _HEAD + b"content-length: 3\r\n\r\nabc"
@@ -246,3 +246,41 @@
         return await adapter.run(call, _Sink())
 
     assert curio.run(run).outcome is states.Outcome.NOT_SENT
+
+
+def test_event_costs_no_timer_and_one_read(monkeypatch):
+    """Guards against a cost of events that a burst of streams cannot pay.
+
+    Timers cost more than the rest of an event, so a stream of many events
+    may set only as many as one of few.
+    """
+
+    def counts(events):
+        calls = {"timers": 0, "reads": 0}
+        timer, receive = curio.timeout_after, client.ClientConnection._receive
+
+        def counted_timer(*arguments):
+            calls["timers"] += 1
+            return timer(*arguments)
+
+        async def counted_receive(connection):
+            calls["reads"] += 1
+            return await receive(connection)
+
+        with monkeypatch.context() as patched:
+            patched.setattr(curio, "timeout_after", counted_timer)
+            patched.setattr(
+                client.ClientConnection, "_receive", counted_receive
+            )
+            parts = []
+            for number in range(1, events + 1):
+                parts += [_chunk(_event(number)), 0.001]
+            endpoint = _Endpoint([_STREAM % b"r", *parts, b"0\r\n\r\n"])
+            results, sink = _run(endpoint, "r")
+        assert results[0].outcome is states.Outcome.COMPLETED
+        assert sink.last_event == events
+        return calls
+
+    few, many = counts(5), counts(100)
+    assert many["timers"] == few["timers"]
+    assert many["reads"] <= 100 + 2
