Read the log of nodes where their tests look for events

Logs go to standard output now; the orders test read standard error, so no holder was found. It waits for the line, which is written a moment later.

--- a/standins/src/baobabmux_standins/process.py
+++ b/standins/src/baobabmux_standins/process.py
@@ -84,9 +84,12 @@
         return json.loads(line)
 
     def tail(self) -> str:
-        """Returns the last lines of its error output."""
-        lines = self.errors.read_text(errors="replace").splitlines()
-        return "\n".join(lines[-_TAIL_LINES:])
+        """Returns the last lines of its error output and of its log."""
+        lines: list[str] = []
+        for file in (self.errors, self.output):
+            text = file.read_text(errors="replace")
+            lines += text.splitlines()[-_TAIL_LINES:]
+        return "\n".join(lines)
 
     def cpu_seconds(self) -> float:
         """Returns the user and system time that it has used."""
--- a/standins/tests/orders_test.py
+++ b/standins/tests/orders_test.py
@@ -31,11 +31,15 @@
             lambda: _loaded(bed) == {("wording", "v1")}, "v1 is loaded"
         )
         first = _state(bed)["fence"]
-        holders = {
-            name: "order_sent" in node.process.tail()
-            for name, node in bed.cluster.nodes.items()
-        }
-        (holder,) = (name for name, sent in holders.items() if sent)
+        # Lines are written a moment after the event.
+        (holder,) = process.wait_until(
+            lambda: [
+                name
+                for name, node in bed.cluster.nodes.items()
+                if "order_sent" in node.process.tail()
+            ],
+            "a node logs the order",
+        )
         bed.cluster.kill_node(bed.node(holder))
         _order(bed, "v2")
         process.wait_until(
