Take nothing more on a connection whose answer outlasts the stop

Ruled out: idle connections, which are read no further. Change: an ending server closes each connection after its answer. The test failed before.

--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -154,6 +154,7 @@
         busy: Number of requests that are being handled.
         limits: Limits in force; a change holds from the next request on.
         closing: Whether connections end with their next answer.
+        finishing: Whether no further request is taken.
     """
 
     def __init__(self, host: str, port: int, handler: Handler, limits: Limits):
@@ -163,7 +164,7 @@
         self.busy = 0
         self.limits = limits
         self.closing = False
-        self._finishing = False
+        self.finishing = False
         self._open: set[_Connection] = set()
         self._handler = handler
         self._socket = None
@@ -180,7 +181,7 @@
         async with self._socket:
             while True:
                 client, _ = await self._socket.accept()
-                if self._finishing:
+                if self.finishing:
                     await client.close()
                     continue
                 await curio.spawn(self._serve_connection, client, daemon=True)
@@ -191,7 +192,7 @@
         Idle connections are read no further, so a request that arrives now is
         not taken and its caller can tell.
         """
-        self.closing = self._finishing = True
+        self.closing = self.finishing = True
         for connection in self._open:
             if connection.idle:
                 connection.stop_reading()
@@ -266,7 +267,9 @@
                 if exchange.answered:
                     return
                 await self._refuse(errors.ErrorKind.INTERNAL, None)
-            if not await self._reusable():
+            if self.server.finishing or not await self._reusable():
+                # An answer whose head went out before the end does not tell
+                # its peer so; what the peer sends next is not read.
                 return
 
     async def _next_exchange(self) -> Exchange | None:
--- a/packages/baobabmux-node/tests/server_test.py
+++ b/packages/baobabmux-node/tests/server_test.py
@@ -138,3 +138,42 @@
         assert len(served.seen) == 2
 
     curio.run(run)
+
+
+def test_ending_server_takes_nothing_more_after_an_answer_that_had_begun():
+    """Guards against a request that is taken shortly before the node ends.
+
+    The head of a long answer was sent before the stop, so its caller does not
+    know that the connection ends.
+    """
+
+    async def run():
+        gate = curio.Event()
+        seen = []
+
+        async def handle(exchange):
+            await exchange.read_body(100)
+            seen.append(exchange.target)
+            await exchange.start(200, {"content-length": "2"})
+            await exchange.send(b"a")
+            await gate.wait()
+            await exchange.send(b"b")
+            await exchange.finish()
+
+        made = server.Server("127.0.0.1", 0, handle, server.Limits())
+        made.start()
+        await curio.spawn(made.serve, daemon=True)
+        peer = await curio.open_connection("127.0.0.1", made.port)
+        await peer.sendall(_GET)
+        while not seen:
+            await curio.sleep(0.01)
+        made.finish()
+        await gate.set()
+        await curio.sleep(0.05)
+        with contextlib.suppress(OSError):
+            await peer.sendall(_GET.replace(b"/a", b"/late"))
+        answer = await _read_all(peer)
+        assert answer.endswith(b"ab")
+        assert seen == ["/a"]
+
+    curio.run(run)
