Hold removals back only after an outage that all nodes met

Ruled out: the passing between nodes, which took 10 ms. Change: an outage is told from the age of the list, which peers confirm meanwhile; a list with entries that are held back is not called current.

--- a/packages/baobabmux-core/src/baobabmux_core/directory.py
+++ b/packages/baobabmux-core/src/baobabmux_core/directory.py
@@ -5,6 +5,9 @@
 # Entries that lapsed during an outage of the directory are written again
 # within about two seconds of its end, so they count until then.
 _RETURN_SECONDS = 2.2
+# Without an outage some node reads the directory more often than this and
+# tells the others; entries lapse after about three seconds.
+_OUTAGE_SECONDS = 2.5
 
 
 class EndpointDirectory:
@@ -25,16 +28,11 @@
         self.entries: dict[str, messages.DirectoryEntry] = {}
         self.version = -1
         self.confirmed_at: float | None = None
-        self._outage = False
         self._returns_until = 0.0
         # Entries that are missing after an outage, with the time until which
         # they still count.
         self._missing: dict[str, float] = {}
 
-    def failed(self) -> None:
-        """Notes that the source could not be read."""
-        self._outage = True
-
     def replace(
         self,
         entries: dict[str, messages.DirectoryEntry],
@@ -63,8 +61,10 @@
         Returns:
             Whether an entry changed.
         """
-        if self._outage:
-            self._outage = False
+        age = self.age(now)
+        if age is not None and age > _OUTAGE_SECONDS:
+            # No node could read it; one that alone was cut off has heard from
+            # the others.
             self._returns_until = now + _RETURN_SECONDS
         self.confirmed_at = now
         changed = False
@@ -126,6 +126,12 @@
         )
 
     def age_ms(self, now: float) -> int:
-        """Returns the age in milliseconds, or -1 if nothing was read."""
+        """Returns the age in milliseconds for peers, or -1.
+
+        It is -1 if nothing was read, and while missing entries still count:
+        the entries then are not what the source holds.
+        """
         age = self.age(now)
-        return -1 if age is None else round(age * 1000)
+        if age is None or self._missing:
+            return -1
+        return round(age * 1000)
--- a/packages/baobabmux-core/tests/directory_test.py
+++ b/packages/baobabmux-core/tests/directory_test.py
@@ -26,7 +26,6 @@
 def test_entries_that_lapsed_in_an_outage_are_kept_until_they_return():
     """Guards against refusals because a store came back without entries."""
     made = _listed("a", "b")
-    made.failed()
     assert not made.replace({"a": _entry("a")}, 9, 105.0)
     assert set(made.entries) == {"a", "b"}
     made.update({"b": _entry("b")}, 10, 106.0)
@@ -34,10 +33,32 @@
     assert set(made.entries) == {"a", "b"}
 
 
+def test_node_that_alone_was_cut_off_takes_removals_at_once():
+    """Guards against work for a replica that left without a notice.
+
+    Hunt, kgw-mux trouble-1, seed 668144253372, DRAIN 10: a node that had been
+    cut off from the store held the removal back and told the others that its
+    list was current.
+    """
+    made = _listed("a", "b")
+    for second in range(1, 10):
+        made.confirm(5, 300, 100.0 + second)
+    assert made.replace({"a": _entry("a")}, 9, 109.5)
+    assert set(made.entries) == {"a"}
+
+
+def test_list_with_missing_entries_is_not_called_current():
+    """Guards against peers that rely on a list that is being held back."""
+    made = _listed("a", "b")
+    made.replace({"a": _entry("a")}, 9, 105.0)
+    assert made.age_ms(105.1) == -1
+    made.update({}, 9, 107.5)
+    assert made.age_ms(107.6) == 100
+
+
 def test_entry_that_stays_away_after_an_outage_is_gone():
     """Guards against an endpoint that ended during an outage."""
     made = _listed("a", "b")
-    made.failed()
     made.replace({"a": _entry("a")}, 9, 105.0)
     assert not made.update({}, 9, 106.0)
     assert made.update({}, 9, 107.5)
