--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -133,12 +133,6 @@
         if len(idle) > _MAX_IDLE:
             await idle.popleft().connection.close()
 
-    async def keep_only(self, endpoints: set[ids.EndpointId]) -> None:
-        """Closes the connections to all other endpoints."""
-        for endpoint in self._idle.keys() - endpoints:
-            for entry in self._idle.pop(endpoint):
-                await entry.connection.close()
-
 
 def _idle_seconds(head: client.Head) -> float:
     if "close" in head.headers.get("connection", "").lower():
