Log the content of requests and the ends of endpoints

Event 201 has the content's digest. After a broken run the node connects to the endpoint again; a refusal shows that it ended, as does its absence from the endpoint directory without a drain. Event 408 gives the evidence and the contents of this node's unfinished runs there; baobabmux_endpoint_ends_total counts them. No decision changes.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -82,6 +82,12 @@
         "Entry {name} of the directory names no endpoint: {reason}.",
     )
 
+    ENDPOINT_ENDED = (
+        408,
+        "Endpoint {endpoint} has ended, shown by: {evidence}; unfinished"
+        " contents of this node: {contents}.",
+    )
+
     CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
     CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
     CLAIM_UNAVAILABLE = (503, "The log did not decide the claim in time.")
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -31,6 +31,7 @@
     rendezvous,
     retries,
     states,
+    unfinished,
 )
 
 if typing.TYPE_CHECKING:
@@ -63,6 +64,15 @@
 # Another node may have owned its groups then, so its own counts are out of
 # date.
 _PAUSE_SECONDS = 1.5
+# Outcomes after which the endpoint may have ended under the run. After the
+# others it has answered, or it has not received the request.
+_UNFINISHED_OUTCOMES = frozenset(
+    {
+        states.Outcome.BROKEN,
+        states.Outcome.GARBAGE,
+        states.Outcome.CANCELLED,
+    }
+)
 
 
 class _RemoteLoad(msgspec.Struct, frozen=True):
@@ -127,6 +137,7 @@
         self._reachable: set[ids.NodeId] = set()
         self._local_nodes: set[ids.NodeId] = {node}
         self._quarantine = quarantine.Quarantine()
+        self._unfinished = unfinished.UnfinishedRuns()
         self._last_tick: float | None = None
         self._home_prefix_selector = prefixes.HomePrefixSelector()
         # `Ask` and `Register` messages for groups that this node does not own
@@ -216,10 +227,31 @@
         Returns:
             Effects to carry out.
         """
+        self._record_unfinished(request, outcome, now)
         return self._holder.finished(
             request, outcome, now, computed_tokens, output_tokens
         )
 
+    def _record_unfinished(
+        self, request: ids.RequestId, outcome: states.Outcome, now: float
+    ) -> None:
+        held = self._holder.held.get(request)
+        if held is None or outcome not in _UNFINISHED_OUTCOMES:
+            return
+        self._unfinished.add(
+            held.endpoint,
+            unfinished.UnfinishedRun(
+                held.work.content, held.dispatched_at, now
+            ),
+        )
+
+    def endpoint_ended(
+        self, endpoint: ids.EndpointId, now: float
+    ) -> list[effects.Effect]:
+        """Records that an endpoint has ended."""
+        self._unfinished.endpoint_ended(endpoint, now)
+        return []
+
     def may_repeat(
         self, request: ids.RequestId, outcome: states.Outcome
     ) -> bool:
@@ -421,6 +453,12 @@
 
     # Queries.
 
+    def unfinished_contents(
+        self, endpoint: ids.EndpointId, now: float
+    ) -> tuple[ids.ContentDigest, ...]:
+        """Returns the contents of recent unfinished runs at an endpoint."""
+        return self._unfinished.contents(endpoint, now)
+
     def held_requests(self) -> int:
         """Returns the number of requests that have not ended here."""
         return len(self._holder.held)
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -73,12 +73,14 @@
         detail: Description of the failure, or the empty string.
         computed_tokens: Prompt tokens that were not cached, -1 if unknown.
         output_tokens: Tokens of the answer.
+        refused: Whether the endpoint's address refused the connection.
     """
 
     outcome: states.Outcome
     detail: str = ""
     computed_tokens: int = -1
     output_tokens: int = 0
+    refused: bool = False
 
 
 class Sink(abc.ABC):
@@ -149,7 +151,11 @@
             sink.progress(1)
             return Result(states.Outcome.COMPLETED, output_tokens=1)
         except client.ClientError as error:
-            return Result(failure_outcome(error), str(error))
+            return Result(
+                failure_outcome(error),
+                str(error),
+                refused=isinstance(error, client.RefusedError),
+            )
         finally:
             await connection.close()
 
--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -23,6 +23,10 @@
     """No connection was made, so no byte was sent."""
 
 
+class RefusedError(ConnectError):
+    """The server's host refused the connection: nothing listens there."""
+
+
 class BrokenError(ClientError):
     """The connection failed after bytes may have been sent."""
 
@@ -94,6 +98,8 @@
             raise ConnectError(
                 f"{self.address}: no connection within {timeout:g} s"
             ) from error
+        except ConnectionRefusedError as error:
+            raise RefusedError(f"{self.address}: {error}") from error
         except OSError as error:
             raise ConnectError(f"{self.address}: {error}") from error
 
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -126,6 +126,11 @@
             "Repeated attempts left in the window of an owned group",
             ["group"],
         )
+        self.endpoint_ends = self._counter(
+            "endpoint_ends",
+            "Ends of endpoints that this node has detected",
+            ["evidence"],
+        )
         self.stray_answers = self._counter(
             "stray_answers", "Answers that matched no request"
         )
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -28,6 +28,7 @@
     answers,
     clock,
     driver,
+    endpoint_ends,
     events,
     logs,
     metrics,
@@ -67,6 +68,7 @@
             now, or None before the first.
         ports: Interface to the platform.
         line_writer: Writer of log lines, or None if no log lines are written.
+        endpoint_ends: Detects the ends of endpoints.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         self.config = self.ports.config
         self.answers = answers.AnswerService(self)
         self.driver = driver.SchedulerDriver(self)
+        self.endpoint_ends = endpoint_ends.EndpointEnds(self)
         self.callers = serving.CallerService(self)
         self._watch = watch.StateWatch(self)
         self._stop_requested = False
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -264,7 +264,12 @@
             detail = (
                 "the endpoint sent no data in time" if expired else str(error)
             )
-            return adapters.Result(outcome, detail, output_tokens=sink.tokens)
+            return adapters.Result(
+                outcome,
+                detail,
+                output_tokens=sink.tokens,
+                refused=isinstance(error, client.RefusedError),
+            )
         finally:
             if timer_task is not None:
                 await timer_task.cancel(blocking=False)
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -91,6 +91,7 @@
             public_id=parsed.public_id,
             tier=parsed.route.tier,
             workspace=parsed.workspace,
+            content=f"{parsed.work.content:x}",
             prompt_tokens=parsed.work.prompt_tokens,
             config=self._host.config.version,
             deadline_ms=_left_ms(parsed.work.deadline, parsed.arrived),
@@ -202,6 +203,7 @@
                 output_tokens=result.output_tokens,
             )
         )
+        await self._host.endpoint_ends.attempt_ended(request.endpoint, result)
 
     async def cancel(self, request: held.HeldRequest) -> None:
         """Cancels a request that was not dispatched."""
