Refuse a content under which endpoints ended three times

Callers saw: a request that ends each replica on which it runs was sent on to replica after replica, with two attempts each time it came again. Its own caller got 502 each time; other callers lost their answers with the replicas.

Cause: the count that the doc comment of Service.isolates_suspects tells of did not exist. Services without isolation, which are all that the platform adapter declares, kept nothing of a content whose run broke. The promise was proved on services with isolation only.

Change: the holder of a broken run reports to all nodes when the endpoint has ended under it; each node counts. Ends within a second count as one, since endpoints end together for reasons of their own, and a content that completes has none any more. From the first end on it has one attempt a request, and copies run one at a time and not within a second of the last end. An endpoint that only left the directory counts until it is listed again. Lost reports are repeated; contents with two ends are kept in the platform's store, for nodes that are cut off from each other and for a restart of all.

Ruled out: a count that is lost or late (there was none), ends that are not recognised (event 408 names each within milliseconds).

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -87,6 +87,11 @@
         "Endpoint {endpoint} has ended, shown by: {evidence}; unfinished"
         " contents of this node: {contents}.",
     )
+    CONTENT_COUNTED = (
+        409,
+        "Endpoints ended {ends} times under content {content}; it is refused:"
+        " {refused}.",
+    )
 
     CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
     CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
--- a/packages/baobabmux-core/src/baobabmux_core/errors.py
+++ b/packages/baobabmux-core/src/baobabmux_core/errors.py
@@ -137,7 +137,10 @@
         503, _NOT_RUN, "The node is shutting down.", retry_after=True
     ),
     ErrorKind.QUARANTINED: Answer(
-        422, _NOT_RUN, "This content has crashed endpoints and is refused."
+        422,
+        _NOT_RUN,
+        "This content has crashed endpoints and is refused.",
+        retry_after=True,
     ),
     ErrorKind.TIMED_OUT: Answer(
         504, _UNKNOWN, "The endpoint did not answer in time."
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -69,6 +69,8 @@
 _FULL_MARGIN_REFUSAL_SHARE = 0.1
 _REFUSAL_WEIGHT = 0.02
 
+_BROKEN_OUTCOMES = frozenset({states.Outcome.BROKEN, states.Outcome.GARBAGE})
+
 
 class _Blocked:
     """Classes of requests for which no slot is left in this round of grants.
@@ -816,6 +818,8 @@
         for entry in queue.candidates(_MAX_CANDIDATES):
             if blocked.long and not entry.short:
                 continue
+            if self._holds_back(entry, now):
+                continue
             choice = placement.choose(
                 entry,
                 self._members,
@@ -835,6 +839,25 @@
                     return None
         return None
 
+    def _holds_back(self, entry: fairness.QueueEntry, now: float) -> bool:
+        """Returns whether a request waits because an endpoint ended under it.
+
+        Its content runs once at a time, and not again before the next end
+        would count. A second attempt goes on at once, since most endpoints
+        end for reasons of their own.
+        """
+        content = entry.ask.content
+        if content not in self._quarantine.ends or self._isolates_suspects():
+            return False
+        terms = entry.ask.terms
+        if terms is not None and terms.attempt > 1:
+            return False
+        return self._quarantine.ends.is_fresh(content, now) or any(
+            run.content == content
+            for member in self._members.values()
+            for run in member.model.running.values()
+        )
+
     def _reserved_share(self, entry: fairness.QueueEntry, now: float) -> float:
         """Returns the share of slots that a request must leave free."""
         if self._preset is None:
@@ -962,8 +985,10 @@
         )
         member.model.restore(run)
         self._granted_members[item.request] = member
-        if self._isolated_request is None and self._is_suspect(
-            item.content, now
+        if (
+            self._isolated_request is None
+            and self._isolates_suspects()
+            and self._is_suspect(item.content, now)
         ):
             # A former owner isolated it; nothing may run beside it.
             run.isolated = True
@@ -1010,6 +1035,8 @@
         if outcome is states.Outcome.CANCELLED:
             member.breaker.record_inconclusive(now)
             return
+        if outcome in _BROKEN_OUTCOMES:
+            self._quarantine.ends.record_break(run.content, now)
         if (
             not self._isolates_suspects()
             and outcome is not states.Outcome.NOT_SENT
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -239,6 +239,8 @@
         is_open: Returns whether this node may send new work to an endpoint.
             It is checked again before the dispatch, because the answer may
             have changed while the grant was in transit.
+        ended_before: Returns whether an endpoint had ended under a content by
+            a time.
         unreachable: Endpoints that could not be connected to, with the time
             until which they are not chosen from the node's own share.
         fallback: Chooses an endpoint from the node's own share while the
@@ -270,6 +272,9 @@
         self.fallback: Callable[[Held, float], ids.EndpointId | None] = (
             lambda held, now: None
         )
+        self.ended_before: Callable[[ids.ContentDigest, float], bool] = (
+            lambda content, at: False
+        )
         self._unresponsive_until: dict[ids.NodeId, float] = {}
 
     # Commands from the caller's connection.
@@ -423,12 +428,32 @@
         if held.first_token_at is not None and not work.resumable:
             # The caller already has part of the answer.
             return False
-        return work.idempotent and outcome in (
+        if not work.idempotent or outcome not in (
             states.Outcome.FAILED,
             states.Outcome.BROKEN,
             states.Outcome.GARBAGE,
+        ):
+            return False
+        # A content that may have ended an endpoint before gets one attempt, so
+        # that it ends one more at most.
+        return outcome is states.Outcome.FAILED or not self.ended_before(
+            work.content, held.arrival
         )
 
+    def refuse_content(
+        self, content: ids.ContentDigest, retry_after: float
+    ) -> list[effects.Effect]:
+        """Refuses the requests with a content that were not dispatched."""
+        emitted = []
+        for held in list(self.held.values()):
+            if held.work.content == content and (
+                held.state not in _RUNNING_STATES
+            ):
+                emitted += self._refuse(
+                    held, errors.ErrorKind.QUARANTINED, retry_after
+                )
+        return emitted
+
     # Messages from owners.
 
     def queued(self, request: ids.RequestId, sender: ids.NodeId) -> None:
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -260,7 +260,7 @@
 
 
 class Cleared(Message, frozen=True, tag=10):
-    """Reports that a suspected content completed in isolation."""
+    """Reports that a content under which endpoints ended has completed."""
 
     content: ids.ContentDigest
 
@@ -447,6 +447,33 @@
     entries: tuple[DirectoryEntry, ...]
 
 
+class ContentEnd(msgspec.Struct, frozen=True, array_like=True):
+    """A content that an endpoint was running when it ended.
+
+    Attributes:
+        content: Digest of the content.
+        ended_ms: Milliseconds from the end to the sending of the message.
+    """
+
+    content: ids.ContentDigest
+    ended_ms: int
+
+
+class EndedContents(Message, frozen=True, tag=25):
+    """Reports contents that an endpoint was running when it ended.
+
+    Attributes:
+        endpoint: Endpoint that ended.
+        certain: Whether it is known to have ended; otherwise it has left the
+            endpoint directory without a notice.
+        ends: The contents, each with the time of the end.
+    """
+
+    endpoint: ids.EndpointId
+    certain: bool
+    ends: tuple[ContentEnd, ...]
+
+
 AnyMessage = (
     Ask
     | Withdraw
@@ -472,6 +499,7 @@
     | Forgotten
     | EndpointsAsk
     | EndpointsState
+    | EndedContents
 )
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/quarantine.py
+++ b/packages/baobabmux-core/src/baobabmux_core/quarantine.py
@@ -2,12 +2,13 @@
 
 A content is identified by the digest of a request's route and body. One that an
 endpoint ran when it crashed is suspect. One that crashes an endpoint on which
-it runs alone is confirmed, and its requests are refused.
+it runs alone is confirmed, and its requests are refused. Services that do not
+isolate suspects rely on the number of endpoints that ended under a content.
 """
 
 import enum
 
-from baobabmux_core import ids
+from baobabmux_core import end_counts, ids
 
 # Long enough to outlast a caller's retries, short enough that a repaired
 # engine serves the content again within the hour.
@@ -26,9 +27,14 @@
 
 
 class Quarantine:
-    """Suspect and confirmed contents known to this node."""
+    """Suspect and confirmed contents known to this node.
+
+    Attributes:
+        ends: Endpoints that ended under each content.
+    """
 
     def __init__(self):
+        self.ends = end_counts.EndCounts()
         self._contents: dict[
             ids.ContentDigest, tuple[ContentStatus, float]
         ] = {}
@@ -38,6 +44,8 @@
 
     def status(self, content: ids.ContentDigest, now: float) -> ContentStatus:
         """Returns the status of a content."""
+        if self.ends.count(content, now) >= end_counts.MAX_ENDS:
+            return ContentStatus.CONFIRMED
         status, until = self._contents.get(content, (ContentStatus.CLEAR, now))
         return status if now < until else ContentStatus.CLEAR
 
@@ -65,14 +73,18 @@
         Returns:
             Whether the content was suspect before.
         """
-        if self.status(content, now) is not ContentStatus.SUSPECT:
+        status, until = self._contents.get(content, (None, now))
+        if status is not ContentStatus.SUSPECT or until <= now:
             return False
         del self._contents[content]
         return True
 
     def retry_after(self, content: ids.ContentDigest, now: float) -> float:
         """Returns the seconds until a content's status expires."""
-        return max(0.0, self._contents.get(content, (None, now))[1] - now)
+        until = self._contents.get(content, (None, now))[1]
+        return max(
+            0.0, until - now, self.ends.refused_until(content, now) - now
+        )
 
     def _put(
         self, content: ids.ContentDigest, status: ContentStatus, until: float
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -12,6 +12,7 @@
 import collections
 import math
 import typing
+from collections.abc import Iterable
 
 import msgspec
 
@@ -19,6 +20,8 @@
     capacity,
     declarations,
     effects,
+    end_counts,
+    end_reports,
     errors,
     fairness,
     grants,
@@ -137,7 +140,8 @@
         self._reachable: set[ids.NodeId] = set()
         self._local_nodes: set[ids.NodeId] = {node}
         self._quarantine = quarantine.Quarantine()
-        self._unfinished = unfinished.UnfinishedRuns()
+        self._end_reports = end_reports.EndReports(self._quarantine.ends, seed)
+        self._holder.ended_before = self._quarantine.ends.ended_before
         self._last_tick: float | None = None
         self._home_prefix_selector = prefixes.HomePrefixSelector()
         # `Ask` and `Register` messages for groups that this node does not own
@@ -227,30 +231,64 @@
         Returns:
             Effects to carry out.
         """
-        self._record_unfinished(request, outcome, now)
-        return self._holder.finished(
+        emitted = self._record_content_outcome(request, outcome, now)
+        return emitted + self._holder.finished(
             request, outcome, now, computed_tokens, output_tokens
         )
 
-    def _record_unfinished(
+    def _record_content_outcome(
         self, request: ids.RequestId, outcome: states.Outcome, now: float
-    ) -> None:
+    ) -> list[effects.Effect]:
+        """Clears a content that completed, or keeps its unfinished run."""
         held = self._holder.held.get(request)
-        if held is None or outcome not in _UNFINISHED_OUTCOMES:
-            return
-        self._unfinished.add(
-            held.endpoint,
-            unfinished.UnfinishedRun(
-                held.work.content, held.dispatched_at, now
-            ),
-        )
+        if held is None:
+            return []
+        content = held.work.content
+        if outcome is states.Outcome.COMPLETED:
+            if not self._quarantine.ends.clear(content, now):
+                return []
+            return self._broadcast(messages.Cleared(content))
+        if outcome not in _UNFINISHED_OUTCOMES:
+            return []
+        run = unfinished.UnfinishedRun(content, held.dispatched_at, now)
+        reports = self._end_reports.add_unfinished(held.endpoint, run, now)
+        return self._send_reports(reports, now)
 
     def endpoint_ended(
-        self, endpoint: ids.EndpointId, now: float
+        self, endpoint: ids.EndpointId, now: float, *, certain: bool = True
     ) -> list[effects.Effect]:
-        """Records that an endpoint has ended."""
-        self._unfinished.endpoint_ended(endpoint, now)
-        return []
+        """Records that an endpoint has ended.
+
+        Args:
+            endpoint: Endpoint that ended.
+            now: Current time in seconds.
+            certain: False if the endpoint may only be cut off.
+        """
+        return self._send_reports(
+            self._end_reports.endpoint_ended(endpoint, certain, now), now
+        )
+
+    def _send_reports(
+        self, reports: list[messages.EndedContents], now: float
+    ) -> list[effects.Effect]:
+        emitted = []
+        for report in reports:
+            emitted += self._broadcast(report)
+            contents = [item.content for item in report.ends]
+            emitted += self._refuse_quarantined(contents, now)
+        return emitted
+
+    def _refuse_quarantined(
+        self, contents: Iterable[ids.ContentDigest], now: float
+    ) -> list[effects.Effect]:
+        """Refuses the waiting requests of contents that are quarantined."""
+        emitted = []
+        for content in contents:
+            status = self._quarantine.status(content, now)
+            if status is quarantine.ContentStatus.CONFIRMED:
+                seconds = self._quarantine.retry_after(content, now)
+                emitted += self._holder.refuse_content(content, seconds)
+        return emitted
 
     def may_repeat(
         self, request: ids.RequestId, outcome: states.Outcome
@@ -319,6 +357,8 @@
                 emitted = self._handle_suspect(message, now)
             case messages.Cleared():
                 emitted = self._handle_cleared(message.content, now)
+            case messages.EndedContents():
+                emitted = self._handle_ended_contents(message, now)
             case messages.DrainEndpoint():
                 self._set_drained(message.endpoint, message.drain)
                 emitted = []
@@ -338,11 +378,12 @@
         }
         reachable = self._local_nodes | set(self._membership.reachable())
         lost = self._reachable - reachable
+        emitted = self._send_end_state(reachable - self._reachable, now)
         self._reachable = reachable
         for owner in self._owned.values():
             for holder in lost:
                 owner.holder_lost(holder, now)
-        emitted = self._update_owners(now)
+        emitted += self._update_owners(now)
         self._update_endpoints()
         return emitted + self._tick_owned_groups(now)
 
@@ -356,9 +397,21 @@
         """
         for owner in self._owned.values():
             owner.holder_lost(node, now)
-        return self._holder.owner_restarted(
-            node, now
-        ) + self._tick_owned_groups(now)
+        return [
+            *self._send_end_state({node}, now),
+            *self._holder.owner_restarted(node, now),
+            *self._tick_owned_groups(now),
+        ]
+
+    def _send_end_state(
+        self, nodes: set[ids.NodeId], now: float
+    ) -> list[effects.Effect]:
+        """Sends the ends under all contents to nodes that may lack them."""
+        others = sorted(nodes - {self.node})
+        if not others:
+            return []
+        reports = self._end_reports.state(now)
+        return [effects.Send(to, r) for to in others for r in reports]
 
     def leave(self, now: float) -> list[effects.Effect]:
         """Starts a graceful shutdown: gives up ownership and new requests."""
@@ -378,6 +431,9 @@
     ) -> list[effects.Effect]:
         """Applies a configuration."""
         self._configuration = configuration
+        for endpoint in self._quarantine.ends.uncertain_endpoints():
+            if endpoint in configuration.endpoints:
+                self._quarantine.ends.endpoint_listed(endpoint)
         self._fallback_quotas.configure(configuration.workspaces, now)
         for owner in self._owned.values():
             owner.configure(configuration, now)
@@ -449,6 +505,8 @@
             )
             if left <= 1:
                 del self._drain_repeats[endpoint]
+        peers = self._reachable - {self.node}
+        emitted += self._end_reports.repeats(peers, now)
         return emitted + self._broadcast_notices()
 
     # Queries.
@@ -457,7 +515,21 @@
         self, endpoint: ids.EndpointId, now: float
     ) -> tuple[ids.ContentDigest, ...]:
         """Returns the contents of recent unfinished runs at an endpoint."""
-        return self._unfinished.contents(endpoint, now)
+        return self._end_reports.unfinished_contents(endpoint, now)
+
+    def counted_contents(
+        self, at_least: int, now: float
+    ) -> dict[ids.ContentDigest, tuple[end_counts.End, ...]]:
+        """Returns the ends of contents that have at least that many."""
+        ends = self._quarantine.ends
+        return {
+            content: ends.ends(content, now)
+            for content in ends.counted(at_least, now)
+        }
+
+    def content_end_counts(self, now: float) -> dict[ids.ContentDigest, int]:
+        """Returns the number of counted ends by content."""
+        return self._quarantine.ends.counted(1, now)
 
     def held_requests(self) -> int:
         """Returns the number of requests that have not ended here."""
@@ -860,10 +932,27 @@
             emitted += owner.contents_changed(message.contents, now)
         return emitted
 
+    def _handle_ended_contents(
+        self, report: messages.EndedContents, now: float
+    ) -> list[effects.Effect]:
+        news, own_reports = self._end_reports.receive(
+            report, self._is_declared, now
+        )
+        return self._refuse_quarantined(news, now) + self._send_reports(
+            own_reports, now
+        )
+
+    def _is_declared(self, endpoint: ids.EndpointId) -> bool:
+        return (
+            self._configuration is not None
+            and endpoint in self._configuration.endpoints
+        )
+
     def _handle_cleared(
         self, content: ids.ContentDigest, now: float
     ) -> list[effects.Effect]:
         self._quarantine.clear(content, now)
+        self._quarantine.ends.clear(content, now)
         emitted = []
         for owner in self._owned.values():
             emitted += owner.contents_changed((content,), now)
@@ -910,6 +999,10 @@
         While the owner is unresponsive, every node may use an equal part of
         each endpoint's slots, so that together they do not overload it.
         """
+        if held.attempt == 1 and self._quarantine.ends.is_fresh(
+            held.work.content, now
+        ):
+            return None
         nodes = max(1, len(self._reachable))
         running = self._holder.running_counts()
         best: tuple[float, ids.EndpointId] | None = None
--- a/packages/baobabmux-core/src/baobabmux_core/unfinished.py
+++ b/packages/baobabmux-core/src/baobabmux_core/unfinished.py
@@ -59,7 +59,7 @@
         Returns:
             The run if its endpoint is known to have ended under it.
         """
-        if run.started_at < self._ended_at.get(endpoint, run.started_at):
+        if self._ended_under(endpoint, run):
             return (run,)
         runs = self._runs.setdefault(
             endpoint, collections.deque(maxlen=_MAX_RUNS)
@@ -70,16 +70,34 @@
         return ()
 
     def endpoint_ended(
-        self, endpoint: ids.EndpointId, now: float
+        self, endpoint: ids.EndpointId, ended_at: float, now: float
     ) -> tuple[UnfinishedRun, ...]:
-        """Records the end of an endpoint and returns the runs under it."""
-        runs = tuple(self._recent(endpoint, now))
-        self._runs.pop(endpoint, None)
-        self._ended_at.pop(endpoint, None)
-        self._ended_at[endpoint] = now
+        """Records the end of an endpoint.
+
+        Args:
+            endpoint: Endpoint that ended.
+            ended_at: Latest possible time of its end in seconds.
+            now: Current time in seconds.
+
+        Returns:
+            The recent runs under which it ended. Each is returned once.
+        """
+        known = self._ended_at.pop(endpoint, ended_at)
+        self._ended_at[endpoint] = max(known, ended_at)
         if len(self._ended_at) > _MAX_ENDPOINTS:
             self._ended_at.popitem(last=False)
-        return runs
+        runs = self._recent(endpoint, now)
+        ended = [run for run in runs if self._ended_under(endpoint, run)]
+        if len(ended) == len(runs):
+            self._runs.pop(endpoint, None)
+        for run in ended if endpoint in self._runs else ():
+            self._runs[endpoint].remove(run)
+        return tuple(ended)
+
+    def _ended_under(
+        self, endpoint: ids.EndpointId, run: UnfinishedRun
+    ) -> bool:
+        return run.started_at < self._ended_at.get(endpoint, run.started_at)
 
     def _recent(
         self, endpoint: ids.EndpointId, now: float
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -176,8 +176,9 @@
             permit=self._begin_dispatch,
             endpoint=decision.endpoint,
             parsed=parsed,
-            repeatable=parsed.work.idempotent
-            and self._attempts < parsed.work.max_attempts,
+            repeatable=self.host.may_repeat(
+                self.request, adapters.Result(states.Outcome.BROKEN)
+            ),
             deadline=ends_at,
         )
         adapter = self.host.protocol.adapter(kind)
--- a/packages/baobabmux-node/src/baobabmux_node/driver.py
+++ b/packages/baobabmux-node/src/baobabmux_node/driver.py
@@ -158,7 +158,7 @@
                     endpoint=message.endpoint,
                     contents=[f"{item:x}" for item in message.contents],
                 )
-            case messages.Cleared():
+            case messages.Cleared() if to == own:
                 self._host.events.record(
                     Kind.CONTENT_CLEARED, content=f"{message.content:x}"
                 )
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/end_records.py
@@ -0,0 +1,134 @@
+"""Records of contents under which endpoints ended, for the platform's store.
+
+Nodes that cannot reach each other, and nodes that all restart together, share
+their counts through the store. Only contents with two counted ends are stored,
+so that the end of one endpoint causes no write. One node of those that reach
+each other writes for all.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from baobabmux_core import effects, end_counts, ids, messages, scheduler
+
+_MIN_STORED_ENDS = 2
+
+
+class _End(msgspec.Struct):
+    endpoint: str
+    at_ms: int
+    certain: bool = True
+
+
+class _Record(msgspec.Struct):
+    ends: list[_End]
+
+
+class EndRecords:
+    """Compares the counts of a node with the records in the store.
+
+    Args:
+        node_scheduler: Holds the counts.
+        is_writer: Returns whether this node writes the record of a key.
+        record_malformed: Called with the key of a malformed record and the
+            reason.
+    """
+
+    def __init__(
+        self,
+        node_scheduler: scheduler.NodeScheduler,
+        is_writer: Callable[[str], bool],
+        record_malformed: Callable[[str, str], None],
+    ):
+        self._record_malformed = record_malformed
+        self._scheduler = node_scheduler
+        self._is_writer = is_writer
+        # Endpoints in the record of each key.
+        self._stored: dict[str, list[str]] = {}
+
+    def replace(
+        self, records: dict[str, bytes], now: float, now_ms: int
+    ) -> list[effects.Effect]:
+        """Applies all records of the store; see `update`."""
+        self._stored.clear()
+        return self.update(records, now, now_ms)
+
+    def update(
+        self, records: dict[str, bytes], now: float, now_ms: int
+    ) -> list[effects.Effect]:
+        """Applies new records; an empty value clears a content.
+
+        Args:
+            records: Values by key. Malformed ones are left out.
+            now: Current time in seconds.
+            now_ms: Current time in Unix milliseconds.
+
+        Returns:
+            Effects to carry out.
+        """
+        emitted: list[effects.Effect] = []
+        for key, value in records.items():
+            try:
+                emitted += self._apply(key, value, now, now_ms)
+            except ValueError as error:
+                self._record_malformed(key, str(error))
+        return emitted
+
+    def _apply(
+        self, key: str, value: bytes, now: float, now_ms: int
+    ) -> list[effects.Effect]:
+        content = ids.ContentDigest(int(key, 16))
+        if not value:
+            self._stored.pop(key, None)
+            return self._scheduler.receive(
+                ids.NodeId(""), messages.Cleared(content), now
+            )
+        record = msgspec.json.decode(value, type=_Record)
+        self._stored[key] = [end.endpoint for end in record.ends]
+        emitted: list[effects.Effect] = []
+        for end in record.ends:
+            report = messages.EndedContents(
+                ids.EndpointId(end.endpoint),
+                end.certain,
+                (messages.ContentEnd(content, max(0, now_ms - end.at_ms)),),
+            )
+            emitted += self._scheduler.receive(ids.NodeId(""), report, now)
+        return emitted
+
+    def due(self, now: float, now_ms: int) -> dict[str, bytes]:
+        """Returns the records that this node has to write, by key."""
+        due: dict[str, bytes] = {}
+        counted = self._scheduler.counted_contents(_MIN_STORED_ENDS, now)
+        wanted = {f"{content:016x}": ends for content, ends in counted.items()}
+        for key, ends in wanted.items():
+            stored = self._stored.get(key, ())
+            if len(ends) > len(stored) and self._is_writer(key):
+                due[key] = _encode(ends, now, now_ms)
+        for key in self._stored.keys() - wanted.keys():
+            if self._is_writer(key):
+                due[key] = b""
+        return due
+
+    def written(self, key: str, value: bytes) -> None:
+        """Records that a record of this node is in the store."""
+        if not value:
+            self._stored.pop(key, None)
+            return
+        record = msgspec.json.decode(value, type=_Record)
+        self._stored[key] = [end.endpoint for end in record.ends]
+
+
+def _encode(ends: tuple[end_counts.End, ...], now: float, now_ms: int) -> bytes:
+    return msgspec.json.encode(
+        _Record(
+            [
+                _End(
+                    end.endpoint,
+                    now_ms - round((now - end.at) * 1000),
+                    end.certain,
+                )
+                for end in ends
+            ]
+        )
+    )
--- a/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
+++ b/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
@@ -83,7 +83,9 @@
         )
         self._host.metrics.endpoint_ends.labels(evidence.value).inc()
         await self._host.driver.apply(
-            self._host.scheduler.endpoint_ended(endpoint, now)
+            self._host.scheduler.endpoint_ended(
+                endpoint, now, certain=evidence is Evidence.REFUSED
+            )
         )
 
     async def _probe(self, endpoint: ids.EndpointId, address: str) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -131,6 +131,11 @@
             "Ends of endpoints that this node has detected",
             ["evidence"],
         )
+        self.counted_contents = self._gauge(
+            "counted_contents",
+            "Contents under which endpoints ended",
+            ["refused"],
+        )
         self.stray_answers = self._counter(
             "stray_answers", "Answers that matched no request"
         )
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -2,8 +2,8 @@
 
 from typing import TYPE_CHECKING
 
-from baobabmux_core import catalogue, ids
-from baobabmux_node import status
+from baobabmux_core import catalogue, end_counts, ids
+from baobabmux_node import clock, status
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -14,14 +14,15 @@
 class StateWatch:
     """Compares the node's state with the last recorded one.
 
-    Covers group ownership, circuit breakers, reachability of the log and
-    rejected frames.
+    Covers group ownership, circuit breakers, contents under which endpoints
+    ended, reachability of the log and rejected frames.
     """
 
     def __init__(self, host: "node.Node"):
         self._host = host
         self._owned_groups: set[ids.GroupId] = set()
         self._breakers: dict[ids.EndpointId, str] = {}
+        self._end_counts: dict[ids.ContentDigest, int] = {}
         self._log_reachable: bool | None = None
         self._rejected_frames = 0
 
@@ -39,6 +40,9 @@
                 for endpoint in group.endpoints
             }
         )
+        self._check_contents(
+            self._host.scheduler.content_end_counts(clock.now())
+        )
         self._check_log()
         self._check_frames()
 
@@ -58,6 +62,27 @@
                 )
         self._breakers = breakers
 
+    def _check_contents(self, counts: dict[ids.ContentDigest, int]) -> None:
+        refused = 0
+        for content, ends in counts.items():
+            is_refused = ends >= end_counts.MAX_ENDS
+            refused += is_refused
+            if ends != self._end_counts.get(content):
+                self._host.events.record(
+                    Kind.CONTENT_COUNTED,
+                    content=f"{content:x}",
+                    ends=ends,
+                    refused=is_refused,
+                )
+        for content in self._end_counts.keys() - counts.keys():
+            self._host.events.record(
+                Kind.CONTENT_CLEARED, content=f"{content:x}"
+            )
+        gauge = self._host.metrics.counted_contents
+        gauge.labels("true").set(refused)
+        gauge.labels("false").set(len(counts) - refused)
+        self._end_counts = counts
+
     def _check_log(self) -> None:
         reachable = self._host.ports.reachable()
         if reachable != self._log_reachable:
