Register after a dispatch from the own share, and after a returned grant

Seen: a slot that no request used stayed occupied at its owner for ever.

Cause: a node whose ask had no answer dispatched from its own share, and the owner's grant for another endpoint was lost, or its return was. The request's release names the endpoint where it ran, so it does not free the other slot, and a node that had used no grant sent no registers, by which the owner would have noticed. Own shares exist only for asks with terms, which all asks on the users' platform are; the scheduler's state machine had asks without.

Change: a dispatch from the own share and the return of a grant are followed by registers of the group, like a grant that is used.

Evidence: found by that state machine on the adapter's declarations (outstanding requests 40 s after the last fault). The new test failed before for a grant that arrives while the request runs, after its end, and never; it passes now, and so does the state machine.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -264,6 +264,8 @@
         # Output tokens per second of one stream, by endpoint.
         self._stream_rates: dict[ids.EndpointId, float] = {}
         self._retry_budget = retries.RetryBudget()
+        # Bounded by the number of groups.
+        self._asked_groups: set[ids.GroupId] = set()
         self._register_repeats: dict[ids.GroupId, int] = {}
         self._next_register_at = 0.0
         self._next_report_at = 0.0
@@ -486,6 +488,8 @@
         held.lease_end = now + _FALLBACK_LEASE_SECONDS
         held.state = states.RequestState.GRANTED
         held.charged = True
+        # A grant may be on its way, and the message with it may be lost.
+        self._register_repeats[held.group] = _EMPTY_REGISTER_COUNT
         return self._dispatch(held, now)
 
     def granted(
@@ -767,6 +771,7 @@
         work = held.work
         previous = held.owner
         held.owner = self._owner_of(held.group)
+        self._asked_groups.add(held.group)
         if held.owner != previous or not held.acknowledged:
             held.acknowledged = False
             held.asked_at = now
@@ -883,8 +888,12 @@
         self, grant: messages.Grant, held: Held | None, sender: ids.NodeId
     ) -> list[effects.Effect]:
         # A grant does not name its group; the owner searches all groups that
-        # it owns for the request.
+        # it owns for the request. In case the message is lost, registers show
+        # the owner that the slot is not in use.
         group = held.group if held is not None else ids.GroupId("")
+        for asked in self._asked_groups:
+            if self._owner_of(asked) == sender:
+                self._register_repeats[asked] = _EMPTY_REGISTER_COUNT
         return [effects.Send(sender, messages.Withdraw(group, grant.request))]
 
     def _release(
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -214,6 +214,27 @@
     assert isinstance(returned.message, messages.Withdraw)
 
 
+@pytest.mark.parametrize("arrives", ["running", "ended", "never"])
+def test_unused_grant_is_made_up_for_by_a_register(holder, arrives):
+    """Guards against a slot that no request uses and nobody frees.
+
+    The request runs from the own share, and its grant or the return of the
+    grant is lost.
+    """
+    holder.fallback = lambda held, now: "e1"
+    holder.submit(_work(), _GROUP, 160.0, 100.0)
+    _tick(holder, 100.2)
+    holder.start_dispatch("r", 100.2)
+    if arrives == "running":
+        holder.granted(messages.Grant("r", "e2", 3000), "n2", 100.3)
+    holder.finished("r", states.Outcome.COMPLETED, 100.4, -1, 10)
+    if arrives == "ended":
+        holder.granted(messages.Grant("r", "e2", 3000), "n2", 100.5)
+    emitted = [e for s in range(101, 120) for e in _tick(holder, float(s))]
+    registers = [e.message for e in emitted]
+    assert registers == [messages.Register(_GROUP, ())]
+
+
 @pytest.mark.parametrize(
     ("outcome", "idempotent", "repeats"),
     [
