Refuse queued copies of a content at the owner, too

A copy that waits at the owner while its content reaches three ends was refused by its holder only; a holder that missed the report ran it. The owner now refuses its queued copies. The new test failed before.

--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -288,6 +288,8 @@
             if status is quarantine.ContentStatus.CONFIRMED:
                 seconds = self._quarantine.retry_after(content, now)
                 emitted += self._holder.refuse_content(content, seconds)
+                for owner in self._owned.values():
+                    emitted += owner.contents_changed((content,), now)
         return emitted
 
     def may_repeat(
--- a/packages/baobabmux-core/tests/content_ends_test.py
+++ b/packages/baobabmux-core/tests/content_ends_test.py
@@ -375,3 +375,21 @@
     assert len(messages.encode_frame(frame)) <= 4_000
     assert reports.repeats(peers, 101.5) == []
     assert reports.repeats(peers, 170.0) == []
+
+
+def test_queued_copies_are_refused_with_the_third_end():
+    """Guards against a copy that runs because its holder missed a report."""
+    cluster = _Cluster()
+    cluster.send_until_it_ended(3)
+    cluster.advance(1.0)
+    owner = cluster.members.owner(_GROUP)
+    other = next(n for n, name in enumerate(cluster.nodes) if name != owner)
+    cluster.submit("runs", list(cluster.nodes).index(owner), content=_HARMFUL)
+    cluster.deliver_all()
+    cluster.submit("waits", other, content=_HARMFUL)
+    cluster.deliver_all()
+    cluster.lost.add("EndedContents")
+    cluster.run()
+    cluster.advance(1.5)
+    cluster.run()
+    assert cluster.refusal("waits") == "quarantined"
