--- a/packages/baobabmux-core/src/baobabmux_core/end_counts.py
+++ b/packages/baobabmux-core/src/baobabmux_core/end_counts.py
@@ -27,8 +27,6 @@
 # endpoint serves the content again within the hour.
 KEPT_SECONDS = 900.0
 
-# Reports of ends before a completion may arrive up to this time after it.
-_CLEARED_SECONDS = 60.0
 # Bound the memory; the oldest content is evicted first.
 _MAX_CONTENTS = 10_000
 _MAX_ENDS_KEPT = 16
@@ -151,12 +149,10 @@
         """
         if not self._drop(content):
             return False
+        # A record of the store may tell of earlier ends as long as these count.
         self._cleared_at.pop(content, None)
         self._cleared_at[content] = now
-        while self._cleared_at:
-            oldest = next(iter(self._cleared_at.values()))
-            if now - oldest <= _CLEARED_SECONDS:
-                break
+        if len(self._cleared_at) > _MAX_CONTENTS:
             self._cleared_at.popitem(last=False)
         return True
 
@@ -180,6 +176,11 @@
 
     def expire(self, now: float) -> None:
         """Drops contents without a recent end."""
+        while self._cleared_at:
+            oldest = next(iter(self._cleared_at.values()))
+            if now - oldest <= KEPT_SECONDS:
+                break
+            self._cleared_at.popitem(last=False)
         for content, ends in list(self._ends.items()):
             if ends[-1].at <= now - KEPT_SECONDS:
                 self._drop(content)
--- a/packages/baobabmux-node/tests/end_records_test.py
+++ b/packages/baobabmux-node/tests/end_records_test.py
@@ -211,3 +211,37 @@
     reader.ends.replace(reader.records, 103.0, now_ms)
     assert reader.malformed == ["0", "no number"]
     assert reader.count(103.0) == 2
+
+
+def test_old_record_does_not_bring_back_the_ends_of_a_cleared_content():
+    """Guards against a harmless content that is counted again.
+
+    The store was away when the record should have been removed.
+    """
+    node = _Node("a", {})
+    node.send(100.0)
+    node.send(102.0)
+    node.exchange(103.0)
+    old = dict(node.records)
+    node.core.receive("a", messages.Cleared(_CONTENT), 104.0)
+    node.advance(400.0)
+    node.ends.replace(old, 400.0, _CLOCK_MS + 400_000)
+    assert node.count(400.0) == 0
+    assert node.exchange(400.0) == {_KEY: b""}
+
+
+def test_record_is_kept_while_the_content_has_an_end():
+    """Guards against a removal that clears the content on all nodes.
+
+    One of two ends was uncertain, and its endpoint is listed again.
+    """
+    node = _Node("a", {})
+    node.send(100.0)
+    uncertain = messages.EndedContents(
+        "gone", False, (messages.ContentEnd(_CONTENT, 0),)
+    )
+    node.core.receive("b", uncertain, 102.0)
+    assert list(node.exchange(103.0)) == [_KEY]
+    node.core._quarantine.ends.endpoint_listed("gone")
+    assert node.count(104.0) == 1
+    assert node.ends.due(104.0, _CLOCK_MS + 104_000) == {}
