--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -1,5 +1,6 @@
 """Records events for state changes that have no message or request."""
 
+import itertools
 from typing import TYPE_CHECKING
 
 from baobabmux_core import catalogue, end_counts, ids
@@ -8,6 +9,9 @@
 if TYPE_CHECKING:
     from baobabmux_node import node
 
+# Lines in one check; an endpoint that ends leaves some tens of contents.
+_MAX_CONTENT_LINES = 100
+
 Kind = catalogue.EventKind
 
 
@@ -64,17 +68,22 @@
 
     def _check_contents(self, counts: dict[ids.ContentDigest, int]) -> None:
         refused = 0
+        written = 0
         for content, ends in counts.items():
             is_refused = ends >= end_counts.MAX_ENDS
             refused += is_refused
-            if ends != self._end_counts.get(content):
+            if ends == self._end_counts.get(content):
+                continue
+            written += 1
+            if written <= _MAX_CONTENT_LINES:
                 self._host.events.record(
                     Kind.CONTENT_COUNTED,
                     content=f"{content:x}",
                     ends=ends,
                     refused=is_refused,
                 )
-        for content in self._end_counts.keys() - counts.keys():
+        cleared = self._end_counts.keys() - counts.keys()
+        for content in itertools.islice(cleared, _MAX_CONTENT_LINES):
             self._host.events.record(
                 Kind.CONTENT_CLEARED, content=f"{content:x}"
             )
