Count contents with one end without grouping their ends

With 10,000 contents, the most that are kept, the check of each second took 20 ms, and the look for records to write, four times a second, as long again.

--- a/packages/baobabmux-core/src/baobabmux_core/end_counts.py
+++ b/packages/baobabmux-core/src/baobabmux_core/end_counts.py
@@ -66,6 +66,9 @@
 
     def count(self, content: ids.ContentDigest, now: float) -> int:
         """Returns the number of ends; those within a second count as one."""
+        ends = self._ends.get(content, ())
+        if len(ends) <= 1:
+            return sum(end.at > now - KEPT_SECONDS for end in ends)
         return len(self._counted(content, now))
 
     def ends(self, content: ids.ContentDigest, now: float) -> tuple[End, ...]:
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -529,6 +529,10 @@
             for content in ends.counted(at_least, now)
         }
 
+    def has_ended_endpoints(self, content: ids.ContentDigest) -> bool:
+        """Returns whether endpoints ended under a content."""
+        return content in self._quarantine.ends
+
     def content_end_counts(self, now: float) -> dict[ids.ContentDigest, int]:
         """Returns the number of counted ends by content."""
         return self._quarantine.ends.counted(1, now)
--- a/packages/baobabmux-node/src/baobabmux_node/end_records.py
+++ b/packages/baobabmux-node/src/baobabmux_node/end_records.py
@@ -105,10 +105,11 @@
             stored = self._stored.get(key, ())
             if len(ends) > len(stored) and self._is_writer(key):
                 due[key] = _encode(ends, now, now_ms)
-        known = self._scheduler.content_end_counts(now)
-        known_keys = {f"{content:016x}" for content in known}
-        for key in self._stored.keys() - known_keys:
-            if self._is_writer(key):
+        for key in self._stored:
+            content = ids.ContentDigest(int(key, 16))
+            if not self._scheduler.has_ended_endpoints(content) and (
+                self._is_writer(key)
+            ):
                 due[key] = b""
         return due
 
