--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -77,9 +77,9 @@
         limits_slow_endpoints: Whether an endpoint that is slower than its
             peers runs fewer requests at a time.
         isolates_suspects: Whether a request content that is suspected of
-            crashing an endpoint runs alone the next time. If not, a content
-            is refused once endpoints have failed while running it as often as
-            the quarantine limit allows.
+            crashing an endpoint runs alone the next time. If not, it runs one
+            copy at a time, and is refused once `end_counts.MAX_ENDS` endpoints
+            have ended while they ran it.
         max_connections: Connections that each endpoint accepts from all nodes
             together, or 0 if unknown.
     """
