Pass clearances on, and repeat the newest reports of ends

A node that missed that a content completed kept its ends, and after three refused it for 15 minutes. A node that knows of the completion now answers a report of earlier ends with it. Repeated reports are those of the contents whose ends are newest, not of those that ended an endpoint first.

--- a/packages/baobabmux-core/src/baobabmux_core/end_counts.py
+++ b/packages/baobabmux-core/src/baobabmux_core/end_counts.py
@@ -119,8 +119,7 @@
 
     def add(self, content: ids.ContentDigest, end: End, now: float) -> bool:
         """Adds an end; returns whether it was news."""
-        cleared_at = self._cleared_at.get(content, end.at - 1.0)
-        if end.at <= cleared_at or end.at <= now - KEPT_SECONDS:
+        if self.is_cleared(content, end.at) or end.at <= now - KEPT_SECONDS:
             return False
         ends = self._ends.get(content, [])
         for index, known in enumerate(ends):
@@ -134,8 +133,9 @@
                 return True
         if len(ends) >= _MAX_ENDS_KEPT:
             return False
-        if not ends:
-            self._make_room()
+        # The contents are kept in the order of their newest report.
+        self._ends.pop(content, None)
+        self._make_room()
         self._ends[content] = sorted([*ends, end], key=lambda one: one.at)
         return True
 
@@ -144,20 +144,19 @@
         if content in self._ends:
             self._broke_at[content] = now
 
-    def clear(self, content: ids.ContentDigest, now: float) -> bool:
-        """Drops the ends under a content, because it completed.
+    def is_cleared(self, content: ids.ContentDigest, at: float) -> bool:
+        """Returns whether a content is known to have completed since a time."""
+        return at <= self._cleared_at.get(content, -math.inf)
 
-        Returns:
-            Whether it had any.
-        """
-        if not self._drop(content):
-            return False
-        # A record of the store may tell of earlier ends as long as these count.
+    def clear(self, content: ids.ContentDigest, now: float) -> None:
+        """Drops the ends under a content, because it completed."""
+        self._drop(content)
+        # Nodes and records of the store may tell of earlier ends as long as
+        # these count.
         self._cleared_at.pop(content, None)
         self._cleared_at[content] = now
         if len(self._cleared_at) > _MAX_CONTENTS:
             self._cleared_at.popitem(last=False)
-        return True
 
     def endpoint_listed(self, endpoint: ids.EndpointId) -> None:
         """Drops the uncertain ends of an endpoint that is listed again."""
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -245,8 +245,9 @@
             return []
         content = held.work.content
         if outcome is states.Outcome.COMPLETED:
-            if not self._quarantine.ends.clear(content, now):
+            if content not in self._quarantine.ends:
                 return []
+            self._quarantine.ends.clear(content, now)
             return self._broadcast(messages.Cleared(content))
         if outcome not in _UNFINISHED_OUTCOMES:
             return []
@@ -360,7 +361,7 @@
             case messages.Cleared():
                 emitted = self._handle_cleared(message.content, now)
             case messages.EndedContents():
-                emitted = self._handle_ended_contents(message, now)
+                emitted = self._handle_ended_contents(message, sender, now)
             case messages.DrainEndpoint():
                 self._set_drained(message.endpoint, message.drain)
                 emitted = []
@@ -939,14 +940,28 @@
         return emitted
 
     def _handle_ended_contents(
-        self, report: messages.EndedContents, now: float
+        self,
+        report: messages.EndedContents,
+        sender: ids.NodeId,
+        now: float,
     ) -> list[effects.Effect]:
+        # The sender may have missed that a content completed.
+        cleared: list[effects.Effect] = [
+            effects.Send(sender, messages.Cleared(item.content))
+            for item in report.ends
+            if self._quarantine.ends.is_cleared(
+                item.content, now - item.ended_ms / 1000
+            )
+            and sender in self._reachable
+        ]
         news, own_reports = self._end_reports.receive(
             report, self._is_declared, now
         )
-        return self._refuse_quarantined(news, now) + self._send_reports(
-            own_reports, now
-        )
+        return [
+            *cleared,
+            *self._refuse_quarantined(news, now),
+            *self._send_reports(own_reports, now),
+        ]
 
     def _is_declared(self, endpoint: ids.EndpointId) -> bool:
         return (
--- a/packages/baobabmux-core/tests/content_ends_test.py
+++ b/packages/baobabmux-core/tests/content_ends_test.py
@@ -393,3 +393,39 @@
     cluster.advance(1.5)
     cluster.run()
     assert cluster.refusal("waits") == "quarantined"
+
+
+def test_node_that_missed_a_clearance_learns_of_it():
+    """Guards against a harmless content that one node refuses."""
+    cluster = _Cluster()
+    cluster.submit("r1", 0, content=7)
+    cluster.run()
+    cluster.end_endpoint(cluster.running["r1"])
+    cluster.run()
+    cluster.advance(0.5)
+    counts = [c.content_end_counts(cluster.now) for c in cluster.nodes.values()]
+    assert counts == [{7: 1}] * 3
+    cluster.lost.add("Cleared")
+    cluster.complete("r1")
+    cluster.lost.clear()
+    cluster.advance(10.0)
+    counts = [c.content_end_counts(cluster.now) for c in cluster.nodes.values()]
+    assert counts == [{}] * 3
+
+
+def test_latest_reports_are_repeated():
+    """Guards against a harmful content that newer ones crowd out."""
+    counts = end_counts.EndCounts()
+    counts.add(_HARMFUL, end_counts.End(100.0, "e0"), 100.0)
+    for content in range(100):
+        counts.add(content, end_counts.End(101.0, "e1"), 101.0)
+    counts.add(_HARMFUL, end_counts.End(102.0, "e2"), 102.0)
+    reports = end_reports.EndReports(counts, 1)
+    (first, *_) = reports.repeats(["n1"], 103.0)
+    repeated = [
+        item.content
+        for effect in reports.repeats(["n1"], 104.0)
+        for item in effect.message.ends
+    ]
+    assert first.to == "n1"
+    assert repeated.count(_HARMFUL) == 2
