--- a/bench/tests/known_red_test.py
+++ b/bench/tests/known_red_test.py
@@ -1,18 +1,16 @@
 """Tests of reading KNOWN-RED.txt: a malformed entry must be an error."""
 
-import importlib.util
 import pathlib
 
 import pytest
 
+from baobabmux_standins import modules
+
 _PATH = pathlib.Path(__file__).parents[2] / "conftest.py"
 
 
 def _load_conftest():
-    spec = importlib.util.spec_from_file_location("root_conftest", _PATH)
-    module = importlib.util.module_from_spec(spec)
-    spec.loader.exec_module(module)
-    return module
+    return modules.load(_PATH, "root_conftest")
 
 
 def test_entries_with_continued_lines_are_read():
--- a/packages/baobabmux-core/tests/broken_scheduler_test.py
+++ b/packages/baobabmux-core/tests/broken_scheduler_test.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import importlib.util
 import pathlib
 from typing import ClassVar
 
@@ -27,22 +26,16 @@
     scheduler,
     states,
 )
+from baobabmux_standins import modules
 
 _ROUTE_SECONDS = 30.0
 _SERVICE = "drafting"
 _FIRST = "e0-col-a"
 
 
-def _load_cluster_module():
-    """Loads the module with the cluster; the tests are not a package."""
-    path = pathlib.Path(__file__).with_name("scheduler_test.py")
-    spec = importlib.util.spec_from_file_location("scheduler_driver", path)
-    module = importlib.util.module_from_spec(spec)
-    spec.loader.exec_module(module)
-    return module
-
-
-_cluster_module = _load_cluster_module()
+_cluster_module = modules.load(
+    pathlib.Path(__file__).with_name("scheduler_test.py"), "scheduler_driver"
+)
 
 
 class _Recorded(_cluster_module.Cluster):
--- a/packages/baobabmux-core/tests/content_ends_test.py
+++ b/packages/baobabmux-core/tests/content_ends_test.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import importlib.util
 import pathlib
 import random
 
@@ -19,6 +18,7 @@
     scheduler,
     states,
 )
+from baobabmux_standins import modules
 
 _GROUP = "drafting@col-a"
 # After this time all nodes know of an end; a content that has ended three
@@ -30,16 +30,13 @@
 _SECONDS_TO_END = 0.05
 
 
-def _load_cluster_module():
-    """Loads the module with the cluster; the tests are not a package."""
-    path = pathlib.Path(__file__).with_name("scheduler_test.py")
-    spec = importlib.util.spec_from_file_location("content_ends_driver", path)
-    module = importlib.util.module_from_spec(spec)
-    spec.loader.exec_module(module)
-    return module
+_cluster_module = modules.load(
+    pathlib.Path(__file__).with_name("scheduler_test.py"),
+    "content_ends_driver",
+)
 
 
-class _Cluster(_load_cluster_module().Cluster):
+class _Cluster(_cluster_module.Cluster):
     """Cluster whose endpoints end under harmful contents.
 
     Attributes:
