Simplify the count of ends without changing what it does

Outcomes of broken runs are listed once, in states. Uncertain ends of listed endpoints are dropped in one pass over the contents, not one for each endpoint. Records keep the number of their ends, not unused names. Counts and eviction lost a copy each.

--- a/packages/baobabmux-core/src/baobabmux_core/end_counts.py
+++ b/packages/baobabmux-core/src/baobabmux_core/end_counts.py
@@ -9,9 +9,8 @@
 """
 
 import collections
-import itertools
 import math
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
 import msgspec
 
@@ -100,15 +99,11 @@
         self, at_least: int, now: float
     ) -> dict[ids.ContentDigest, int]:
         """Returns the counts of contents with at least that many ends."""
-        counts = {
-            content: self.count(content, now)
-            for content, ends in self._ends.items()
-            if len(ends) >= at_least
-        }
         return {
             content: count
-            for content, count in counts.items()
-            if count >= at_least
+            for content, ends in self._ends.items()
+            if len(ends) >= at_least
+            and (count := self.count(content, now)) >= at_least
         }
 
     def contents(self, since: float) -> Iterator[ids.ContentDigest]:
@@ -135,7 +130,8 @@
             return False
         # The contents are kept in the order of their newest report.
         self._ends.pop(content, None)
-        self._make_room()
+        if len(self._ends) >= _MAX_CONTENTS:
+            self._drop(next(iter(self._ends)))
         self._ends[content] = sorted([*ends, end], key=lambda one: one.at)
         return True
 
@@ -158,24 +154,15 @@
         if len(self._cleared_at) > _MAX_CONTENTS:
             self._cleared_at.popitem(last=False)
 
-    def endpoint_listed(self, endpoint: ids.EndpointId) -> None:
-        """Drops the uncertain ends of an endpoint that is listed again."""
+    def endpoints_listed(self, listed: Container[ids.EndpointId]) -> None:
+        """Drops the uncertain ends of endpoints that are listed again."""
         for content, ends in list(self._ends.items()):
-            kept = [e for e in ends if e.certain or e.endpoint != endpoint]
+            kept = [e for e in ends if e.certain or e.endpoint not in listed]
             if not kept:
                 self._drop(content)
             elif len(kept) < len(ends):
                 self._ends[content] = kept
 
-    def uncertain_endpoints(self) -> set[ids.EndpointId]:
-        """Returns the endpoints whose ends are not certain."""
-        return {
-            end.endpoint
-            for ends in self._ends.values()
-            for end in ends
-            if not end.certain
-        }
-
     def expire(self, now: float) -> None:
         """Drops contents without a recent end."""
         while self._cleared_at:
@@ -195,11 +182,6 @@
                 counted.append(end.at)
         return counted
 
-    def _make_room(self) -> None:
-        excess = len(self._ends) + 1 - _MAX_CONTENTS
-        for content in list(itertools.islice(self._ends, max(0, excess))):
-            self._drop(content)
-
     def _drop(self, content: ids.ContentDigest) -> bool:
         self._broke_at.pop(content, None)
         return self._ends.pop(content, None) is not None
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -69,8 +69,6 @@
 _FULL_MARGIN_REFUSAL_SHARE = 0.1
 _REFUSAL_WEIGHT = 0.02
 
-_BROKEN_OUTCOMES = frozenset({states.Outcome.BROKEN, states.Outcome.GARBAGE})
-
 
 class _Blocked:
     """Classes of requests for which no slot is left in this round of grants.
@@ -1035,7 +1033,7 @@
         if outcome is states.Outcome.CANCELLED:
             member.breaker.record_inconclusive(now)
             return
-        if outcome in _BROKEN_OUTCOMES:
+        if outcome in states.BROKEN_OUTCOMES:
             self._quarantine.ends.record_break(run.content, now)
         if (
             not self._isolates_suspects()
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -69,13 +69,7 @@
 _PAUSE_SECONDS = 1.5
 # Outcomes after which the endpoint may have ended under the run. After the
 # others it has answered, or it has not received the request.
-_UNFINISHED_OUTCOMES = frozenset(
-    {
-        states.Outcome.BROKEN,
-        states.Outcome.GARBAGE,
-        states.Outcome.CANCELLED,
-    }
-)
+_UNFINISHED_OUTCOMES = states.BROKEN_OUTCOMES | {states.Outcome.CANCELLED}
 
 
 class _RemoteLoad(msgspec.Struct, frozen=True):
@@ -434,9 +428,7 @@
     ) -> list[effects.Effect]:
         """Applies a configuration."""
         self._configuration = configuration
-        for endpoint in self._quarantine.ends.uncertain_endpoints():
-            if endpoint in configuration.endpoints:
-                self._quarantine.ends.endpoint_listed(endpoint)
+        self._quarantine.ends.endpoints_listed(configuration.endpoints)
         self._fallback_quotas.configure(configuration.workspaces, now)
         for owner in self._owned.values():
             owner.configure(configuration, now)
--- a/packages/baobabmux-core/src/baobabmux_core/states.py
+++ b/packages/baobabmux-core/src/baobabmux_core/states.py
@@ -61,6 +61,10 @@
         raise ValueError(f"no outcome has the code {code}")
 
 
+BROKEN_OUTCOMES = frozenset({Outcome.BROKEN, Outcome.GARBAGE})
+"""Outcomes after which it is unknown what became of the run."""
+
+
 class MemberState(enum.Enum):
     """State of a node in the membership view."""
 
--- a/packages/baobabmux-core/src/baobabmux_core/unfinished.py
+++ b/packages/baobabmux-core/src/baobabmux_core/unfinished.py
@@ -86,12 +86,11 @@
         self._ended_at[endpoint] = max(known, ended_at)
         if len(self._ended_at) > _MAX_ENDPOINTS:
             self._ended_at.popitem(last=False)
-        runs = self._recent(endpoint, now)
-        ended = [run for run in runs if self._ended_under(endpoint, run)]
-        if len(ended) == len(runs):
-            self._runs.pop(endpoint, None)
-        for run in ended if endpoint in self._runs else ():
-            self._runs[endpoint].remove(run)
+        ended = []
+        for run in self._recent(endpoint, now):
+            if self._ended_under(endpoint, run):
+                ended.append(run)
+                self._runs[endpoint].remove(run)
         return tuple(ended)
 
     def _ended_under(
--- a/packages/baobabmux-node/src/baobabmux_node/end_records.py
+++ b/packages/baobabmux-node/src/baobabmux_node/end_records.py
@@ -44,8 +44,8 @@
         self._record_malformed = record_malformed
         self._scheduler = node_scheduler
         self._is_writer = is_writer
-        # Endpoints in the record of each key.
-        self._stored: dict[str, list[str]] = {}
+        # Number of ends in the record of each key.
+        self._stored: dict[str, int] = {}
 
     def replace(
         self, records: dict[str, bytes], now: float, now_ms: int
@@ -85,7 +85,7 @@
                 ids.NodeId(""), messages.Cleared(content), now
             )
         record = msgspec.json.decode(value, type=_Record)
-        self._stored[key] = [end.endpoint for end in record.ends]
+        self._stored[key] = len(record.ends)
         emitted: list[effects.Effect] = []
         for end in record.ends:
             report = messages.EndedContents(
@@ -102,8 +102,7 @@
         counted = self._scheduler.counted_contents(_MIN_STORED_ENDS, now)
         wanted = {f"{content:016x}": ends for content, ends in counted.items()}
         for key, ends in wanted.items():
-            stored = self._stored.get(key, ())
-            if len(ends) > len(stored) and self._is_writer(key):
+            if len(ends) > self._stored.get(key, 0) and self._is_writer(key):
                 due[key] = _encode(ends, now, now_ms)
         for key in self._stored:
             content = ids.ContentDigest(int(key, 16))
@@ -118,8 +117,7 @@
         if not value:
             self._stored.pop(key, None)
             return
-        record = msgspec.json.decode(value, type=_Record)
-        self._stored[key] = [end.endpoint for end in record.ends]
+        self._stored[key] = len(msgspec.json.decode(value, type=_Record).ends)
 
 
 def _encode(ends: tuple[end_counts.End, ...], now: float, now_ms: int) -> bytes:
--- a/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
+++ b/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
@@ -24,7 +24,6 @@
 # An end without unfinished runs is recorded once in this time.
 _REPEAT_SECONDS = 5.0
 _MAX_KNOWN = 1_000
-_BROKEN_OUTCOMES = frozenset({states.Outcome.BROKEN, states.Outcome.GARBAGE})
 
 Kind = catalogue.EventKind
 
@@ -56,7 +55,7 @@
         declared = self._host.configuration.endpoints.get(endpoint)
         if (
             declared is None
-            or result.outcome not in _BROKEN_OUTCOMES
+            or result.outcome not in states.BROKEN_OUTCOMES
             or endpoint in self._probed
         ):
             return
--- a/packages/baobabmux-node/tests/end_records_test.py
+++ b/packages/baobabmux-node/tests/end_records_test.py
@@ -242,6 +242,6 @@
     )
     node.core.receive("b", uncertain, 102.0)
     assert list(node.exchange(103.0)) == [_KEY]
-    node.core._quarantine.ends.endpoint_listed("gone")
+    node.core._quarantine.ends.endpoints_listed({"gone"})
     assert node.count(104.0) == 1
     assert node.ends.due(104.0, _CLOCK_MS + 104_000) == {}
