Record which answer clears a content, and grants from own shares

Event 404 said that a content was cleared, but not by which answer; event 202 did not say whether the owner had granted the request. Event 411 and baobabmux_answered_contents_total record each complete answer to a content under which endpoints had ended, with its status; event 205 has the status, event 202 whether the grant came from the node's own share. No decision changes; three tests that compare whole dispatch effects name the new field.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -105,6 +105,12 @@
         " as node {source} reports.",
     )
 
+    CONTENT_ANSWERED = (
+        411,
+        "{endpoint} answered {status} to content {content}, under which"
+        " endpoints had ended {ends} times.",
+    )
+
     CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
     CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
     CLAIM_UNAVAILABLE = (503, "The log did not decide the claim in time.")
--- a/packages/baobabmux-core/src/baobabmux_core/effects.py
+++ b/packages/baobabmux-core/src/baobabmux_core/effects.py
@@ -86,10 +86,17 @@
 
     The driver calls `start_dispatch` immediately before the first byte and
     writes only if that returns True.
+
+    Attributes:
+        request: Request that was granted.
+        endpoint: Endpoint that it may use.
+        own_share: Whether the node granted it from its own share, because the
+            owner is unresponsive.
     """
 
     request: ids.RequestId
     endpoint: ids.EndpointId
+    own_share: bool = False
 
 
 class Refuse(Effect, frozen=True):
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -129,6 +129,7 @@
             request.
         asked_at: Time from which the acknowledgement timeout counts, in
             seconds.
+        own_share: Whether the current grant is from the node's own share.
         owner_has_ask: Whether the whole `Ask` was sent to the owner, so that
             repeats can be `Reminder` messages.
         broke_at: Time at which its stream broke off after the first event, or
@@ -157,6 +158,7 @@
         "home",
         "lease_end",
         "next_ask_at",
+        "own_share",
         "owner",
         "owner_has_ask",
         "progressed_at",
@@ -199,6 +201,7 @@
         self.avoided: tuple[ids.EndpointId, ...] = ()
         self.charged = False
         self.acknowledged = False
+        self.own_share = False
         self.owner_has_ask = False
         self.asked_at = now
         self.broke_at: float | None = None
@@ -515,6 +518,7 @@
         held.lease_end = now + _FALLBACK_LEASE_SECONDS
         held.state = states.RequestState.GRANTED
         held.charged = True
+        held.own_share = True
         # A grant may be on its way, and the message with it may be lost.
         self._register_repeats[held.group] = _EMPTY_REGISTER_COUNT
         return self._claim_or_dispatch(held, now)
@@ -544,6 +548,7 @@
         held.lease_end = arrived + grant.lease_ms / 1000
         held.state = states.RequestState.GRANTED
         held.charged = True
+        held.own_share = False
         self._register_repeats[held.group] = _EMPTY_REGISTER_COUNT
         return self._claim_or_dispatch(held, now)
 
@@ -859,7 +864,9 @@
             # the next one every grant may be expired on arrival.
             self._requeue(held, now)
             return []
-        return [effects.Dispatch(held.work.request, held.endpoint)]
+        return [
+            effects.Dispatch(held.work.request, held.endpoint, held.own_share)
+        ]
 
     def _requeue(self, held: Held, now: float) -> None:
         """Returns a request to the queued state; the next tick asks again."""
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -206,11 +206,11 @@
     holder.submit(_work(), _GROUP, 160.0, 100.0)
     assert _tick(holder, 100.1) == []
     (dispatch,) = _tick(holder, 100.2)
-    assert dispatch == effects.Dispatch("r", "e1")
+    assert dispatch == effects.Dispatch("r", "e1", own_share=True)
     assert holder.start_dispatch("r", 100.2)
     # The next request does not wait for the timeout again.
     assert holder.submit(_work("s"), _GROUP, 160.0, 100.3) == [
-        effects.Dispatch("s", "e1")
+        effects.Dispatch("s", "e1", own_share=True)
     ]
 
 
@@ -225,7 +225,7 @@
     assert _tick(holder, 100.2) == [effects.Claim("r")]
     assert not holder.start_dispatch("r", 100.2)
     assert holder.claim_decided("r", True, 100.3, None, None) == [
-        effects.Dispatch("r", "e1")
+        effects.Dispatch("r", "e1", own_share=True)
     ]
     # A claim that takes longer than the lease needs another grant, no claim.
     holder.submit(_work("s", needs_claim=True), _GROUP, 160.0, 100.3)
@@ -624,4 +624,4 @@
     ]
     # The new incarnation may not answer either.
     holder.fallback = lambda held, now: "e1"
-    assert _tick(holder, 100.7) == [effects.Dispatch("r", "e1")]
+    assert _tick(holder, 100.7) == [effects.Dispatch("r", "e1", own_share=True)]
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -85,6 +85,7 @@
         computed_tokens: Prompt tokens that were not cached, -1 if unknown.
         output_tokens: Tokens of the answer.
         refused: Whether the endpoint's address refused the connection.
+        status: Status of the answer that was relayed, or None.
     """
 
     outcome: states.Outcome
@@ -92,6 +93,14 @@
     computed_tokens: int = -1
     output_tokens: int = 0
     refused: bool = False
+    status: int | None = None
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the run completed and its answer reports success."""
+        return self.outcome is states.Outcome.COMPLETED and (
+            self.status is None or 200 <= self.status < 300
+        )
 
 
 class Sink(abc.ABC):
@@ -161,7 +170,9 @@
             while (part := await connection.next_part()) is not None:
                 await sink.data(part)
             sink.progress(1)
-            return Result(states.Outcome.COMPLETED, output_tokens=1)
+            return Result(
+                states.Outcome.COMPLETED, output_tokens=1, status=head.status
+            )
         except client.ClientError as error:
             return Result(
                 failure_outcome(error),
--- a/packages/baobabmux-node/src/baobabmux_node/driver.py
+++ b/packages/baobabmux-node/src/baobabmux_node/driver.py
@@ -75,7 +75,10 @@
             return
         if isinstance(effect, effects.Dispatch):
             self._host.events.record(
-                Kind.REQUEST_GRANTED, effect.request, effect.endpoint
+                Kind.REQUEST_GRANTED,
+                effect.request,
+                effect.endpoint,
+                own_share=effect.own_share,
             )
         await request.decide(effect)
 
--- a/packages/baobabmux-node/src/baobabmux_node/engines.py
+++ b/packages/baobabmux-node/src/baobabmux_node/engines.py
@@ -111,7 +111,9 @@
                 )
             if head.status != 200:
                 await self._relay_error(connection, head, sink)
-                return adapters.Result(states.Outcome.COMPLETED)
+                return adapters.Result(
+                    states.Outcome.COMPLETED, status=head.status
+                )
             stream.stream_id = head.headers.get("stream-id", "")
             await sink.head(200, {"content-type": "text/event-stream"})
             await self._relay(connection, sink, stream)
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -144,6 +144,11 @@
             "Contents under which endpoints ended",
             ["refused"],
         )
+        self.answered_contents = self._counter(
+            "answered_contents",
+            "Answers to contents under which endpoints had ended",
+            ["succeeded"],
+        )
         self.stray_answers = self._counter(
             "stray_answers", "Answers that matched no request"
         )
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -330,7 +330,9 @@
             sink.progress(1)
         await self._return_to_pool(call, connection, head)
         return adapters.Result(
-            states.Outcome.COMPLETED, output_tokens=sink.tokens
+            states.Outcome.COMPLETED,
+            output_tokens=sink.tokens,
+            status=head.status,
         )
 
     async def _report_limit(self, call, head, verdict) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -203,7 +203,9 @@
             detail=result.detail,
             age_ms=round((now - request.parsed.arrived) * 1000),
             output_tokens=result.output_tokens,
+            status=result.status,
         )
+        self._record_clearance(request, result)
         self._host.metrics.attempts.labels(
             request.parsed.work.service, result.outcome.value
         ).inc()
@@ -221,6 +223,29 @@
         )
         await self._host.endpoint_ends.attempt_ended(request.endpoint, result)
 
+    def _record_clearance(
+        self, request: held.HeldRequest, result: adapters.Result
+    ) -> None:
+        """Records which answer clears a content of its ends."""
+        content = request.parsed.work.content
+        scheduler = self._host.scheduler
+        if (
+            result.outcome is not states.Outcome.COMPLETED
+            or not scheduler.has_ended_endpoints(content)
+        ):
+            return
+        self._host.events.record(
+            Kind.CONTENT_ANSWERED,
+            request.parsed.request,
+            request.endpoint or "",
+            content=f"{content:x}",
+            status=result.status,
+            ends=scheduler.content_end_counts(clock.now()).get(content, 0),
+        )
+        self._host.metrics.answered_contents.labels(
+            str(result.succeeded).lower()
+        ).inc()
+
     async def cancel(self, request: held.HeldRequest) -> None:
         """Cancels a request that was not dispatched."""
         request_id = request.parsed.request
