--- a/standins/src/baobabmux_standins/standin.py
+++ b/standins/src/baobabmux_standins/standin.py
@@ -58,6 +58,8 @@
         times: Number of answers to which these faults apply, -1 for all.
         limit: Requests a second that all answers name as the endpoint's
             limit, "" for none.
+        status: Status of all answers, which report a failure of the run, 0 for
+            the usual one.
     """
 
     break_after: int = -1
@@ -66,6 +68,7 @@
     only: str = ""
     times: int = -1
     limit: str = ""
+    status: int = 0
 
 
 class StandIn(abc.ABC):
