--- a/packages/baobabmux-core/tests/content_ends_test.py
+++ b/packages/baobabmux-core/tests/content_ends_test.py
@@ -202,6 +202,24 @@
     assert len(cluster.ends) - before == 1
 
 
+def test_copies_run_one_at_a_time_while_the_owner_is_silent():
+    """Guards against nodes that each send a copy from their own share."""
+    cluster = _Cluster(nodes=8)
+    cluster.send("r", content=_HARMFUL, max_attempts=1)
+    cluster.advance(2.0)
+    before = len(cluster.ends)
+    owner = cluster.members.owner(_GROUP)
+    cluster.paused.add(owner)
+    for number, node in enumerate(cluster.nodes):
+        if node != owner:
+            cluster.submit(f"c{number}", number, content=_HARMFUL)
+    cluster.advance(0.5)
+    cluster.run()
+    cluster.advance(0.5)
+    cluster.run()
+    assert len(cluster.ends) - before <= 1
+
+
 def test_content_is_refused_after_its_owner_is_replaced():
     """Guards against a count that is lost with the owner of the group."""
     cluster = _Cluster(nodes=4)
