Clear a content only by an answer that reports success

Callers saw requests fail on replicas that one content had ended again and again. A node cleared a content when a run of it ended as completed, and the relay reports a replica's 500 or 504 as completed when no attempt is left. After its first end a content has one attempt, so the first 500 cleared it on all nodes and its count began anew.

Results carry the status of the relayed answer; only 2xx clears. The same holds for suspects that run alone on services that isolate them, which a plain service's or an engine's 500 released too (test_failure_does_not_clear_a_suspect; Release carries whether the answer succeeded). A failed answer says nothing about the content: the endpoint may not have begun the run.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -445,7 +445,7 @@
         run = member.model.running[release.request]
         if run.holder != holder:
             return []
-        self._record_outcome(member, run, outcome, now)
+        self._record_outcome(member, run, outcome, release.succeeded, now)
         self._update_service_margin(run, outcome, release)
         if outcome is states.Outcome.COMPLETED:
             member.model.observe_completion(
@@ -1112,6 +1112,7 @@
         member: placement.GroupMember,
         run: capacity.RunningRequest,
         outcome: states.Outcome,
+        succeeded: bool,
         now: float,
     ) -> None:
         """Updates breaker, failure share and quarantine by an outcome."""
@@ -1122,7 +1123,7 @@
             )
         if outcome is states.Outcome.COMPLETED:
             member.breaker.record_success()
-            if self._quarantine.clear(run.content, now):
+            if succeeded and self._quarantine.clear(run.content, now):
                 self.notices.append(messages.Cleared(run.content))
                 self._changed_contents.append(run.content)
             return
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -411,6 +411,7 @@
         now: float,
         computed_tokens: int,
         output_tokens: int,
+        succeeded: bool = True,
     ) -> list[effects.Effect]:
         """Ends an attempt; depending on the outcome, another one follows."""
         held = self.held.get(request)
@@ -419,7 +420,7 @@
         ):
             return []
         release = self._release(
-            held, outcome, now, computed_tokens, output_tokens
+            held, outcome, now, computed_tokens, output_tokens, succeeded
         )
         if outcome is states.Outcome.COMPLETED:
             self._update_rate(held, output_tokens, now)
@@ -944,6 +945,7 @@
         now: float,
         computed_tokens: int,
         output_tokens: int,
+        succeeded: bool,
     ) -> effects.Effect:
         first = held.first_token_at if held.first_token_at is not None else now
         message = messages.Release(
@@ -955,6 +957,7 @@
             output_tokens,
             max(0, round((first - held.dispatched_at) * 1000)),
             max(0, round((now - first) * 1000)),
+            succeeded,
         )
         owner = self._owner_of(held.group) or held.owner
         return effects.Send(owner, message)
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -165,6 +165,7 @@
         output_tokens: Output tokens produced.
         prefill_ms: Milliseconds from dispatch to the first token.
         decode_ms: Milliseconds from the first token to the last.
+        succeeded: Whether a completed answer reports success.
     """
 
     group: ids.GroupId
@@ -175,6 +176,7 @@
     output_tokens: int
     prefill_ms: int
     decode_ms: int
+    succeeded: bool = True
 
 
 class InFlight(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -288,6 +288,7 @@
         *,
         computed_tokens: int = -1,
         output_tokens: int = 0,
+        succeeded: bool = True,
     ) -> list[effects.Effect]:
         """Ends an attempt.
 
@@ -301,25 +302,31 @@
             now: Current time in seconds.
             computed_tokens: Prompt tokens that the endpoint computed, or -1.
             output_tokens: Output tokens received.
+            succeeded: Whether a completed answer reports success.
 
         Returns:
             Effects to carry out.
         """
-        emitted = self._record_content_outcome(request, outcome, now)
+        emitted = self._record_content_outcome(request, outcome, succeeded, now)
         return emitted + self._holder.finished(
-            request, outcome, now, computed_tokens, output_tokens
+            request, outcome, now, computed_tokens, output_tokens, succeeded
         )
 
     def _record_content_outcome(
-        self, request: ids.RequestId, outcome: states.Outcome, now: float
+        self,
+        request: ids.RequestId,
+        outcome: states.Outcome,
+        succeeded: bool,
+        now: float,
     ) -> list[effects.Effect]:
-        """Clears a content that completed, or keeps its unfinished run."""
+        """Clears a content that succeeded, or keeps its unfinished run."""
         held = self._holder.held.get(request)
         if held is None:
             return []
         content = held.work.content
         if outcome is states.Outcome.COMPLETED:
-            if content not in self._quarantine.ends:
+            # An endpoint may report a failure without having begun the run.
+            if not succeeded or content not in self._quarantine.ends:
                 return []
             self._quarantine.ends.clear(content, now)
             return self._broadcast(messages.Cleared(content))
--- a/packages/baobabmux-core/tests/content_ends_test.py
+++ b/packages/baobabmux-core/tests/content_ends_test.py
@@ -15,6 +15,7 @@
     end_counts,
     end_reports,
     messages,
+    quarantine,
     scheduler,
     states,
 )
@@ -50,9 +51,8 @@
         self.contents = {}
         self.arrivals = []
         self.ends = []
-        super().__init__(
-            endpoints=endpoints, isolates_suspects=False, **options
-        )
+        options = {"isolates_suspects": False, **options}
+        super().__init__(endpoints=endpoints, **options)
 
     def submit(self, request, node=0, **fields):
         values = {
@@ -103,6 +103,15 @@
         emitted = self.nodes[node].finished(request, outcome, self.now)
         self.carry_out(node, emitted)
 
+    def fail_run(self, request):
+        """Ends a run with a failure that its caller is told."""
+        node = self.holder_of[request]
+        del self.running[request]
+        emitted = self.nodes[node].finished(
+            request, states.Outcome.COMPLETED, self.now, succeeded=False
+        )
+        self.carry_out(node, emitted)
+
     def abandon_all(self):
         """Lets the callers of all requests go away."""
         for request, node in self.holder_of.items():
@@ -190,6 +199,25 @@
     assert len(cluster.ends) <= 4
 
 
+def test_failure_does_not_clear_a_suspect():
+    """Guards against a suspect that an endpoint's 500 releases.
+
+    Services that isolate suspects trust a completed run in the same way.
+    """
+    cluster = _Cluster(isolates_suspects=True)
+    cluster.send("r", content=_HARMFUL, max_attempts=1)
+    core = cluster.nodes[cluster.members.owner(_GROUP)]
+    before = core._quarantine.status(_HARMFUL, cluster.now)
+    assert before is quarantine.ContentStatus.SUSPECT
+    cluster.advance(2.0)
+    cluster.harmful.clear()
+    cluster.send("s", content=_HARMFUL)
+    assert "s" in cluster.running
+    cluster.fail_run("s")
+    cluster.run()
+    assert core._quarantine.status(_HARMFUL, cluster.now) is before
+
+
 def test_copies_of_a_content_run_one_at_a_time_after_an_end():
     """Guards against copies that end one endpoint each at the same time."""
     cluster = _Cluster()
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -219,6 +219,7 @@
                 now,
                 computed_tokens=result.computed_tokens,
                 output_tokens=result.output_tokens,
+                succeeded=result.succeeded,
             )
         )
         await self._host.endpoint_ends.attempt_ended(request.endpoint, result)
