Leave contents under which endpoints ended to the owner

Copies from several nodes then end an endpoint each within a second, which counts as one end.

A second attempt of a request that was there before the first end is granted as before.

--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -1198,9 +1198,7 @@
         While the owner is unresponsive, every node may use an equal part of
         each endpoint's slots, so that together they do not overload it.
         """
-        if held.attempt == 1 and self._quarantine.ends.is_fresh(
-            held.work.content, now
-        ):
+        if self._needs_owner(held, now):
             return None
         nodes = max(1, len(self._reachable))
         running = self._holder.running_counts()
@@ -1240,6 +1238,18 @@
         wait = self._fallback_quotas.take(workspace, held.work.cost, now)
         return best[-1] if wait is None else None
 
+    def _needs_owner(self, held: holders.Held, now: float) -> bool:
+        """Returns whether only the owner may grant a request.
+
+        It runs one copy of a content at a time once an endpoint has ended
+        under it, and runs suspects alone.
+        """
+        content = held.work.content
+        if held.attempt == 1 and content in self._quarantine.ends:
+            return True
+        status = self._quarantine.status(content, now)
+        return status is not quarantine.ContentStatus.CLEAR
+
     def _fallback_budget(
         self, service: ids.ServiceName
     ) -> retries.AttemptBudget:
--- a/packages/baobabmux-core/tests/content_ends_test.py
+++ b/packages/baobabmux-core/tests/content_ends_test.py
@@ -248,6 +248,20 @@
     assert len(cluster.ends) - before <= 1
 
 
+def test_suspect_is_not_granted_from_own_shares():
+    """Guards against a suspect that runs beside others under a silent owner."""
+    cluster = _Cluster(nodes=4, isolates_suspects=True)
+    cluster.send("r", content=_HARMFUL, max_attempts=1)
+    cluster.advance(2.0)
+    owner = cluster.members.owner(_GROUP)
+    cluster.paused.add(owner)
+    number = next(n for n, name in enumerate(cluster.nodes) if name != owner)
+    cluster.submit("suspect", number, content=_HARMFUL)
+    cluster.submit("other", number, content=7)
+    cluster.advance(0.5)
+    assert set(cluster.pending) == {"other"}
+
+
 def test_content_is_refused_after_its_owner_is_replaced():
     """Guards against a count that is lost with the owner of the group."""
     cluster = _Cluster(nodes=4)
