Record the parts of prompts at requests and ended endpoints

Event 201 names the parts of a request's prompt that others may share, event 408 those of the unfinished runs at an endpoint that ended. No decision changes.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -91,7 +91,7 @@
     ENDPOINT_ENDED = (
         408,
         "Endpoint {endpoint} has ended, shown by: {evidence}; unfinished"
-        " contents of this node: {contents}.",
+        " contents of this node: {contents}, parts of prompts: {parts}.",
     )
     CONTENT_COUNTED = (
         409,
--- a/packages/baobabmux-core/src/baobabmux_core/effects.py
+++ b/packages/baobabmux-core/src/baobabmux_core/effects.py
@@ -19,6 +19,7 @@
         output_tokens: Expected length of the answer.
         prefixes: Prefixes of the prompt, the longest last.
         content: Digest of route and body.
+        parts: Parts of the prompt that other requests may share.
         needs_claim: Whether a claim in the log must precede the dispatch.
         idempotent: Whether it may run again after a failed attempt.
         first_by: Time after which the first event is useless to the caller,
@@ -59,6 +60,7 @@
     stream: ids.StreamKey | None = None
     resumes: ids.StreamKey | None = None
     version: str | None = None
+    parts: tuple[ids.PartDigest, ...] = ()
 
 
 class Effect(msgspec.Struct, frozen=True):
--- a/packages/baobabmux-core/src/baobabmux_core/end_reports.py
+++ b/packages/baobabmux-core/src/baobabmux_core/end_reports.py
@@ -43,6 +43,12 @@
         """Returns the contents of recent unfinished runs at an endpoint."""
         return self._unfinished.contents(endpoint, now)
 
+    def unfinished_parts(
+        self, endpoint: ids.EndpointId, now: float
+    ) -> tuple[ids.PartDigest, ...]:
+        """Returns the parts of recent unfinished runs at an endpoint."""
+        return self._unfinished.parts(endpoint, now)
+
     def add_unfinished(
         self,
         endpoint: ids.EndpointId,
--- a/packages/baobabmux-core/src/baobabmux_core/ids.py
+++ b/packages/baobabmux-core/src/baobabmux_core/ids.py
@@ -36,6 +36,9 @@
 """64-bit hash of the workspace and the identifier of the caller's request that
 began a stream."""
 
+PartDigest = NewType("PartDigest", int)
+"""32-bit hash of one part of a prompt, without the parts before it."""
+
 PrefixDigest = NewType("PrefixDigest", int)
 """32-bit hash of a prompt prefix."""
 
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -332,7 +332,9 @@
             return self._broadcast(messages.Cleared(content))
         if outcome not in _UNFINISHED_OUTCOMES:
             return []
-        run = unfinished.UnfinishedRun(content, held.dispatched_at, now)
+        run = unfinished.UnfinishedRun(
+            content, held.dispatched_at, now, held.work.parts
+        )
         reports = self._end_reports.add_unfinished(held.endpoint, run, now)
         return self._send_reports(reports, now)
 
@@ -689,6 +691,12 @@
         """Returns the contents of recent unfinished runs at an endpoint."""
         return self._end_reports.unfinished_contents(endpoint, now)
 
+    def unfinished_parts(
+        self, endpoint: ids.EndpointId, now: float
+    ) -> tuple[ids.PartDigest, ...]:
+        """Returns the parts of recent unfinished runs at an endpoint."""
+        return self._end_reports.unfinished_parts(endpoint, now)
+
     def counted_contents(
         self, at_least: int, now: float
     ) -> dict[ids.ContentDigest, tuple[end_counts.End, ...]]:
--- a/packages/baobabmux-core/src/baobabmux_core/unfinished.py
+++ b/packages/baobabmux-core/src/baobabmux_core/unfinished.py
@@ -25,11 +25,13 @@
         content: Digest of the request's route and body.
         started_at: Time of the dispatch in seconds.
         ended_at: Time at which the run broke off in seconds.
+        parts: Shared parts of its prompt that may have ended the endpoint.
     """
 
     content: ids.ContentDigest
     started_at: float
     ended_at: float
+    parts: tuple[ids.PartDigest, ...] = ()
 
 
 class UnfinishedRuns:
@@ -51,6 +53,13 @@
             sorted({run.content for run in self._recent(endpoint, now)})
         )
 
+    def parts(
+        self, endpoint: ids.EndpointId, now: float
+    ) -> tuple[ids.PartDigest, ...]:
+        """Returns the shared parts of an endpoint's recent unfinished runs."""
+        runs = self._recent(endpoint, now)
+        return tuple(sorted({part for run in runs for part in run.parts}))
+
     def add(
         self, endpoint: ids.EndpointId, run: UnfinishedRun
     ) -> tuple[UnfinishedRun, ...]:
--- a/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
+++ b/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
@@ -79,6 +79,10 @@
             endpoint=endpoint,
             evidence=evidence.value,
             contents=[f"{content:x}" for content in contents],
+            parts=[
+                f"{part:x}"
+                for part in self._host.scheduler.unfinished_parts(endpoint, now)
+            ],
         )
         self._host.metrics.endpoint_ends.labels(evidence.value).inc()
         await self._host.driver.apply(
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -92,6 +92,7 @@
             tier=parsed.route.tier,
             workspace=parsed.workspace,
             content=f"{parsed.work.content:x}",
+            parts=[f"{part:x}" for part in parsed.work.parts],
             prompt_tokens=parsed.work.prompt_tokens,
             config=self._host.config.version,
             deadline_ms=_left_ms(parsed.work.deadline, parsed.arrived),
--- a/packages/baobabmux-node/tests/endpoint_ends_test.py
+++ b/packages/baobabmux-node/tests/endpoint_ends_test.py
@@ -40,6 +40,9 @@
     def unfinished_contents(self, endpoint, now):
         return self.unfinished
 
+    def unfinished_parts(self, endpoint, now):
+        return ()
+
     def endpoint_ended(self, endpoint, now, *, certain):
         self.ended.append((endpoint, certain))
         return []
