Refuse parts of prompts under which endpoints end

Each node counts the ends of endpoints by part (all but the last), for runs that had not been written for a second, once for each content. A success, or an answer written for a second, proves the parts of its request, so that parts which sound requests share are dropped again at once. After three ends a part is refused everywhere; before that its requests run one at a time, through the owner only; 15 and 60 s after the last end one request tries it again.

--- a/packages/baobabmux-core/src/baobabmux_core/capacity.py
+++ b/packages/baobabmux-core/src/baobabmux_core/capacity.py
@@ -48,6 +48,7 @@
         uncached: Prompt tokens that the endpoint must compute.
         output: Expected output tokens.
         content: Digest of route and body.
+        parts: Shared parts of its prompt.
         granted: Time of the grant in seconds.
         first_token: Predicted time of the first token.
         end: Predicted time of the last token.
@@ -69,6 +70,7 @@
         "holder",
         "isolated",
         "output",
+        "parts",
         "produced",
         "reported",
         "request",
@@ -91,6 +93,7 @@
         *,
         short: bool = False,
         isolated: bool = False,
+        parts: tuple[ids.PartDigest, ...] = (),
     ):
         self.request = request
         self.holder = holder
@@ -107,6 +110,7 @@
         self.elapsed = 0.0
         self.reported = granted
         self.isolated = isolated
+        self.parts = parts
         self.expires: float | None = None
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -111,6 +111,13 @@
         " endpoints had ended {ends} times.",
     )
 
+    PART_COUNTED = (
+        412,
+        "Endpoints ended {ends} times under part {part} of prompts; it is"
+        " refused: {refused}.",
+    )
+    PART_PROVED = (413, "Part {part} of prompts ends no endpoint.")
+
     CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
     CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
     CLAIM_UNAVAILABLE = (503, "The log did not decide the claim in time.")
--- a/packages/baobabmux-core/src/baobabmux_core/end_counts.py
+++ b/packages/baobabmux-core/src/baobabmux_core/end_counts.py
@@ -11,6 +11,7 @@
 import collections
 import math
 from collections.abc import Container, Iterator
+from typing import Generic, TypeVar
 
 import msgspec
 
@@ -22,6 +23,9 @@
 COINCIDENCE_SECONDS = 1.0
 """Ends of one content within this time count as one."""
 
+Cause = TypeVar("Cause", ids.ContentDigest, ids.PartDigest)
+"""What may have ended an endpoint: a content or a part of prompts."""
+
 # Long enough to outlast a caller's retries, short enough that a repaired
 # endpoint serves the content again within the hour.
 KEPT_SECONDS = 900.0
@@ -40,49 +44,51 @@
         certain: Whether the endpoint is known to have ended. Otherwise it has
             left the endpoint directory without a notice, as one that is cut
             off does too.
+        content: Content of the run, for an end under a part of its prompt.
     """
 
     at: float
     endpoint: ids.EndpointId
     certain: bool = True
+    content: ids.ContentDigest | None = None
 
 
-class EndCounts:
-    """Recent ends by content."""
+class EndCounts(Generic[Cause]):
+    """Recent ends by content, or by part of prompts."""
 
     def __init__(self):
-        self._ends: dict[ids.ContentDigest, list[End]] = {}
-        self._broke_at: dict[ids.ContentDigest, float] = {}
-        self._cleared_at: collections.OrderedDict[ids.ContentDigest, float] = (
+        self._ends: dict[Cause, list[End]] = {}
+        self._broke_at: dict[Cause, float] = {}
+        self._cleared_at: collections.OrderedDict[Cause, float] = (
             collections.OrderedDict()
         )
 
     def __len__(self) -> int:
         return len(self._ends)
 
-    def __contains__(self, content: ids.ContentDigest) -> bool:
+    def __contains__(self, content: Cause) -> bool:
         return content in self._ends
 
-    def count(self, content: ids.ContentDigest, now: float) -> int:
+    def count(self, content: Cause, now: float) -> int:
         """Returns the number of ends; those within a second count as one."""
         ends = self._ends.get(content, ())
         if len(ends) <= 1:
             return sum(end.at > now - KEPT_SECONDS for end in ends)
         return len(self._counted(content, now))
 
-    def ends(self, content: ids.ContentDigest, now: float) -> tuple[End, ...]:
+    def ends(self, content: Cause, now: float) -> tuple[End, ...]:
         """Returns the recent ends under a content, oldest first."""
         oldest = now - KEPT_SECONDS
         return tuple(
             end for end in self._ends.get(content, ()) if end.at > oldest
         )
 
-    def ended_before(self, content: ids.ContentDigest, at: float) -> bool:
+    def ended_before(self, content: Cause, at: float) -> bool:
         """Returns whether an endpoint had ended under a content by a time."""
         ends = self._ends.get(content)
         return bool(ends) and at - KEPT_SECONDS < ends[0].at < at
 
-    def is_fresh(self, content: ids.ContentDigest, now: float) -> bool:
+    def is_fresh(self, content: Cause, now: float) -> bool:
         """Returns whether another end would count as one with the last."""
         ends = self._ends.get(content)
         if not ends:
@@ -90,14 +96,12 @@
         broke_at = max(ends[-1].at, self._broke_at.get(content, -math.inf))
         return now - broke_at < COINCIDENCE_SECONDS
 
-    def refused_until(self, content: ids.ContentDigest, now: float) -> float:
+    def refused_until(self, content: Cause, now: float) -> float:
         """Returns when a content's oldest relevant end expires."""
         counted = self._counted(content, now)[-MAX_ENDS:]
         return counted[0] + KEPT_SECONDS if counted else now
 
-    def counted(
-        self, at_least: int, now: float
-    ) -> dict[ids.ContentDigest, int]:
+    def counted(self, at_least: int, now: float) -> dict[Cause, int]:
         """Returns the counts of contents with at least that many ends."""
         return {
             content: count
@@ -106,13 +110,13 @@
             and (count := self.count(content, now)) >= at_least
         }
 
-    def contents(self, since: float) -> Iterator[ids.ContentDigest]:
+    def contents(self, since: float) -> Iterator[Cause]:
         """Yields the contents under which an endpoint ended since a time."""
         for content, ends in self._ends.items():
             if ends[-1].at >= since:
                 yield content
 
-    def add(self, content: ids.ContentDigest, end: End, now: float) -> bool:
+    def add(self, content: Cause, end: End, now: float) -> bool:
         """Adds an end; returns whether it was news."""
         if self.is_cleared(content, end.at) or end.at <= now - KEPT_SECONDS:
             return False
@@ -126,7 +130,11 @@
                     return False
                 ends[index] = msgspec.structs.replace(known, certain=True)
                 return True
-        if len(ends) >= _MAX_ENDS_KEPT:
+        # One content that ends endpoints says nothing about its parts.
+        same_content = end.content is not None and any(
+            known.content == end.content for known in ends
+        )
+        if same_content or len(ends) >= _MAX_ENDS_KEPT:
             return False
         # The contents are kept in the order of their newest report.
         self._ends.pop(content, None)
@@ -135,16 +143,16 @@
         self._ends[content] = sorted([*ends, end], key=lambda one: one.at)
         return True
 
-    def record_break(self, content: ids.ContentDigest, now: float) -> None:
+    def record_break(self, content: Cause, now: float) -> None:
         """Records that a run broke off; a report of its end may follow."""
         if content in self._ends:
             self._broke_at[content] = now
 
-    def is_cleared(self, content: ids.ContentDigest, at: float) -> bool:
+    def is_cleared(self, content: Cause, at: float) -> bool:
         """Returns whether a content is known to have completed since a time."""
         return at <= self._cleared_at.get(content, -math.inf)
 
-    def clear(self, content: ids.ContentDigest, now: float) -> None:
+    def clear(self, content: Cause, now: float) -> None:
         """Drops the ends under a content, because it completed."""
         self._drop(content)
         # Nodes and records of the store may tell of earlier ends as long as
@@ -174,7 +182,7 @@
             if ends[-1].at <= now - KEPT_SECONDS:
                 self._drop(content)
 
-    def _counted(self, content: ids.ContentDigest, now: float) -> list[float]:
+    def _counted(self, content: Cause, now: float) -> list[float]:
         """Returns the times of the ends that count, oldest first."""
         counted: list[float] = []
         for end in self.ends(content, now):
@@ -182,6 +190,6 @@
                 counted.append(end.at)
         return counted
 
-    def _drop(self, content: ids.ContentDigest) -> bool:
+    def _drop(self, content: Cause) -> bool:
         self._broke_at.pop(content, None)
         return self._ends.pop(content, None) is not None
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -9,6 +9,7 @@
 import itertools
 import math
 import statistics
+from collections.abc import Iterator
 
 from baobabmux_core import (
     breakers,
@@ -577,13 +578,12 @@
                 errors.ErrorKind.OVERLOADED,
                 max(_NO_ENDPOINT_RETRY_SECONDS, self.wait(now)),
             )
-        status = self._quarantine.status(ask.content, now)
-        if status is quarantine.ContentStatus.CONFIRMED:
+        seconds = self._quarantine.refused_for(
+            ask.content, _shared_parts(ask), now
+        )
+        if seconds is not None:
             return _refusal(
-                holder,
-                ask.request,
-                errors.ErrorKind.QUARANTINED,
-                self._quarantine.retry_after(ask.content, now),
+                holder, ask.request, errors.ErrorKind.QUARANTINED, seconds
             )
         return self._charge(ask, holder, now)
 
@@ -934,22 +934,32 @@
     def _holds_back(self, entry: fairness.QueueEntry, now: float) -> bool:
         """Returns whether a request waits because an endpoint ended under it.
 
-        Its content runs once at a time, and not again before the next end
-        would count. A second attempt goes on at once, since most endpoints
-        end for reasons of their own.
+        Its content, or a suspect part of its prompt, runs once at a time, and
+        not again before the next end would count. A second attempt goes on at
+        once, since most endpoints end for reasons of their own.
         """
-        content = entry.ask.content
-        if content not in self._quarantine.ends or self._isolates_suspects():
+        if self._isolates_suspects():
             return False
         terms = entry.ask.terms
         if terms is not None and terms.attempt > 1:
             return False
-        return self._quarantine.ends.is_fresh(content, now) or any(
-            run.content == content
-            for member in self._members.values()
-            for run in member.model.running.values()
+        content = entry.ask.content
+        if content in self._quarantine.ends and (
+            self._quarantine.ends.is_fresh(content, now)
+            or any(run.content == content for run in self._runs())
+        ):
+            return True
+        parts = self._quarantine.parts
+        return any(
+            parts.counts.is_fresh(part, now)
+            or any(part in run.parts for run in self._runs())
+            for part in parts.suspects(_shared_parts(entry.ask), now)
         )
 
+    def _runs(self) -> Iterator[capacity.RunningRequest]:
+        for member in self._members.values():
+            yield from member.model.running.values()
+
     def _reserved_share(self, entry: fairness.QueueEntry, now: float) -> float:
         """Returns the share of slots that a request must leave free."""
         if self._preset is None:
@@ -995,6 +1005,7 @@
             now,
             short=entry.short,
             isolated=isolated,
+            parts=_shared_parts(ask),
         )
         member.model.start(run)
         member.breaker.record_grant(now)
@@ -1123,6 +1134,8 @@
             )
         if outcome is states.Outcome.COMPLETED:
             member.breaker.record_success()
+            if succeeded:
+                self._quarantine.parts.prove(run.parts, now)
             if succeeded and self._quarantine.clear(run.content, now):
                 self.notices.append(messages.Cleared(run.content))
                 self._changed_contents.append(run.content)
@@ -1134,6 +1147,8 @@
             member.version_doubted_until = now + _RELIST_SECONDS
         if outcome in states.BROKEN_OUTCOMES:
             self._quarantine.ends.record_break(run.content, now)
+            for part in run.parts:
+                self._quarantine.parts.counts.record_break(part, now)
         if (
             not self._isolates_suspects()
             and outcome is not states.Outcome.NOT_SENT
@@ -1241,6 +1256,10 @@
         ]
 
 
+def _shared_parts(ask: messages.Ask) -> tuple[ids.PartDigest, ...]:
+    return () if ask.terms is None else ask.terms.parts
+
+
 def _refusal(
     holder: ids.NodeId,
     request: ids.RequestId,
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -220,6 +220,12 @@
             return self.work.first_by
         return self.broke_at + _ABANDONED_GAPS * self.work.gap_seconds
 
+    def written_seconds(self) -> float:
+        """Returns the time from the first to the latest event so far."""
+        if self.first_token_at is None:
+            return 0.0
+        return self.progressed_at - self.first_token_at
+
     def has_terms(self) -> bool:
         """Returns whether its `Ask` carries terms; owners acknowledge these."""
         work = self.work
@@ -228,6 +234,7 @@
             or work.max_attempts > 1
             or work.cost > 0
             or self.version is not None
+            or bool(work.parts)
         )
 
     def latest_dispatch(self) -> float:
@@ -252,8 +259,8 @@
         is_open: Returns whether this node may send new work to an endpoint.
             It is checked again before the dispatch, because the answer may
             have changed while the grant was in transit.
-        ended_before: Returns whether an endpoint had ended under a content by
-            a time.
+        ended_before: Returns whether an endpoint had ended by a time under the
+            content of a request or a part of its prompt.
         version_of: Returns the version of an endpoint, or None if it is not
             declared.
         unreachable: Endpoints that could not be connected to, with the time
@@ -289,8 +296,8 @@
         self.fallback: Callable[[Held, float], ids.EndpointId | None] = (
             lambda held, now: None
         )
-        self.ended_before: Callable[[ids.ContentDigest, float], bool] = (
-            lambda content, at: False
+        self.ended_before: Callable[[effects.Work, float], bool] = (
+            lambda work, at: False
         )
         self.version_of: Callable[[ids.EndpointId], str | None] = (
             lambda endpoint: None
@@ -470,20 +477,26 @@
         # A content that may have ended an endpoint before gets one attempt, so
         # that it ends one more at most.
         return outcome is states.Outcome.FAILED or not self.ended_before(
-            work.content, held.arrival
+            work, held.arrival
         )
 
-    def refuse_content(
-        self, content: ids.ContentDigest, retry_after: float
+    def refuse_quarantined(
+        self, refused_for: Callable[[effects.Work], float | None]
     ) -> list[effects.Effect]:
-        """Refuses the requests with a content that were not dispatched."""
+        """Refuses requests that were not dispatched.
+
+        Args:
+            refused_for: Returns the seconds for which a request is refused, or
+                None.
+        """
         emitted = []
         for held in list(self.held.values()):
-            if held.work.content == content and (
-                held.state not in _RUNNING_STATES
-            ):
+            if held.state in _RUNNING_STATES:
+                continue
+            seconds = refused_for(held.work)
+            if seconds is not None:
                 emitted += self._refuse(
-                    held, errors.ErrorKind.QUARANTINED, retry_after
+                    held, errors.ErrorKind.QUARANTINED, seconds
                 )
         return emitted
 
@@ -847,6 +860,7 @@
             if target_by is None
             else max(0, round((target_by - now) * 1000)),
             held.version,
+            held.work.parts,
         )
 
     def _claim_or_dispatch(
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -56,6 +56,7 @@
             as late, or -1 without a target.
         version: Version of endpoints at which its stream may go on, or None if
             no event of it was received.
+        parts: Parts of its prompt that other requests may share.
     """
 
     first_ms: int = -1
@@ -64,6 +65,7 @@
     cost: int = 0
     target_ms: int = -1
     version: str | None = None
+    parts: tuple[ids.PartDigest, ...] = ()
 
 
 class Ask(Message, frozen=True, tag=1):
@@ -466,19 +468,41 @@
     ended_ms: int
 
 
+class PartEnd(msgspec.Struct, frozen=True, array_like=True):
+    """A part of prompts that an endpoint was running when it ended.
+
+    Attributes:
+        part: Digest of the part.
+        ended_ms: Milliseconds from the end to the sending of the message.
+        content: Content of the run.
+    """
+
+    part: ids.PartDigest
+    ended_ms: int
+    content: ids.ContentDigest
+
+
 class EndedContents(Message, frozen=True, tag=25):
-    """Reports contents that an endpoint was running when it ended.
+    """Reports what an endpoint was running when it ended.
 
     Attributes:
         endpoint: Endpoint that ended.
         certain: Whether it is known to have ended; otherwise it has left the
             endpoint directory without a notice.
         ends: The contents, each with the time of the end.
+        parts: The parts of their prompts that may have ended it.
     """
 
     endpoint: ids.EndpointId
     certain: bool
     ends: tuple[ContentEnd, ...]
+    parts: tuple[PartEnd, ...] = ()
+
+
+class PartsProved(Message, frozen=True, tag=30):
+    """Reports parts of prompts that have been shown to end no endpoint."""
+
+    parts: tuple[ids.PartDigest, ...]
 
 
 class EndpointLimit(msgspec.Struct, frozen=True, array_like=True):
@@ -577,6 +601,7 @@
     | StreamsBegan
     | StreamAsk
     | StreamAnswer
+    | PartsProved
 )
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/quarantine.py
+++ b/packages/baobabmux-core/src/baobabmux_core/quarantine.py
@@ -7,8 +7,9 @@
 """
 
 import enum
+from collections.abc import Iterable
 
-from baobabmux_core import end_counts, ids
+from baobabmux_core import end_counts, ids, part_ends
 
 # Long enough to outlast a caller's retries, short enough that a repaired
 # engine serves the content again within the hour.
@@ -31,10 +32,14 @@
 
     Attributes:
         ends: Endpoints that ended under each content.
+        parts: Endpoints that ended under each part of prompts.
     """
 
     def __init__(self):
-        self.ends = end_counts.EndCounts()
+        self.ends: end_counts.EndCounts[ids.ContentDigest] = (
+            end_counts.EndCounts()
+        )
+        self.parts = part_ends.PartEnds()
         self._contents: dict[
             ids.ContentDigest, tuple[ContentStatus, float]
         ] = {}
@@ -49,6 +54,17 @@
         status, until = self._contents.get(content, (ContentStatus.CLEAR, now))
         return status if now < until else ContentStatus.CLEAR
 
+    def refused_for(
+        self,
+        content: ids.ContentDigest,
+        parts: Iterable[ids.PartDigest],
+        now: float,
+    ) -> float | None:
+        """Returns for how many seconds a request is refused, or None."""
+        if self.status(content, now) is ContentStatus.CONFIRMED:
+            return self.retry_after(content, now)
+        return self.parts.refused_for(parts, now) or None
+
     def suspect(self, content: ids.ContentDigest, now: float) -> bool:
         """Marks a content suspect: an endpoint crashed while it ran it.
 
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -28,6 +28,7 @@
     holders,
     ids,
     messages,
+    part_ends,
     prefixes,
     quarantine,
     quotas,
@@ -80,6 +81,10 @@
 _UNFINISHED_OUTCOMES = states.BROKEN_OUTCOMES | {states.Outcome.CANCELLED}
 
 
+# Ends of a part from which on all nodes are told that it is sound.
+_WIDELY_PROVED_ENDS = 2
+
+
 class _RemoteLoad(msgspec.Struct, frozen=True):
     """Wait of a group, as received in a heartbeat.
 
@@ -150,11 +155,13 @@
         self._reachable: set[ids.NodeId] = set()
         self._local_nodes: set[ids.NodeId] = {node}
         self._quarantine = quarantine.Quarantine()
-        self._end_reports = end_reports.EndReports(self._quarantine.ends, seed)
+        self._end_reports = end_reports.EndReports(
+            self._quarantine.ends, seed, self._quarantine.parts
+        )
         self._origins = stream_origins.StreamOrigins(node)
         self.endpoints_age: Callable[[float], float] = lambda now: 0.0
         self._limits = request_limits.RequestLimits(node, seed)
-        self._holder.ended_before = self._quarantine.ends.ended_before
+        self._holder.ended_before = self._ended_before
         self._last_tick: float | None = None
         self._home_prefix_selector = prefixes.HomePrefixSelector()
         # `Ask` and `Register` messages for groups that this node does not own
@@ -278,7 +285,13 @@
         self, request: ids.RequestId, tokens: int, now: float
     ) -> list[effects.Effect]:
         """Records the output tokens of a request so far."""
-        return self._holder.progress(request, tokens, now)
+        emitted = self._holder.progress(request, tokens, now)
+        held = self._holder.held.get(request)
+        if held is None or not self._quarantine.parts.counts:
+            return emitted
+        if held.written_seconds() >= part_ends.PROOF_SECONDS:
+            emitted += self._prove_parts(held, now)
+        return emitted
 
     def finished(
         self,
@@ -319,24 +332,49 @@
         succeeded: bool,
         now: float,
     ) -> list[effects.Effect]:
-        """Clears a content that succeeded, or keeps its unfinished run."""
+        """Clears what a run has proved sound, or keeps the unfinished run."""
         held = self._holder.held.get(request)
         if held is None:
             return []
         content = held.work.content
-        if outcome is states.Outcome.COMPLETED:
-            # An endpoint may report a failure without having begun the run.
-            if not succeeded or content not in self._quarantine.ends:
-                return []
+        # An endpoint may report a failure without having begun the run.
+        succeeded = succeeded and outcome is states.Outcome.COMPLETED
+        was_written = held.written_seconds() >= part_ends.PROOF_SECONDS
+        emitted: list[effects.Effect] = []
+        if succeeded or was_written:
+            emitted += self._prove_parts(held, now)
+        if succeeded and content in self._quarantine.ends:
             self._quarantine.ends.clear(content, now)
-            return self._broadcast(messages.Cleared(content))
+            emitted += self._broadcast(messages.Cleared(content))
         if outcome not in _UNFINISHED_OUTCOMES:
-            return []
-        run = unfinished.UnfinishedRun(
-            content, held.dispatched_at, now, held.work.parts
-        )
+            return emitted
+        parts = () if was_written else held.work.parts
+        run = unfinished.UnfinishedRun(content, held.dispatched_at, now, parts)
         reports = self._end_reports.add_unfinished(held.endpoint, run, now)
-        return self._send_reports(reports, now)
+        return emitted + self._send_reports(reports, now)
+
+    def _prove_parts(
+        self, held: holders.Held, now: float
+    ) -> list[effects.Effect]:
+        """Records that the parts of a request's prompt end no endpoint.
+
+        All nodes are told of a part that may soon be refused; of others only
+        the owner, since most nodes see a proof of their own.
+        """
+        dropped = self._quarantine.parts.prove(held.work.parts, now)
+        if not dropped:
+            return []
+        message = messages.PartsProved(tuple(dropped))
+        if max(dropped.values()) >= _WIDELY_PROVED_ENDS:
+            return self._broadcast(message)
+        if held.owner in (None, self.node):
+            return []
+        return [effects.Send(held.owner, message)]
+
+    def _ended_before(self, work: effects.Work, at: float) -> bool:
+        return self._quarantine.ends.ended_before(
+            work.content, at
+        ) or self._quarantine.parts.suspected_before(work.parts, at)
 
     def endpoint_ended(
         self, endpoint: ids.EndpointId, now: float, *, certain: bool = True
@@ -359,21 +397,32 @@
         for report in reports:
             emitted += self._broadcast(report)
             contents = [item.content for item in report.ends]
-            emitted += self._refuse_quarantined(contents, now)
+            parts = [item.part for item in report.parts]
+            emitted += self._refuse_quarantined(contents, parts, now)
         return emitted
 
     def _refuse_quarantined(
-        self, contents: Iterable[ids.ContentDigest], now: float
+        self,
+        contents: Iterable[ids.ContentDigest],
+        parts: Iterable[ids.PartDigest],
+        now: float,
     ) -> list[effects.Effect]:
-        """Refuses the waiting requests of contents that are quarantined."""
-        emitted = []
-        for content in contents:
-            status = self._quarantine.status(content, now)
-            if status is quarantine.ContentStatus.CONFIRMED:
-                seconds = self._quarantine.retry_after(content, now)
-                emitted += self._holder.refuse_content(content, seconds)
-                for owner in self._owned.values():
-                    emitted += owner.contents_changed((content,), now)
+        """Refuses waiting requests whose content or part is quarantined."""
+        refused = tuple(
+            content
+            for content in contents
+            if self._quarantine.status(content, now)
+            is quarantine.ContentStatus.CONFIRMED
+        )
+        if not refused and not self._quarantine.parts.refused_for(parts, now):
+            return []
+        emitted = self._holder.refuse_quarantined(
+            lambda work: self._quarantine.refused_for(
+                work.content, work.parts, now
+            )
+        )
+        for owner in self._owned.values():
+            emitted += owner.contents_changed(refused, now)
         return emitted
 
     def limit_observed(
@@ -488,6 +537,9 @@
                 emitted = self._handle_cleared(message.content, now)
             case messages.EndedContents():
                 emitted = self._handle_ended_contents(message, sender, now)
+            case messages.PartsProved():
+                self._quarantine.parts.prove(message.parts, now)
+                emitted = []
             case messages.EndpointLimits():
                 emitted = []
                 if self._limits.receive(message, sender, now):
@@ -587,6 +639,7 @@
         """Applies a configuration."""
         self._configuration = configuration
         self._quarantine.ends.endpoints_listed(configuration.endpoints)
+        self._quarantine.parts.counts.endpoints_listed(configuration.endpoints)
         self._limits.endpoints_declared(configuration.endpoints, now)
         self._origins.history.configure(configuration, now)
         self._fallback_quotas.configure(configuration.workspaces, now)
@@ -724,6 +777,27 @@
         """Returns the number of counted ends by content."""
         return self._quarantine.ends.counted(1, now)
 
+    def part_end_counts(self, now: float) -> dict[ids.PartDigest, int]:
+        """Returns the number of counted ends by part of prompts."""
+        return self._quarantine.parts.counts.counted(1, now)
+
+    def counted_parts(
+        self, at_least: int, now: float
+    ) -> dict[ids.PartDigest, tuple[end_counts.End, ...]]:
+        """Returns the ends of parts that have at least that many."""
+        ends = self._quarantine.parts.counts
+        return {
+            part: ends.ends(part, now) for part in ends.counted(at_least, now)
+        }
+
+    def part_has_ended_endpoints(self, part: ids.PartDigest) -> bool:
+        """Returns whether endpoints ended under a part that is not proved."""
+        return part in self._quarantine.parts.counts
+
+    def is_part_refused(self, part: ids.PartDigest, now: float) -> bool:
+        """Returns whether requests with a part are refused."""
+        return self._quarantine.parts.refused_for((part,), now) > 0.0
+
     def held_requests(self) -> int:
         """Returns the number of requests that have not ended here."""
         return len(self._holder.held) + self._origins.waiting()
@@ -850,13 +924,9 @@
                 errors.ErrorKind.SHUTTING_DOWN,
                 _SHUTDOWN_RETRY_SECONDS,
             )
-        content_status = self._quarantine.status(work.content, now)
-        if content_status is quarantine.ContentStatus.CONFIRMED:
-            return _refuse(
-                work,
-                errors.ErrorKind.QUARANTINED,
-                self._quarantine.retry_after(work.content, now),
-            )
+        seconds = self._quarantine.refused_for(work.content, work.parts, now)
+        if seconds is not None:
+            return _refuse(work, errors.ErrorKind.QUARANTINED, seconds)
         if work.deadline is not None and work.deadline <= now:
             return _refuse(work, errors.ErrorKind.DEADLINE_PASSED, 1.0)
         return None
@@ -1131,23 +1201,37 @@
         sender: ids.NodeId,
         now: float,
     ) -> list[effects.Effect]:
-        # The sender may have missed that a content completed.
-        cleared: list[effects.Effect] = [
+        news = self._end_reports.receive(report, self._is_declared, now)
+        return [
+            *self._correct_sender(report, sender, now),
+            *self._refuse_quarantined(news.contents, news.parts, now),
+            *self._send_reports(list(news.reports), now),
+        ]
+
+    def _correct_sender(
+        self,
+        report: messages.EndedContents,
+        sender: ids.NodeId,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Tells a sender what it reports although it was cleared since."""
+        if sender not in self._reachable:
+            return []
+        counts = self._quarantine.ends
+        emitted: list[effects.Effect] = [
             effects.Send(sender, messages.Cleared(item.content))
             for item in report.ends
-            if self._quarantine.ends.is_cleared(
-                item.content, now - item.ended_ms / 1000
-            )
-            and sender in self._reachable
+            if counts.is_cleared(item.content, now - item.ended_ms / 1000)
         ]
-        news, own_reports = self._end_reports.receive(
-            report, self._is_declared, now
+        part_counts = self._quarantine.parts.counts
+        proved = tuple(
+            item.part
+            for item in report.parts
+            if part_counts.is_cleared(item.part, now - item.ended_ms / 1000)
         )
-        return [
-            *cleared,
-            *self._refuse_quarantined(news, now),
-            *self._send_reports(own_reports, now),
-        ]
+        if proved:
+            emitted.append(effects.Send(sender, messages.PartsProved(proved)))
+        return emitted
 
     def _is_declared(self, endpoint: ids.EndpointId) -> bool:
         return (
@@ -1249,11 +1333,14 @@
     def _needs_owner(self, held: holders.Held, now: float) -> bool:
         """Returns whether only the owner may grant a request.
 
-        It runs one copy of a content at a time once an endpoint has ended
-        under it, and runs suspects alone.
+        It runs one request at a time of a content or part under which an
+        endpoint has ended, and runs suspects alone.
         """
         content = held.work.content
-        if held.attempt == 1 and content in self._quarantine.ends:
+        if held.attempt == 1 and (
+            content in self._quarantine.ends
+            or self._quarantine.parts.suspects(held.work.parts, now)
+        ):
             return True
         status = self._quarantine.status(content, now)
         return status is not quarantine.ContentStatus.CLEAR
--- a/packages/baobabmux-core/tests/content_ends_test.py
+++ b/packages/baobabmux-core/tests/content_ends_test.py
@@ -112,6 +112,14 @@
         )
         self.carry_out(node, emitted)
 
+    def write_for(self, request, seconds):
+        """Lets the answer to a running request be written for a while."""
+        core = self.nodes[self.holder_of[request]]
+        for tokens in (1, 2):
+            emitted = core.progress(request, tokens, self.now)
+            self.carry_out(self.holder_of[request], emitted)
+            self.advance(seconds)
+
     def abandon_all(self):
         """Lets the callers of all requests go away."""
         for request, node in self.holder_of.items():
--- a/packages/baobabmux-node/src/baobabmux_node/end_records.py
+++ b/packages/baobabmux-node/src/baobabmux_node/end_records.py
@@ -6,6 +6,7 @@
 each other writes for all.
 """
 
+import enum
 from collections.abc import Callable
 
 import msgspec
@@ -13,12 +14,22 @@
 from baobabmux_core import effects, end_counts, ids, messages, scheduler
 
 _MIN_STORED_ENDS = 2
+# Keys of parts of prompts begin with this; those of contents are only digits.
+_PART_PREFIX = "part-"
+
+
+class _Cause(enum.Enum):
+    """What a record counts ends of."""
+
+    CONTENT = "content"
+    PART = "part"
 
 
 class _End(msgspec.Struct):
     endpoint: str
     at_ms: int
     certain: bool = True
+    content: int = 0
 
 
 class _Record(msgspec.Struct):
@@ -78,20 +89,35 @@
     def _apply(
         self, key: str, value: bytes, now: float, now_ms: int
     ) -> list[effects.Effect]:
-        content = ids.ContentDigest(int(key, 16))
+        cause, digest = _parse_key(key)
         if not value:
             self._stored.pop(key, None)
-            return self._scheduler.receive(
-                ids.NodeId(""), messages.Cleared(content), now
+            cleared = (
+                messages.Cleared(ids.ContentDigest(digest))
+                if cause is _Cause.CONTENT
+                else messages.PartsProved((ids.PartDigest(digest),))
             )
+            return self._scheduler.receive(ids.NodeId(""), cleared, now)
         record = msgspec.json.decode(value, type=_Record)
         self._stored[key] = len(record.ends)
         emitted: list[effects.Effect] = []
         for end in record.ends:
+            age_ms = max(0, now_ms - end.at_ms)
             report = messages.EndedContents(
                 ids.EndpointId(end.endpoint),
                 end.certain,
-                (messages.ContentEnd(content, max(0, now_ms - end.at_ms)),),
+                (messages.ContentEnd(ids.ContentDigest(digest), age_ms),)
+                if cause is _Cause.CONTENT
+                else (),
+                (
+                    messages.PartEnd(
+                        ids.PartDigest(digest),
+                        age_ms,
+                        ids.ContentDigest(end.content),
+                    ),
+                )
+                if cause is _Cause.PART
+                else (),
             )
             emitted += self._scheduler.receive(ids.NodeId(""), report, now)
         return emitted
@@ -100,18 +126,27 @@
         """Returns the records that this node has to write, by key."""
         due: dict[str, bytes] = {}
         counted = self._scheduler.counted_contents(_MIN_STORED_ENDS, now)
+        parts = self._scheduler.counted_parts(_MIN_STORED_ENDS, now)
         wanted = {f"{content:016x}": ends for content, ends in counted.items()}
+        wanted |= {
+            f"{_PART_PREFIX}{part:08x}": ends for part, ends in parts.items()
+        }
         for key, ends in wanted.items():
             if len(ends) > self._stored.get(key, 0) and self._is_writer(key):
                 due[key] = _encode(ends, now, now_ms)
         for key in self._stored:
-            content = ids.ContentDigest(int(key, 16))
-            if not self._scheduler.has_ended_endpoints(content) and (
-                self._is_writer(key)
-            ):
+            if not self._has_ends(key) and self._is_writer(key):
                 due[key] = b""
         return due
 
+    def _has_ends(self, key: str) -> bool:
+        cause, digest = _parse_key(key)
+        if cause is _Cause.PART:
+            part = ids.PartDigest(digest)
+            return self._scheduler.part_has_ended_endpoints(part)
+        content = ids.ContentDigest(digest)
+        return self._scheduler.has_ended_endpoints(content)
+
     def written(self, key: str, value: bytes) -> None:
         """Records that a record of this node is in the store."""
         if not value:
@@ -120,6 +155,17 @@
         self._stored[key] = len(msgspec.json.decode(value, type=_Record).ends)
 
 
+def _parse_key(key: str) -> tuple[_Cause, int]:
+    """Returns the cause and its digest.
+
+    Raises:
+        ValueError: The key holds no digest.
+    """
+    if key.startswith(_PART_PREFIX):
+        return _Cause.PART, int(key.removeprefix(_PART_PREFIX), 16)
+    return _Cause.CONTENT, int(key, 16)
+
+
 def _encode(ends: tuple[end_counts.End, ...], now: float, now_ms: int) -> bytes:
     return msgspec.json.encode(
         _Record(
@@ -128,6 +174,7 @@
                     end.endpoint,
                     now_ms - round((now - end.at) * 1000),
                     end.certain,
+                    end.content or 0,
                 )
                 for end in ends
             ]
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -144,6 +144,11 @@
             "Contents under which endpoints ended",
             ["refused"],
         )
+        self.counted_parts = self._gauge(
+            "counted_parts",
+            "Parts of prompts under which endpoints ended",
+            ["refused"],
+        )
         self.answered_contents = self._counter(
             "answered_contents",
             "Answers to contents under which endpoints had ended",
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -12,6 +12,7 @@
 # Lines in one check; an endpoint that ends leaves some tens of contents.
 _MAX_CONTENT_LINES = 100
 _MAX_LIMIT_LINES = 50
+_MIN_RECORDED_PART_ENDS = 2
 
 Kind = catalogue.EventKind
 
@@ -19,9 +20,9 @@
 class StateWatch:
     """Compares the node's state with the last recorded one.
 
-    Covers group ownership, circuit breakers, contents under which endpoints
-    ended, request limits of endpoints, reachability of the log and rejected
-    frames.
+    Covers group ownership, circuit breakers, contents and parts of prompts
+    under which endpoints ended, request limits of endpoints, reachability of
+    the log and rejected frames.
     """
 
     def __init__(self, host: "node.Node"):
@@ -29,6 +30,9 @@
         self._owned_groups: set[ids.GroupId] = set()
         self._breakers: dict[ids.EndpointId, str] = {}
         self._end_counts: dict[ids.ContentDigest, int] = {}
+        # Parts of prompts whose count was recorded, and whether they are
+        # refused.
+        self._parts: dict[ids.PartDigest, tuple[int, bool]] = {}
         self._limits: dict[ids.EndpointId, request_limits.Limit] = {}
         self._log_reachable: bool | None = None
         self._rejected_frames = 0
@@ -50,6 +54,7 @@
         self._check_contents(
             self._host.scheduler.content_end_counts(clock.now())
         )
+        self._check_parts(clock.now())
         self._check_limits(self._host.scheduler.request_limits())
         self._check_log()
         self._check_frames()
@@ -96,6 +101,40 @@
         gauge.labels("false").set(len(counts) - refused)
         self._end_counts = counts
 
+    def _check_parts(self, now: float) -> None:
+        """Records parts of prompts with several ends, and their proofs.
+
+        Most parts have a single end until the next request with them succeeds.
+        """
+        scheduler = self._host.scheduler
+        counts = scheduler.part_end_counts(now)
+        current = {
+            part: (ends, scheduler.is_part_refused(part, now))
+            for part, ends in counts.items()
+            if ends >= _MIN_RECORDED_PART_ENDS
+        }
+        changed = [
+            part
+            for part, state in current.items()
+            if state != self._parts.get(part)
+        ]
+        for part in changed[:_MAX_CONTENT_LINES]:
+            ends, is_refused = current[part]
+            self._host.events.record(
+                Kind.PART_COUNTED,
+                part=f"{part:x}",
+                ends=ends,
+                refused=is_refused,
+            )
+        proved = self._parts.keys() - current.keys()
+        for part in itertools.islice(proved, _MAX_CONTENT_LINES):
+            self._host.events.record(Kind.PART_PROVED, part=f"{part:x}")
+        refused = sum(is_refused for _, is_refused in current.values())
+        gauge = self._host.metrics.counted_parts
+        gauge.labels("true").set(refused)
+        gauge.labels("false").set(len(counts) - refused)
+        self._parts = current
+
     def _check_limits(
         self, limits: dict[ids.EndpointId, request_limits.Limit]
     ) -> None:
--- a/packages/baobabmux-node/tests/end_records_test.py
+++ b/packages/baobabmux-node/tests/end_records_test.py
@@ -89,15 +89,15 @@
             self.ends.written(key, value)
         return due
 
-    def send(self, now):
-        """Sends the content; returns whether it ended an endpoint."""
+    def send(self, now, content=_CONTENT, parts=()):
+        """Sends a harmful request; returns whether it ended an endpoint."""
         self.sent += 1
         self.advance(now)
         request = f"{self.name}-{self.sent}"
         work = effects.Work(
             request=request, route="r", service="s", tier=0, workspace="w",
             deadline=now + 9.0, prompt_tokens=10, output_tokens=10,
-            content=_CONTENT, first_by=now + 9.0,
+            content=content, first_by=now + 9.0, parts=parts,
         )  # fmt: skip
         decided = self.carry_out(self.core.submit(work, now), now)
         decided += self.carry_out(self.core.tick(now), now)
@@ -245,3 +245,35 @@
     node.core._quarantine.ends.endpoints_listed({"gone"})
     assert node.count(104.0) == 1
     assert node.ends.due(104.0, _CLOCK_MS + 104_000) == {}
+
+
+def test_nodes_that_do_not_reach_each_other_share_the_ends_of_parts():
+    """Guards against a part that ends endpoints in each data centre."""
+    records = {}
+    nodes = [_Node(name, records) for name in ("a", "b", "c")]
+    ends = 0
+    for number in range(9):
+        now = 100.0 + 2 * number
+        node = nodes[number % 3]
+        node.exchange(now)
+        ends += node.send(now, content=number, parts=(1, 13))
+        node.exchange(now + 0.5)
+    assert ends <= 6
+    assert set(records) == {"part-00000001", "part-0000000d"}
+    restarted = _Node("d", records)
+    restarted.exchange(120.0)
+    assert not restarted.send(120.0, content=99, parts=(13,))
+
+
+def test_record_of_a_proved_part_is_cleared():
+    """Guards against a sound part that its record refuses again and again."""
+    records = {}
+    node = _Node("a", records)
+    for number in range(2):
+        node.send(100.0 + 2 * number, content=number, parts=(13,))
+    assert list(node.exchange(104.0)) == ["part-0000000d"]
+    node.core.receive("b", messages.PartsProved((13,)), 105.0)
+    assert node.exchange(106.0) == {"part-0000000d": b""}
+    other = _Node("b", records)
+    other.exchange(107.0)
+    assert other.core.part_end_counts(107.0) == {}
