Pass over requests that are held back without counting them

An owner examines 16 requests for a grant. Requests of a content or part under which an endpoint has ended are held back, and 16 of them at the head of a queue hid all others of the tier: with 100 held back a sound request got no grant (test_requests_that_are_held_back_do_not_hide_others, which failed before). They no longer count among the examined ones.

--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -7,7 +7,7 @@
 import bisect
 import itertools
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import xxhash
 
@@ -191,9 +191,15 @@
         elif len(self._workspaces) > len(self._order) + _MAX_IDLE_WORKSPACES:
             self._evict_idle()
 
-    def candidates(self, limit: int) -> Iterator[QueueEntry]:
+    def candidates(
+        self,
+        limit: int,
+        is_held_back: Callable[[QueueEntry], bool] = lambda entry: False,
+    ) -> Iterator[QueueEntry]:
         """Yields the first requests in fair order, at most `limit`.
 
+        Requests that are held back are passed over and do not count.
+
         The first long and the first short request of each workspace come
         before any second one, so that a long request for which no slot is free
         does not hide a short one.
@@ -207,6 +213,8 @@
                     items[depth] for items in classes if depth < len(items)
                 ):
                     found = True
+                    if is_held_back(entry):
+                        continue
                     yield entry
                     yielded += 1
                     if yielded >= limit:
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -904,11 +904,11 @@
         ):
             blocked.long = blocked.short = True
             return None
-        for entry in queue.candidates(examined):
+        for entry in queue.candidates(
+            examined, lambda entry: self._holds_back(entry, now)
+        ):
             if blocked.long and not entry.short:
                 continue
-            if self._holds_back(entry, now):
-                continue
             choice = placement.choose(
                 entry,
                 self._members,
--- a/packages/baobabmux-core/tests/part_ends_test.py
+++ b/packages/baobabmux-core/tests/part_ends_test.py
@@ -372,3 +372,17 @@
         and isinstance(effect.message, messages.PartsProved)
     ]
     assert len(told) <= 1
+
+
+def test_requests_that_are_held_back_do_not_hide_others():
+    """Guards against sound requests that wait behind a suspect part.
+
+    An owner examines a limited number of requests for each grant.
+    """
+    cluster = _Cluster()
+    cluster.send_part(_HARMFUL)
+    for number in range(100):
+        cluster.submit(f"held-{number}", number % 3, parts=(_HARMFUL,))
+    cluster.submit("sound", 0)
+    cluster.run()
+    assert "sound" in cluster.running
