Take a stream that ends inside an event for broken

It is broken off now, so that it goes on at another endpoint or its caller sees it break (relay_test, failed before).

--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -69,6 +69,8 @@
         stall_seconds: Longest wait for one send or receive, or None if the
             caller of this class enforces a timeout itself.
         kept: Whether a pool keeps the connection after its request.
+        ends_with_connection: Whether the answer that is being read has neither
+            length nor chunks, so that its end shows only by the close.
     """
 
     def __init__(self, address: str, stall_seconds: float | None = 30.0):
@@ -77,6 +79,7 @@
         self._http = _new_http()
         self._request_head: h11.Request | None = None
         self.kept = False
+        self.ends_with_connection = False
         self._socket = None
 
     async def connect(self, timeout: float) -> None:
@@ -211,6 +214,10 @@
                     name.decode("ascii"): value.decode("latin-1")
                     for name, value in event.headers
                 }
+                self.ends_with_connection = not (
+                    "content-length" in headers
+                    or "transfer-encoding" in headers
+                )
                 return Head(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenError(
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -380,6 +380,8 @@
             await sink.head(head.status, headers)
             await sink.data(events)
             sink.progress(sink.tokens + count * tokens_each)
+        if buffer and connection.ends_with_connection:
+            raise client.BrokenError("the stream ended inside an event")
         await sink.head(head.status, headers)
         if buffer:
             await sink.data(buffer)
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -247,6 +247,44 @@
     assert sink.body == (b"" if resets else b"abc")
 
 
+_OPEN_STREAM = (
+    b"HTTP/1.1 200 OK\r\nrequest: r\r\ncontent-type: text/event-stream\r\n\r\n"
+)
+
+
+def test_stream_without_length_that_ends_inside_an_event_is_broken():
+    """Guards against part of an event that is taken for the end of a stream.
+
+    The stream has neither length nor chunks and ends with its connection.
+    """
+    whole = _event(1) + _event(2)
+    endpoint = _Endpoint([_OPEN_STREAM + whole + b"id: 3\nda", None])
+    results, sink = _run(endpoint, "r")
+    assert results[0].outcome is states.Outcome.BROKEN
+    assert sink.body == whole
+    assert sink.last_event == 2
+
+
+def test_stream_without_length_ends_after_a_whole_event():
+    """Guards against a whole stream that is taken for a broken one."""
+    whole = _event(1) + _event(2)
+    endpoint = _Endpoint([_OPEN_STREAM + whole, None])
+    results, sink = _run(endpoint, "r")
+    assert results[0].outcome is states.Outcome.COMPLETED
+    assert sink.body == whole
+
+
+@pytest.mark.parametrize("whole", [b"", b"id: 1\ndata: x\n\n"])
+def test_delimited_stream_keeps_bytes_after_its_last_event(whole):
+    """Guards against bytes of a complete answer that are dropped."""
+    endpoint = _Endpoint(
+        [_STREAM % b"r", _chunk(whole + b": bye"), b"0\r\n\r\n"]
+    )
+    results, sink = _run(endpoint, "r")
+    assert results[0].outcome is states.Outcome.COMPLETED
+    assert sink.body == whole + b": bye"
+
+
 def test_resumed_stream_repeats_no_event():
     """Guards against sending an event to the caller twice."""
     parts = [_chunk(_event(2) + _event(3)), _chunk(_event(4)), b"0\r\n\r\n"]
