Send nothing to endpoints that say that they are leaving

The first answer that says so closes the endpoint at its node and is told to all others; nodes that restart or become reachable are told again.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -111,6 +111,10 @@
         " endpoints had ended {ends} times.",
     )
 
+    ENDPOINT_LEAVING = (
+        414,
+        "Answers of {endpoint} say that it is leaving: {leaving}.",
+    )
     PART_COUNTED = (
         412,
         "Endpoints ended {ends} times under part {part} of prompts; it is"
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -526,6 +526,12 @@
     limits: tuple[EndpointLimit, ...]
 
 
+class EndpointsLeaving(Message, frozen=True, tag=31):
+    """Reports endpoints whose answers say that they are leaving."""
+
+    endpoints: tuple[ids.EndpointId, ...]
+
+
 class StreamsBegan(Message, frozen=True, tag=27):
     """Reports streams that began at the sender.
 
@@ -602,6 +608,7 @@
     | StreamAsk
     | StreamAnswer
     | PartsProved
+    | EndpointsLeaving
 )
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -27,6 +27,7 @@
     grants,
     holders,
     ids,
+    leaving,
     messages,
     part_ends,
     prefixes,
@@ -170,6 +171,7 @@
             tuple[float, ids.NodeId, messages.Ask | messages.Register]
         ] = collections.deque(maxlen=_MAX_EARLY_MESSAGES)
         self._drained: set[ids.EndpointId] = set()
+        self._leaving_endpoints = leaving.LeavingEndpoints()
         self._drain_repeats: dict[ids.EndpointId, tuple[int, float]] = {}
         self._remote_loads: dict[ids.GroupId, _RemoteLoad] = {}
 
@@ -453,6 +455,15 @@
             emitted.append(effects.Send(owner, report))
         return emitted
 
+    def leaving_observed(
+        self, endpoint: ids.EndpointId, now: float
+    ) -> list[effects.Effect]:
+        """Records that an endpoint's answer says that it is leaving."""
+        if not self._leaving_endpoints.add(endpoint, now):
+            return []
+        self._update_endpoints()
+        return self._broadcast(messages.EndpointsLeaving((endpoint,)))
+
     def _limits_changed(self, now: float) -> list[effects.Effect]:
         emitted = []
         for owner in self._owned.values():
@@ -544,6 +555,11 @@
                 emitted = []
                 if self._limits.receive(message, sender, now):
                     emitted = self._limits_changed(now)
+            case messages.EndpointsLeaving():
+                for endpoint in message.endpoints:
+                    self._leaving_endpoints.add(endpoint, now)
+                self._update_endpoints()
+                emitted = []
             case messages.StreamsBegan():
                 self._origins.receive(message, now)
                 emitted = []
@@ -608,7 +624,11 @@
         others = sorted(nodes - {self.node})
         if not others:
             return []
-        reports = [*self._end_reports.state(now), *self._limits.state(now)]
+        reports = [
+            *self._end_reports.state(now),
+            *self._limits.state(now),
+            *self._leaving_endpoints.state(),
+        ]
         return [effects.Send(to, r) for to in others for r in reports]
 
     def _resend_streams(self, now: float) -> list[effects.Effect]:
@@ -717,6 +737,7 @@
         peers = self._reachable - {self.node}
         emitted += self._end_reports.repeats(peers, now)
         if self._configuration is not None:
+            self._leaving_endpoints.expire(self._configuration.endpoints, now)
             emitted += self._limits.repeats(peers, self._endpoint_owner, now)
         return emitted + self._broadcast_notices()
 
@@ -882,6 +903,10 @@
                 return owner.model(endpoint)
         return None
 
+    def leaving_endpoints(self) -> tuple[ids.EndpointId, ...]:
+        """Returns the endpoints whose answers say that they are leaving."""
+        return self._leaving_endpoints.endpoints()
+
     def drained(self) -> frozenset[ids.EndpointId]:
         """Returns the endpoints that operators have drained."""
         return frozenset(self._drained)
@@ -1425,6 +1450,7 @@
         return (
             declared is not None
             and endpoint not in self._drained
+            and endpoint not in self._leaving_endpoints
             and self._membership.endpoint_vm_state(declared.vm)
             is states.EndpointState.LIVE
         )
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -41,6 +41,10 @@
     del rate
 
 
+async def _ignore_notice() -> None:
+    return
+
+
 class Call(msgspec.Struct, frozen=True):
     """A request to run at an endpoint.
 
@@ -60,6 +64,7 @@
             needed.
         report_limit: Called with the requests a second that an answer names as
             the endpoint's limit, or with None if it names no limit.
+        report_leaving: Called if an answer says that the endpoint is leaving.
     """
 
     address: str
@@ -74,6 +79,7 @@
     repeatable: bool = False
     deadline: float = 0.0
     report_limit: Callable[[float | None], Awaitable[None]] = _ignore_limit
+    report_leaving: Callable[[], Awaitable[None]] = _ignore_notice
 
 
 class Result(msgspec.Struct, frozen=True):
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -68,6 +68,10 @@
             sent_at: Time at which the request was sent, in seconds.
         """
 
+    @abc.abstractmethod
+    async def leaving_observed(self, request: held.HeldRequest) -> None:
+        """Reports that the answer says that its endpoint is leaving."""
+
     @abc.abstractmethod
     async def attempt_ended(
         self,
@@ -195,6 +199,7 @@
             report_limit=lambda rate: self.host.limit_observed(
                 self.request, rate, now
             ),
+            report_leaving=lambda: self.host.leaving_observed(self.request),
         )
         adapter = self.host.protocol.adapter(kind)
         try:
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -144,6 +144,10 @@
             "Contents under which endpoints ended",
             ["refused"],
         )
+        self.leaving_endpoints = self._gauge(
+            "leaving_endpoints",
+            "Endpoints whose answers say that they are leaving",
+        )
         self.counted_parts = self._gauge(
             "counted_parts",
             "Parts of prompts under which endpoints ended",
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -86,6 +86,11 @@
         del head
         return None
 
+    def is_leaving(self, head: client.Head) -> bool:
+        """Returns whether an answer says that its endpoint is leaving."""
+        del head
+        return False
+
     @abc.abstractmethod
     def answer_headers(self, head: client.Head) -> dict[str, str]:
         """Returns the header fields of an answer for the caller."""
@@ -296,7 +301,7 @@
                 break
             await connection.read(MAX_BODY_BYTES)
             connection.skip_answer()
-        await self._report_limit(call, head, verdict)
+        await self._report_statements(call, head, verdict)
         if verdict is Verdict.GARBAGE:
             return adapters.Result(
                 states.Outcome.GARBAGE,
@@ -335,10 +340,12 @@
             status=head.status,
         )
 
-    async def _report_limit(self, call, head, verdict) -> None:
-        """Reports the limit that an answer of the call's endpoint names."""
+    async def _report_statements(self, call, head, verdict) -> None:
+        """Reports what an answer of the call's endpoint says of it."""
         if verdict in (Verdict.GARBAGE, Verdict.MISDIRECTED):
             return
+        if self._dialect.is_leaving(head):
+            await call.report_leaving()
         try:
             rate = self._dialect.request_limit(head)
         except ValueError:
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -187,6 +187,14 @@
         if emitted:
             await self._driver.apply(emitted)
 
+    async def leaving_observed(self, request: held.HeldRequest) -> None:
+        """Passes the notice of an answer's endpoint to the scheduler."""
+        emitted = self._host.scheduler.leaving_observed(
+            request.endpoint, clock.now()
+        )
+        if emitted:
+            await self._driver.apply(emitted)
+
     async def attempt_ended(
         self,
         request: held.HeldRequest,
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -33,6 +33,7 @@
         # Parts of prompts whose count was recorded, and whether they are
         # refused.
         self._parts: dict[ids.PartDigest, tuple[int, bool]] = {}
+        self._leaving: frozenset[ids.EndpointId] = frozenset()
         self._limits: dict[ids.EndpointId, request_limits.Limit] = {}
         self._log_reachable: bool | None = None
         self._rejected_frames = 0
@@ -55,6 +56,7 @@
             self._host.scheduler.content_end_counts(clock.now())
         )
         self._check_parts(clock.now())
+        self._check_leaving(frozenset(self._host.scheduler.leaving_endpoints()))
         self._check_limits(self._host.scheduler.request_limits())
         self._check_log()
         self._check_frames()
@@ -135,6 +137,17 @@
         gauge.labels("false").set(len(counts) - refused)
         self._parts = current
 
+    def _check_leaving(self, leaving: frozenset[ids.EndpointId]) -> None:
+        changed = sorted(leaving ^ self._leaving)
+        for endpoint in changed[:_MAX_LIMIT_LINES]:
+            self._host.events.record(
+                Kind.ENDPOINT_LEAVING,
+                endpoint=endpoint,
+                leaving=endpoint in leaving,
+            )
+        self._host.metrics.leaving_endpoints.set(len(leaving))
+        self._leaving = leaving
+
     def _check_limits(
         self, limits: dict[ids.EndpointId, request_limits.Limit]
     ) -> None:
--- a/standins/src/baobabmux_standins/standin.py
+++ b/standins/src/baobabmux_standins/standin.py
@@ -58,6 +58,7 @@
         times: Number of answers to which these faults apply, -1 for all.
         limit: Requests a second that all answers name as the endpoint's
             limit, "" for none.
+        leaving: Whether all answers say that the endpoint is leaving.
         status: Status of all answers, which report a failure of the run, 0 for
             the usual one.
     """
@@ -69,6 +70,7 @@
     times: int = -1
     limit: str = ""
     status: int = 0
+    leaving: bool = False
 
 
 class StandIn(abc.ABC):
