Take a stream of unknown length without an event for broken

An endpoint that ends when it begins to write closes a stream that has neither length nor chunks after the head. The relay reported an empty answer as completed (relay_test ... has_no_event, failed before): the caller got a whole answer without an event, and the part of the prompt that ended the endpoint was proved sound by it.

--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -371,6 +371,7 @@
         tokens_each = self._dialect.tokens_per_event(call)
         headers = self._dialect.answer_headers(head)
         buffer = b""
+        has_events = False
         while (part := await connection.next_part()) is not None:
             buffer += part
             end = buffer.rfind(b"\n\n") + 2
@@ -379,6 +380,7 @@
                     raise client.ProtocolError("an event is too long")
                 continue
             events, buffer = buffer[:end], buffer[end:]
+            has_events = True
             events, count = _new_events(events, sink)
             if not events:
                 continue
@@ -387,8 +389,8 @@
             await sink.head(head.status, headers)
             await sink.data(events)
             sink.progress(sink.tokens + count * tokens_each)
-        if buffer and connection.ends_with_connection:
-            raise client.BrokenError("the stream ended inside an event")
+        if connection.ends_with_connection and (buffer or not has_events):
+            raise client.BrokenError("the stream ended before a whole event")
         await sink.head(head.status, headers)
         if buffer:
             await sink.data(buffer)
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -265,6 +265,17 @@
     assert sink.last_event == 2
 
 
+def test_stream_without_length_that_has_no_event_is_broken():
+    """Guards against an endpoint that ends at once and seems to have answered.
+
+    Such an answer would clear what ended the endpoint.
+    """
+    endpoint = _Endpoint([_OPEN_STREAM, None])
+    results, sink = _run(endpoint, "r")
+    assert results[0].outcome is states.Outcome.BROKEN
+    assert sink.status is None
+
+
 def test_stream_without_length_ends_after_a_whole_event():
     """Guards against a whole stream that is taken for a broken one."""
     whole = _event(1) + _event(2)
