--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -111,16 +111,16 @@
         " endpoints had ended {ends} times.",
     )
 
-    ENDPOINT_LEAVING = (
-        414,
-        "Answers of {endpoint} say that it is leaving: {leaving}.",
-    )
     PART_COUNTED = (
         412,
         "Endpoints ended {ends} times under part {part} of prompts; it is"
         " refused: {refused}.",
     )
     PART_PROVED = (413, "Part {part} of prompts ends no endpoint.")
+    ENDPOINT_LEAVING = (
+        414,
+        "Answers of {endpoint} say that it is leaving: {leaving}.",
+    )
 
     CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
     CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
--- a/packages/baobabmux-core/src/baobabmux_core/part_ends.py
+++ b/packages/baobabmux-core/src/baobabmux_core/part_ends.py
@@ -68,6 +68,8 @@
         self, parts: Iterable[ids.PartDigest], now: float
     ) -> list[ids.PartDigest]:
         """Returns the parts whose requests run one at a time."""
+        if not self.counts:
+            return []
         return [part for part in parts if self._is_suspect(part, now)]
 
     def suspected_before(
@@ -84,6 +86,8 @@
 
         It is 0.0 if they are not.
         """
+        if not self.counts:
+            return 0.0
         return max(
             (self._refused_for(part, now) for part in parts), default=0.0
         )
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -214,7 +214,7 @@
             output_tokens=result.output_tokens,
             status=result.status,
         )
-        self._record_clearance(request, result)
+        self._record_content_answer(request, result)
         self._host.metrics.attempts.labels(
             request.parsed.work.service, result.outcome.value
         ).inc()
@@ -233,7 +233,7 @@
         )
         await self._host.endpoint_ends.attempt_ended(request.endpoint, result)
 
-    def _record_clearance(
+    def _record_content_answer(
         self, request: held.HeldRequest, result: adapters.Result
     ) -> None:
         """Records which answer clears a content of its ends."""
