--- a/packages/baobabmux-core/src/baobabmux_core/errors.py
+++ b/packages/baobabmux-core/src/baobabmux_core/errors.py
@@ -141,7 +141,8 @@
     ErrorKind.QUARANTINED: Answer(
         422,
         _NOT_RUN,
-        "This content has crashed endpoints and is refused.",
+        "This content, or a part of its prompt, has crashed endpoints and is"
+        " refused.",
         retry_after=True,
     ),
     # Only a new stream can be served, so there is no time to come back.
