Keep the pauses that endpoints ask single nodes for

A replica that turns a request away with 503 may add Retry-After: it wants nothing from that node for so long. Nothing read it.

The node that was turned away keeps the pause and names it in its asks. Owners grant its requests other endpoints, or let them wait for the first pause to end if the deadline allows it, and refuse them with that time otherwise. Other nodes use the endpoint.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -121,6 +121,10 @@
         414,
         "Answers of {endpoint} say that it is leaving: {leaving}.",
     )
+    ENDPOINT_PAUSED = (
+        415,
+        "{endpoint} wants nothing from this node for {seconds} s.",
+    )
 
     CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
     CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -51,6 +51,8 @@
             infinite.
         version: Version of endpoints at which its stream may go on, or None if
             any may run it.
+        paused_until: Time until which an endpoint wants nothing from the
+            holder, by endpoint.
         passed_over_at: Time at which it first passed over a free slot to wait
             for a busy endpoint that suits it better, or None.
         key: Sort key inside its workspace.
@@ -66,6 +68,7 @@
         "late",
         "latest_start",
         "passed_over_at",
+        "paused_until",
         "predicted_wait",
         "queued",
         "queued_at",
@@ -100,6 +103,10 @@
         self.short = self.tokens < short_tokens
         self.seconds = 0.0
         self.latest_start = math.inf
+        self.paused_until = {
+            pause.endpoint: now + pause.left_ms / 1000
+            for pause in (() if ask.terms is None else ask.terms.pauses)
+        }
         self.queued_at = now
         self.predicted_wait = 0.0
         self.queued = False
@@ -108,6 +115,10 @@
         self.passed_over_at: float | None = None
         self.key = (self.deadline, self.arrival, order)
 
+    def pause_left(self, endpoint: ids.EndpointId, now: float) -> float:
+        """Returns the seconds until its holder may use an endpoint, or 0."""
+        return max(0.0, self.paused_until.get(endpoint, now) - now)
+
 
 class _WorkspaceQueue:
     """Queued requests of one workspace and its start tag."""
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -653,6 +653,7 @@
         entry.late = self._on_time_start(entry) < now
         entry.predicted_wait = self._wait_of(entry, now)
         wait = entry.predicted_wait * self._scaled_margin(self._wait_margin)
+        wait = max(wait, self._pause_of(entry, now))
         # Without a wait, the attempt takes no slot from another request.
         margin = 1.0
         if wait > 0.0:
@@ -686,6 +687,22 @@
         self._refusal_share -= _REFUSAL_WEIGHT * self._refusal_share
         return None
 
+    def _pause_of(self, entry: fairness.QueueEntry, now: float) -> float:
+        """Returns the seconds until an endpoint takes a request of its holder.
+
+        It is 0 unless all open endpoints want nothing from the holder.
+        """
+        if not entry.paused_until:
+            return 0.0
+        return min(
+            (
+                entry.pause_left(member.model.endpoint, now)
+                for member in self._members_for(entry)
+                if member.open
+            ),
+            default=0.0,
+        )
+
     def _on_time_start(self, entry: fairness.QueueEntry) -> float:
         """Returns the latest start with which the first event is on time."""
         if entry.target_by == math.inf:
@@ -905,7 +922,7 @@
             blocked.long = blocked.short = True
             return None
         for entry in queue.candidates(
-            examined, lambda entry: self._holds_back(entry, now)
+            examined, lambda entry: self._is_held_back(entry, now)
         ):
             if blocked.long and not entry.short:
                 continue
@@ -921,8 +938,8 @@
                 return entry, choice
             if choice is placement.NoPlacement.LATE:
                 return entry, None
-            if entry.version is not None:
-                # Others may use the slots of other versions meanwhile.
+            if entry.version is not None or entry.paused_until:
+                # Others may use the slots that this one may not.
                 continue
             if choice is placement.NoPlacement.CAPACITY:
                 blocked.long = True
@@ -931,7 +948,13 @@
                     return None
         return None
 
-    def _holds_back(self, entry: fairness.QueueEntry, now: float) -> bool:
+    def _is_held_back(self, entry: fairness.QueueEntry, now: float) -> bool:
+        """Returns whether a request waits although a slot may be free."""
+        return self._waits_after_end(entry, now) or (
+            self._pause_of(entry, now) > 0.0
+        )
+
+    def _waits_after_end(self, entry: fairness.QueueEntry, now: float) -> bool:
         """Returns whether a request waits because an endpoint ended under it.
 
         Its content, or a suspect part of its prompt, runs once at a time, and
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -6,8 +6,9 @@
 """
 
 import collections
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from baobabmux_core import (
     effects,
@@ -15,6 +16,7 @@
     fairness,
     ids,
     messages,
+    pauses,
     retries,
     states,
 )
@@ -263,6 +265,8 @@
             content of a request or a part of its prompt.
         version_of: Returns the version of an endpoint, or None if it is not
             declared.
+        members_of: Returns the endpoints of a group.
+        pauses: Endpoints that want nothing from this node for a while.
         unreachable: Endpoints that could not be connected to, with the time
             until which they are not chosen from the node's own share.
         fallback: Chooses an endpoint from the node's own share while the
@@ -293,6 +297,10 @@
         self._next_report_at = 0.0
         self._last_tick: float | None = None
         self.unreachable: dict[ids.EndpointId, float] = {}
+        self.pauses = pauses.EndpointPauses()
+        self.members_of: Callable[[ids.GroupId], Set[ids.EndpointId]] = (
+            lambda group: frozenset()
+        )
         self.fallback: Callable[[Held, float], ids.EndpointId | None] = (
             lambda held, now: None
         )
@@ -346,7 +354,8 @@
         if held is None or held.state is not states.RequestState.GRANTED:
             return False
         late = now >= held.lease_end or now >= held.deadline
-        if late or not self.is_open(held.endpoint):
+        is_paused = self.pauses.seconds_left(held.endpoint, now) > 0.0
+        if late or is_paused or not self.is_open(held.endpoint):
             self._requeue(held, now)
             return False
         version = self.version_of(held.endpoint) or ""
@@ -847,7 +856,11 @@
         return [effects.Send(held.owner, ask)]
 
     def _terms(self, held: Held, now: float) -> messages.AskTerms | None:
-        if not held.has_terms():
+        active = self.pauses.active(now)
+        if active:
+            members = self.members_of(held.group)
+            active = {name: active[name] for name in active.keys() & members}
+        if not held.has_terms() and not active:
             return None
         first_by = held.useful_by()
         target_by = held.target_by()
@@ -861,6 +874,10 @@
             else max(0, round((target_by - now) * 1000)),
             held.version,
             held.work.parts,
+            tuple(
+                messages.Pause(endpoint, math.ceil(1000 * seconds))
+                for endpoint, seconds in active.items()
+            ),
         )
 
     def _claim_or_dispatch(
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -38,6 +38,18 @@
     tokens: int
 
 
+class Pause(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint that wants nothing from the sender for a while.
+
+    Attributes:
+        endpoint: Endpoint that turned a request of the sender away.
+        left_ms: Milliseconds after sending until it takes requests again.
+    """
+
+    endpoint: ids.EndpointId
+    left_ms: int
+
+
 class AskTerms(msgspec.Struct, frozen=True, array_like=True):
     """Optional terms of an ask.
 
@@ -57,6 +69,7 @@
         version: Version of endpoints at which its stream may go on, or None if
             no event of it was received.
         parts: Parts of its prompt that other requests may share.
+        pauses: Endpoints that want nothing from the sender for a while.
     """
 
     first_ms: int = -1
@@ -66,6 +79,7 @@
     target_ms: int = -1
     version: str | None = None
     parts: tuple[ids.PartDigest, ...] = ()
+    pauses: tuple[Pause, ...] = ()
 
 
 class Ask(Message, frozen=True, tag=1):
--- a/packages/baobabmux-core/src/baobabmux_core/placement.py
+++ b/packages/baobabmux-core/src/baobabmux_core/placement.py
@@ -167,6 +167,7 @@
             or member.reserved_for is not None
             or not member.breaker.admits(now)
             or (entry.version and now < member.version_doubted_until)
+            or entry.pause_left(name, now) > 0.0
         ):
             continue
         reserved = math.floor(model.limit() * reserved_share)
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -12,7 +12,7 @@
 import collections
 import math
 import typing
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 import msgspec
 
@@ -143,6 +143,7 @@
         )
         self._holder.fallback = self._choose_from_share
         self._holder.version_of = self._version_of
+        self._holder.members_of = self._members_of
         self._attempt_budget: tuple[float, float, float] | None = None
         self._quota_tolerance = quotas.NO_TOLERANCE
         self._fallback_quotas = quotas.QuotaLedger()
@@ -455,6 +456,16 @@
             emitted.append(effects.Send(owner, report))
         return emitted
 
+    def pause_observed(
+        self, endpoint: ids.EndpointId, seconds: float, now: float
+    ) -> bool:
+        """Records that an endpoint wants nothing from this node for a while.
+
+        Returns:
+            Whether it had not said so before.
+        """
+        return self._holder.pauses.observe(endpoint, seconds, now)
+
     def leaving_observed(
         self, endpoint: ids.EndpointId, now: float
     ) -> list[effects.Effect]:
@@ -1333,6 +1344,8 @@
                 continue
             if self._holder.unreachable.get(name, 0.0) > now:
                 continue
+            if self._holder.pauses.seconds_left(name, now) > 0.0:
+                continue
             if self._limits.rate(name) is not None:
                 # Only the owner knows what the other nodes have started.
                 continue
@@ -1455,6 +1468,9 @@
             is states.EndpointState.LIVE
         )
 
+    def _members_of(self, group: ids.GroupId) -> Set[ids.EndpointId]:
+        return self._configuration.group_endpoints(group).keys()
+
     def _version_of(self, endpoint: ids.EndpointId) -> str | None:
         """Returns the version of an endpoint, or None if it is unknown."""
         declared = self._configuration.endpoints.get(endpoint)
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -45,6 +45,10 @@
     return
 
 
+async def _ignore_pause(seconds: float) -> None:
+    del seconds
+
+
 class Call(msgspec.Struct, frozen=True):
     """A request to run at an endpoint.
 
@@ -65,6 +69,8 @@
         report_limit: Called with the requests a second that an answer names as
             the endpoint's limit, or with None if it names no limit.
         report_leaving: Called if an answer says that the endpoint is leaving.
+        report_pause: Called with the seconds for which the endpoint wants
+            nothing from this node, if its answer says so.
     """
 
     address: str
@@ -80,6 +86,7 @@
     deadline: float = 0.0
     report_limit: Callable[[float | None], Awaitable[None]] = _ignore_limit
     report_leaving: Callable[[], Awaitable[None]] = _ignore_notice
+    report_pause: Callable[[float], Awaitable[None]] = _ignore_pause
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -216,6 +223,17 @@
     return float(text)
 
 
+def parse_pause(head: client.Head) -> float:
+    """Returns the seconds that a 503 answer names in Retry-After, or 0.
+
+    Dates, and values that are no decimal number, are ignored.
+    """
+    if head.status != 503:
+        return 0.0
+    text = head.headers.get("retry-after", "").strip()
+    return float(text) if _DECIMAL_NUMBER.fullmatch(text) else 0.0
+
+
 async def report_limit(call: Call, head: client.Head) -> None:
     """Reports the limit that an answer names; ignores an invalid one."""
     try:
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -72,6 +72,12 @@
     async def leaving_observed(self, request: held.HeldRequest) -> None:
         """Reports that the answer says that its endpoint is leaving."""
 
+    @abc.abstractmethod
+    async def pause_observed(
+        self, request: held.HeldRequest, seconds: float
+    ) -> None:
+        """Reports for how long the endpoint wants nothing from this node."""
+
     @abc.abstractmethod
     async def attempt_ended(
         self,
@@ -200,6 +206,9 @@
                 self.request, rate, now
             ),
             report_leaving=lambda: self.host.leaving_observed(self.request),
+            report_pause=lambda seconds: self.host.pause_observed(
+                self.request, seconds
+            ),
         )
         adapter = self.host.protocol.adapter(kind)
         try:
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -148,6 +148,10 @@
             "leaving_endpoints",
             "Endpoints whose answers say that they are leaving",
         )
+        self.endpoint_pauses = self._counter(
+            "endpoint_pauses",
+            "Pauses that endpoints asked this node for with Retry-After",
+        )
         self.counted_parts = self._gauge(
             "counted_parts",
             "Parts of prompts under which endpoints ended",
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -195,6 +195,22 @@
         if emitted:
             await self._driver.apply(emitted)
 
+    async def pause_observed(
+        self, request: held.HeldRequest, seconds: float
+    ) -> None:
+        """Passes the time that a 503 answer names to the scheduler."""
+        if not self._host.scheduler.pause_observed(
+            request.endpoint, seconds, clock.now()
+        ):
+            return
+        self._host.metrics.endpoint_pauses.inc()
+        self._host.events.record(
+            Kind.ENDPOINT_PAUSED,
+            request.parsed.request,
+            request.endpoint,
+            seconds=seconds,
+        )
+
     async def attempt_ended(
         self,
         request: held.HeldRequest,
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -463,3 +463,24 @@
     (result,), _ = _run(_Endpoint(), "r")
     assert result.outcome is states.Outcome.NOT_SENT
     assert result.detail.endswith("no connection within 0.3 s")
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "seconds"),
+    [
+        (503, "6", 6.0),
+        (503, " 1.5 ", 1.5),
+        (503, "0", 0.0),
+        (503, "-3", 0.0),
+        (503, "1e9", 0.0),
+        (503, "Fri, 04 Dec 2026 10:00:00 GMT", 0.0),
+        (503, "", 0.0),
+        (200, "6", 0.0),
+        (429, "6", 0.0),
+    ],
+)
+def test_pause_is_a_decimal_number_of_seconds(status, value, seconds):
+    """Guards against pauses from other answers, and values that are none."""
+    head = client.Head(status, {"retry-after": value})
+    assert adapters.parse_pause(head) == seconds
+    assert adapters.parse_pause(client.Head(status, {})) == 0.0
--- a/standins/src/baobabmux_standins/standin.py
+++ b/standins/src/baobabmux_standins/standin.py
@@ -58,6 +58,7 @@
         times: Number of answers to which these faults apply, -1 for all.
         limit: Requests a second that all answers name as the endpoint's
             limit, "" for none.
+        pause: Seconds that 503 answers to all requests name, "" for none.
         leaving: Whether all answers say that the endpoint is leaving.
         status: Status of all answers, which report a failure of the run, 0 for
             the usual one.
@@ -71,6 +72,7 @@
     limit: str = ""
     status: int = 0
     leaving: bool = False
+    pause: str = ""
 
 
 class StandIn(abc.ABC):
