--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -346,9 +346,7 @@
             return
         if self._dialect.is_leaving(head):
             await call.report_leaving()
-        if verdict is Verdict.NOT_RUN and (
-            seconds := adapters.parse_pause(head)
-        ):
+        if seconds := adapters.parse_pause(head):
             await call.report_pause(seconds)
         try:
             rate = self._dialect.request_limit(head)
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -119,7 +119,7 @@
         await endpoint.serve(peer, address)
 
 
-def _run(endpoint, *calls, sink=None, repeatable=True):
+def _run(endpoint, *calls, sink=None, repeatable=True, **reports):
     """Runs calls in sequence; returns their results and the last sink."""
 
     async def run():
@@ -141,6 +141,7 @@
                 endpoint=name,
                 repeatable=repeatable,
                 deadline=clock.now() + 5.0,
+                **reports,
             )
             results.append(await adapter.run(call, last))
         return results, last
@@ -484,3 +485,17 @@
     head = client.Head(status, {"retry-after": value})
     assert adapters.parse_pause(head) == seconds
     assert adapters.parse_pause(client.Head(status, {})) == 0.0
+
+
+@pytest.mark.parametrize("not_run", [b"", b"not-run: 1\r\n"])
+def test_pause_of_any_503_is_reported(not_run):
+    """Guards against a 503 that names a time and is not marked as not run."""
+    reported = []
+
+    async def report(seconds):
+        reported.append(seconds)
+
+    answer = b"HTTP/1.1 503 Busy\r\nrequest: r\r\nretry-after: 6\r\n"
+    endpoint = _Endpoint([answer + not_run + b"content-length: 0\r\n\r\n"])
+    _run(endpoint, "r", report_pause=report)
+    assert reported == [6.0]
