Record what delimits the answers of endpoints

The logs could not tell apart a stream without a length whose connection closes, chunks that end properly inside an event, and a caller of HTTP/1.0. Event 205 now has the framing of the endpoint's answer and the bytes after the last complete event, event 201 the caller's version of HTTP, and a counter of broken answers has the framing as its label. No decision changes: the event buffer moves to a module of its own with the same logic.

--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -99,6 +99,8 @@
         output_tokens: Tokens of the answer.
         refused: Whether the endpoint's address refused the connection.
         status: Status of the answer that was relayed, or None.
+        framing: What delimits the endpoint's answer, or None without one.
+        rest_bytes: Bytes of a stream after its last complete event.
     """
 
     outcome: states.Outcome
@@ -107,6 +109,8 @@
     output_tokens: int = 0
     refused: bool = False
     status: int | None = None
+    framing: client.Framing | None = None
+    rest_bytes: int = 0
 
     @property
     def succeeded(self) -> bool:
--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import enum
 import socket
 
 import curio
@@ -39,6 +40,14 @@
     """The server neither sent nor received data within the timeout."""
 
 
+class Framing(enum.Enum):
+    """What delimits the body of an answer."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"  # The body ends with the connection.
+
+
 class Head(msgspec.Struct, frozen=True):
     """Status and headers of an answer.
 
@@ -69,8 +78,8 @@
         stall_seconds: Longest wait for one send or receive, or None if the
             caller of this class enforces a timeout itself.
         kept: Whether a pool keeps the connection after its request.
-        ends_with_connection: Whether the answer that is being read has neither
-            length nor chunks, so that its end shows only by the close.
+        framing: What delimits the answer that is being read, or None before
+            its head.
     """
 
     def __init__(self, address: str, stall_seconds: float | None = 30.0):
@@ -79,7 +88,7 @@
         self._http = _new_http()
         self._request_head: h11.Request | None = None
         self.kept = False
-        self.ends_with_connection = False
+        self.framing: Framing | None = None
         self._socket = None
 
     async def connect(self, timeout: float) -> None:
@@ -145,6 +154,7 @@
         head = h11.Request(method=method, target=target, headers=fields)
         self._request_head = head
         self.kept = False
+        self.framing = None
         data = self._http.send(head)
         if body:
             data += self._http.send(h11.Data(data=body))
@@ -214,10 +224,7 @@
                     name.decode("ascii"): value.decode("latin-1")
                     for name, value in event.headers
                 }
-                self.ends_with_connection = not (
-                    "content-length" in headers
-                    or "transfer-encoding" in headers
-                )
+                self.framing = _framing(headers)
                 return Head(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenError(
@@ -285,6 +292,14 @@
             raise BrokenError(f"{self.address}: {error}") from error
 
 
+def _framing(headers: dict[str, str]) -> Framing:
+    if "transfer-encoding" in headers:
+        return Framing.CHUNKS
+    if "content-length" in headers:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 async def fetch(
     address: str,
     method: str,
--- a/packages/baobabmux-node/src/baobabmux_node/held.py
+++ b/packages/baobabmux-node/src/baobabmux_node/held.py
@@ -30,6 +30,7 @@
             of `headers`.
         last_event: Number of the event after which the caller resumes a
             stream, or None.
+        http_version: Version of HTTP that the caller speaks, such as "1.1".
     """
 
     request: ids.RequestId
@@ -48,6 +49,7 @@
     arrived: float
     raw_headers: tuple[tuple[bytes, bytes], ...] = ()
     last_event: int | None = None
+    http_version: str = "1.1"
 
 
 class CallerGone(effects.Effect, frozen=True):
--- a/packages/baobabmux-node/src/baobabmux_node/intake.py
+++ b/packages/baobabmux-node/src/baobabmux_node/intake.py
@@ -169,6 +169,7 @@
             key_time_ms=key_time_ms,
             work=work,
             arrived=now,
+            http_version=exchange.http_version,
         )
 
     def _workspace(
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -100,6 +100,11 @@
         self.attempts = self._counter(
             "attempts", "Attempts at endpoints", ["service", "outcome"]
         )
+        self.broken_answers = self._counter(
+            "broken_answers",
+            "Answers that broke off after their head, by what delimits them",
+            ["framing"],
+        )
         self.endpoints_age = self._gauge(
             "endpoints_age_seconds",
             "Time since the endpoint directory was known to be current",
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -15,13 +15,12 @@
 import msgspec
 
 from baobabmux_core import declarations, ids, states
-from baobabmux_node import adapters, client, clock
+from baobabmux_node import adapters, client, clock, event_streams
 
 # A handshake takes a few milliseconds. If the first packet is lost or the
 # endpoint is unreachable, the request moves to another endpoint.
 CONNECT_TIMEOUT_SECONDS = 0.3
 MAX_BODY_BYTES = 16_000_000
-_MAX_EVENT_BYTES = 1_000_000
 # Idle connections kept for each endpoint; a node uses fewer at a time.
 _MAX_IDLE_CONNECTIONS = 8
 # Idle time after which a connection without a known timeout is not reused.
@@ -260,6 +259,7 @@
             self.pool.opened += 1
         timer = None
         timer_task = None
+        splitter = event_streams.EventSplitter()
         try:
             await connection.ensure_connected(CONNECT_TIMEOUT_SECONDS)
             if not call.permit():
@@ -271,14 +271,16 @@
                 first = self._dialect.answer_timeouts(call).first_seconds
                 timer = _InactivityTimer(connection, clock.now() + first)
                 timer_task = await curio.spawn(timer.run, daemon=True)
-            return await self._exchange(call, sink, connection, timer)
+            result = await self._exchange(
+                call, sink, connection, timer, splitter
+            )
         except client.ClientError as error:
             outcome = adapters.failure_outcome(error)
             expired = timer is not None and timer.expired
             detail = (
                 "the endpoint sent no data in time" if expired else str(error)
             )
-            return adapters.Result(
+            result = adapters.Result(
                 outcome,
                 detail,
                 output_tokens=sink.tokens,
@@ -288,8 +290,13 @@
             if timer_task is not None:
                 await timer_task.cancel(blocking=False)
             await connection.close_unless_kept()
+        return msgspec.structs.replace(
+            result,
+            framing=connection.framing,
+            rest_bytes=len(splitter.rest),
+        )
 
-    async def _exchange(self, call, sink, connection, timer):
+    async def _exchange(self, call, sink, connection, timer, splitter):
         fields = self._dialect.request_fields(call, sink.last_event)
         await connection.send_request(
             call.method, call.target, fields, call.body
@@ -325,7 +332,9 @@
             )
         streams = "text/event-stream" in head.headers.get("content-type", "")
         if streams and verdict is Verdict.ANSWER:
-            await self._relay_events(call, sink, connection, timer, head)
+            await self._relay_events(
+                call, sink, connection, timer, head, splitter
+            )
         else:
             # The head is sent only once the body is complete, so that the
             # caller never takes a broken answer for a complete one.
@@ -367,22 +376,16 @@
         connection.kept = True
         await self.pool.put(call.endpoint, connection, head, clock.now())
 
-    async def _relay_events(self, call, sink, connection, timer, head) -> None:
+    async def _relay_events(
+        self, call, sink, connection, timer, head, splitter
+    ) -> None:
         """Sends complete events to the sink, each event number once."""
         gap = self._dialect.answer_timeouts(call).gap_seconds
         tokens_each = self._dialect.tokens_per_event(call)
         headers = self._dialect.answer_headers(head)
-        buffer = b""
-        has_events = False
         while (part := await connection.next_part()) is not None:
-            buffer += part
-            end = buffer.rfind(b"\n\n") + 2
-            if end < 2:
-                if len(buffer) > _MAX_EVENT_BYTES:
-                    raise client.ProtocolError("an event is too long")
+            if not (events := splitter.add(part)):
                 continue
-            events, buffer = buffer[:end], buffer[end:]
-            has_events = True
             events, count = _new_events(events, sink)
             if not events:
                 continue
@@ -391,11 +394,13 @@
             await sink.head(head.status, headers)
             await sink.data(events)
             sink.progress(sink.tokens + count * tokens_each)
-        if connection.ends_with_connection and (buffer or not has_events):
+        if connection.framing is client.Framing.CONNECTION and (
+            splitter.rest or not splitter.has_events
+        ):
             raise client.BrokenError("the stream ended before a whole event")
         await sink.head(head.status, headers)
-        if buffer:
-            await sink.data(buffer)
+        if splitter.rest:
+            await sink.data(splitter.rest)
 
 
 def _new_events(events: bytes, sink) -> tuple[bytes, int]:
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -70,6 +70,7 @@
         raw_headers: All header fields in the order and spelling of the caller.
         body: Complete body, after `read_body`.
         answered: Whether the status line of an answer was sent.
+        http_version: Version of HTTP of the request, such as "1.1".
     """
 
     def __init__(self, connection: "_Connection", request: h11.Request):
@@ -79,6 +80,7 @@
         ]
         self.method = request.method.decode("ascii")
         self.target = request.target.decode("ascii", "replace")
+        self.http_version = request.http_version.decode("ascii")
         self.headers = {
             name.decode("ascii"): value.decode("latin-1")
             for name, value in request.headers
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -97,6 +97,7 @@
             config=self._host.config.version,
             deadline_ms=_left_ms(parsed.work.deadline, parsed.arrived),
             first_event_ms=_left_ms(parsed.work.first_by, parsed.arrived),
+            http_version=parsed.http_version,
             **_resumed_fields(parsed),
         )
         repeat = await self._host.answers.register(request)
@@ -229,11 +230,17 @@
             age_ms=round((now - request.parsed.arrived) * 1000),
             output_tokens=result.output_tokens,
             status=result.status,
+            framing=None if result.framing is None else result.framing.value,
+            rest_bytes=result.rest_bytes,
         )
         self._record_content_answer(request, result)
         self._host.metrics.attempts.labels(
             request.parsed.work.service, result.outcome.value
         ).inc()
+        if result.framing is not None and (
+            result.outcome is states.Outcome.BROKEN
+        ):
+            self._host.metrics.broken_answers.labels(result.framing.value).inc()
         self._count_outcome(request, result, now)
         if result.outcome is not states.Outcome.NOT_SENT:
             await self._host.answers.store_outcome(request, result, answer)
--- a/packages/baobabmux-node/tests/endless_answers_test.py
+++ b/packages/baobabmux-node/tests/endless_answers_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from baobabmux_core import states
-from baobabmux_node import adapters, client, clock, relay
+from baobabmux_node import adapters, client, clock, event_streams, relay
 
 _HEAD = b"HTTP/1.1 200 OK\r\nrequest: r\r\n"
 _STREAM = _HEAD + b"content-type: text/event-stream\r\n"
@@ -153,7 +153,7 @@
 class _Connection:
     """Yields an event in small parts."""
 
-    ends_with_connection = False
+    framing = client.Framing.CHUNKS
 
     def __init__(self, parts, part):
         self.parts = parts
@@ -175,5 +175,8 @@
     connection = _Connection(20_000, _CountedBytes(b"xxxx"))
     adapter = relay.RelayAdapter(_Dialect())
     head = client.Head(200, {})
-    curio.run(adapter._relay_events, None, _Sink(), connection, None, head)
+    splitter = event_streams.EventSplitter()
+    curio.run(
+        adapter._relay_events, None, _Sink(), connection, None, head, splitter
+    )
     assert _CountedBytes.copied <= 10 * 20_000 * 4
--- a/packages/baobabmux-node/tests/intake_test.py
+++ b/packages/baobabmux-node/tests/intake_test.py
@@ -52,6 +52,7 @@
         target=path,
         method="POST",
         headers=headers,
+        http_version="1.1",
         body=b"{}",
         read_body=read_body,
     )
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -266,6 +266,28 @@
     assert sink.last_event == 2
 
 
+@pytest.mark.parametrize(
+    ("answer", "framing"),
+    [
+        (_WHOLE % b"r", client.Framing.LENGTH),
+        (_STREAM % b"r" + b"0\r\n\r\n", client.Framing.CHUNKS),
+        (_NO_LENGTH, client.Framing.CONNECTION),
+        (b"", None),
+    ],
+)
+def test_result_names_what_delimits_the_answer(answer, framing):
+    """Guards against broken answers whose framing no log line shows."""
+    results, _ = _run(_Endpoint([answer, None]), "r")
+    assert results[0].framing is framing
+
+
+def test_result_counts_the_bytes_after_the_last_event():
+    """Guards against a stream that ends inside an event without a trace."""
+    endpoint = _Endpoint([_OPEN_STREAM + _event(1) + b"id: 2\nda", None])
+    results, _ = _run(endpoint, "r")
+    assert results[0].rest_bytes == len(b"id: 2\nda")
+
+
 def test_stream_without_length_that_has_no_event_is_broken():
     """Guards against an endpoint that ends at once and seems to have answered.
 
--- a/standins/src/baobabmux_standins/client.py
+++ b/standins/src/baobabmux_standins/client.py
@@ -73,7 +73,13 @@
         self.complete = False
 
     async def send(
-        self, host: str, method: str, path: str, headers: Headers, body: bytes
+        self,
+        host: str,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        http_version: str = "1.1",
     ) -> None:
         """Sends the request with its whole body."""
         fields = {
@@ -88,7 +94,9 @@
         data = self._protocol.send(request)
         data += self._protocol.send(h11.Data(data=body))
         data += self._protocol.send(h11.EndOfMessage())
-        await self._peer.sendall(data)
+        # h11 sends requests of HTTP/1.1 only.
+        version = f" HTTP/{http_version}\r\n".encode()
+        await self._peer.sendall(data.replace(b" HTTP/1.1\r\n", version, 1))
 
     async def parts(self) -> AsyncIterator[bytes]:
         """Yields the body in parts as they arrive.
@@ -151,6 +159,7 @@
     body: bytes = b"",
     headers: Headers | None = None,
     timeout_seconds: float = _TIMEOUT_SECONDS,
+    http_version: str = "1.1",
 ) -> Response:
     """Sends a request and reads the answer until its end or a failure.
 
@@ -165,7 +174,9 @@
     received = bytearray()
     try:
         async with curio.timeout_after(timeout_seconds):
-            await exchange.send(address, method, path, headers or {}, body)
+            await exchange.send(
+                address, method, path, headers or {}, body, http_version
+            )
             async for part in exchange.parts():
                 received += part
     except (OSError, curio.TaskTimeout):
--- a/standins/src/baobabmux_standins/server.py
+++ b/standins/src/baobabmux_standins/server.py
@@ -97,9 +97,14 @@
         """Ends the body."""
         await self._send(h11.EndOfMessage())
 
+    async def write_raw(self, data: bytes) -> None:
+        """Sends bytes without HTTP framing."""
+        self.started = True
+        await self._peer.sendall(data)
+
     async def raw(self, data: bytes) -> None:
         """Sends bytes without HTTP framing and ends the connection."""
-        await self._peer.sendall(data)
+        await self.write_raw(data)
         raise HangUp
 
     async def _send(self, event: h11.Event) -> None:
