Take any stream that ends inside an event for broken

What callers saw: a replica that breaks a stream off inside an event and then ends its chunks properly. The caller got part of an event and a proper end of the answer.

Cause: the check for a part of an event was made for answers without a length only. The end of an answer's framing was taken for the end of its stream.

Change: one check at the end of a stream for both adapters, whatever delimits the answer. Comments and blank lines after the last event belong to no event and are passed on as before. Why it works: only an empty line ends an event, so the rest is known whatever the framing says.

--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from baobabmux_core import ids, states
-from baobabmux_node import client
+from baobabmux_node import client, event_streams
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 MAX_ANSWER_BYTES = 64_000_000
@@ -184,8 +184,14 @@
             check_attempt(call, head)
             await report_limit(call, head)
             await sink.head(head.status, end_to_end(head.headers))
+            splitter = event_streams.EventSplitter()
+            streams = event_streams.is_event_stream(head)
             while (part := await connection.next_part()) is not None:
+                if streams:
+                    splitter.add(part)
                 await sink.data(part)
+            if streams:
+                splitter.check_end(connection.framing)
             sink.progress(1)
             return Result(
                 states.Outcome.COMPLETED, output_tokens=1, status=head.status
--- a/packages/baobabmux-node/src/baobabmux_node/event_streams.py
+++ b/packages/baobabmux-node/src/baobabmux_node/event_streams.py
@@ -35,3 +35,28 @@
         events, self.rest = self.rest[:end], self.rest[end:]
         self.has_events = True
         return events
+
+    def check_end(self, framing: client.Framing) -> None:
+        """Checks that the stream is complete once its answer has ended.
+
+        Blank lines and comments may follow the last event of an answer whose
+        end is marked. An answer that ends with its connection must end with a
+        complete event.
+
+        Raises:
+            BrokenError: The stream ended inside an event, or without any.
+        """
+        if any(
+            line and not line.startswith(b":")
+            for line in self.rest.splitlines()
+        ):
+            raise client.BrokenError("the stream ended inside an event")
+        if framing is client.Framing.CONNECTION and (
+            self.rest or not self.has_events
+        ):
+            raise client.BrokenError("the stream ended before a whole event")
+
+
+def is_event_stream(head: client.Head) -> bool:
+    """Returns whether the body of an answer consists of events."""
+    return "text/event-stream" in head.headers.get("content-type", "")
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -330,7 +330,7 @@
                 states.Outcome.FAILED,
                 f"the endpoint failed: status {head.status}",
             )
-        streams = "text/event-stream" in head.headers.get("content-type", "")
+        streams = event_streams.is_event_stream(head)
         if streams and verdict is Verdict.ANSWER:
             await self._relay_events(
                 call, sink, connection, timer, head, splitter
@@ -394,10 +394,7 @@
             await sink.head(head.status, headers)
             await sink.data(events)
             sink.progress(sink.tokens + count * tokens_each)
-        if connection.framing is client.Framing.CONNECTION and (
-            splitter.rest or not splitter.has_events
-        ):
-            raise client.BrokenError("the stream ended before a whole event")
+        splitter.check_end(connection.framing)
         await sink.head(head.status, headers)
         if splitter.rest:
             await sink.data(splitter.rest)
--- a/packages/baobabmux-node/tests/adapters_test.py
+++ b/packages/baobabmux-node/tests/adapters_test.py
@@ -7,7 +7,7 @@
 
 from baobabmux_core import states
 from baobabmux_node import adapters, engines
-from baobabmux_standins import engine, plain
+from baobabmux_standins import engine, plain, server
 
 
 class _Sink(adapters.Sink):
@@ -68,3 +68,38 @@
     values = ("", "2.5", "much", "")
     reported = curio.run(_limits, stand_in(), adapter(), target, values)
     assert reported == [None, 2.5, None]
+
+
+async def _outcome_of_stream(body):
+    """Returns how a call ends whose answer is a stream in chunks."""
+
+    async def handle(request, reply):
+        await reply.start(200, {"Content-Type": "text/event-stream"})
+        await reply.write(body)
+        await reply.end()
+
+    endpoint = server.Server(handle)
+    await endpoint.start()
+    call = adapters.Call(
+        endpoint.address, "POST", "/any", {}, b"", 5.0, lambda: True
+    )
+    try:
+        result = await adapters.PlainServiceAdapter().run(call, _Sink())
+        return result.outcome
+    finally:
+        await endpoint.close()
+
+
+@pytest.mark.parametrize(
+    ("body", "outcome"),
+    [
+        (b"data: a\n\n", states.Outcome.COMPLETED),
+        (b"data: a\n\ndata: b", states.Outcome.BROKEN),
+    ],
+)
+def test_plain_stream_that_ends_inside_an_event_is_broken(body, outcome):
+    """Guards against part of an event that is taken for the end of a stream.
+
+    The service breaks the stream off and then ends its chunks properly.
+    """
+    assert curio.run(_outcome_of_stream, body) is outcome
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -308,6 +308,20 @@
     assert sink.body == whole
 
 
+@pytest.mark.parametrize("rest", [b"i", b"id: 3", b"id: 3\n", b"id: 3\nda\n"])
+def test_delimited_stream_that_ends_inside_an_event_is_broken(rest):
+    """Guards against part of an event that is taken for the end of a stream.
+
+    The endpoint breaks the stream off and then ends its chunks properly.
+    """
+    whole = _event(1) + _event(2)
+    endpoint = _Endpoint([_STREAM % b"r", _chunk(whole + rest), b"0\r\n\r\n"])
+    results, sink = _run(endpoint, "r")
+    assert results[0].outcome is states.Outcome.BROKEN
+    assert sink.body == whole
+    assert sink.last_event == 2
+
+
 @pytest.mark.parametrize("whole", [b"", b"id: 1\ndata: x\n\n"])
 def test_delimited_stream_keeps_bytes_after_its_last_event(whole):
     """Guards against bytes of a complete answer that are dropped."""
