Reset unfinished answers whose end only a close shows

What callers saw: callers of HTTP/1.0 took every broken answer for whole.

Cause: a caller of HTTP/1.0 knows no chunks, so the close of the connection is all that shows it the end of an answer without a length. The node closed the connection after a break as it does after the last byte, and so does the kernel for a process that dies.

Change: from the head of such an answer until its end the socket is set to be reset when it is closed. Why it works: whatever ends the connection before the end is known, an abort, a fault of the handler or a kill, ends it with a reset; only the end of the answer turns this off. Connections with chunks or a length are closed as before, so events in flight arrive.

--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -8,6 +8,7 @@
 import http
 import logging
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -238,6 +239,7 @@
         # Whether no request is being handled.
         self.idle = True
         self._reading_stopped = False
+        self._resets = False
 
     def stop_reading(self) -> None:
         """Accepts no further request; a request already read is answered."""
@@ -410,6 +412,10 @@
             data = self.http.send(event)
         except h11.LocalProtocolError as error:
             raise PeerGoneError from error
+        if isinstance(event, h11.Response) and self._ends_with_close(event):
+            self._reset_on_close(True)
+        elif isinstance(event, h11.EndOfMessage):
+            self._reset_on_close(False)
         if not data:
             return
         try:
@@ -429,6 +435,27 @@
         except (curio.TaskTimeout, OSError) as error:
             raise PeerGoneError from error
 
+    def _ends_with_close(self, head: h11.Response) -> bool:
+        """Returns whether only a close shows the peer the end of an answer.
+
+        Peers that speak HTTP/1.0 know no chunks.
+        """
+        return self.http.their_http_version == b"1.0" and not any(
+            name == b"content-length" for name, _ in head.headers
+        )
+
+    def _reset_on_close(self, enabled: bool) -> None:
+        """Chooses whether the connection is reset when it is closed.
+
+        It is then also reset if the process is killed.
+        """
+        if enabled is self._resets:
+            return
+        self._resets = enabled
+        linger = struct.pack("ii", int(enabled), 0)
+        with contextlib.suppress(OSError):
+            self.client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def _receive(self, timeout: float) -> bytes | None:
         """Returns the next bytes, or None after `timeout` seconds."""
         try:
--- a/packages/baobabmux-node/tests/server_test.py
+++ b/packages/baobabmux-node/tests/server_test.py
@@ -6,6 +6,7 @@
 import curio
 import pytest
 
+from baobabmux_core import errors
 from baobabmux_node import server
 
 _GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -215,3 +216,57 @@
         assert handled == ["/a"]
 
     curio.run(run)
+
+
+async def _finish(exchange):
+    await exchange.finish()
+
+
+async def _abort(exchange):
+    exchange.abort()
+
+
+async def _fail(exchange):
+    raise ValueError("a fault of the handler")
+
+
+async def _refuse(exchange):
+    raise server.RequestError(errors.ErrorKind.INTERNAL, "too late")
+
+
+@pytest.mark.parametrize(
+    ("end", "is_reset"),
+    [(_finish, False), (_abort, True), (_fail, True), (_refuse, True)],
+)
+def test_unfinished_answer_to_an_http_1_0_caller_ends_with_a_reset(
+    end, is_reset
+):
+    """Guards against a broken answer that its caller takes for complete.
+
+    The close of the connection is all that shows such a caller the end.
+    """
+
+    async def handle(exchange):
+        await exchange.read_body(0)
+        await exchange.start(200, {})
+        await exchange.send(b"part")
+        await curio.sleep(0.02)
+        await end(exchange)
+
+    async def run():
+        http_server = server.Server("127.0.0.1", 0, handle, server.Limits())
+        http_server.start()
+        await curio.spawn(http_server.serve, daemon=True)
+        peer = await curio.open_connection("127.0.0.1", http_server.port)
+        await peer.sendall(_GET.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        data = b""
+        try:
+            while part := await peer.recv(65536):
+                data += part
+        except ConnectionResetError:
+            return data, True
+        return data, False
+
+    data, was_reset = curio.run(run)
+    assert data.endswith(b"\r\n\r\npart")
+    assert was_reset is is_reset
