Relay events that end with CR LF as they arrive

Lines of server-sent events may end with LF or CR LF, and the relay searched for LF LF only. A stream of CR LF events was held back until its end, so its caller saw no event in time; without a length it counted as broken, and a resumed one sent its events twice.

Change: the position after the last complete event is found for both line ends, and events are split in one place.

--- a/packages/baobabmux-node/src/baobabmux_node/event_streams.py
+++ b/packages/baobabmux-node/src/baobabmux_node/event_streams.py
@@ -1,8 +1,12 @@
 """Splits the bytes of a stream into server-sent events."""
 
+import re
+
 from baobabmux_node import client
 
 MAX_EVENT_BYTES = 1_000_000
+# An empty line ends an event; lines end with LF or CR LF.
+_EVENT = re.compile(rb".*?\n\r?\n", re.DOTALL)
 
 
 class EventSplitter:
@@ -27,8 +31,8 @@
             ProtocolError: An event is longer than `MAX_EVENT_BYTES`.
         """
         self.rest += part
-        end = self.rest.rfind(b"\n\n") + 2
-        if end < 2:
+        end = _end_of_events(self.rest)
+        if end == 0:
             if len(self.rest) > MAX_EVENT_BYTES:
                 raise client.ProtocolError("an event is too long")
             return b""
@@ -57,6 +61,21 @@
             raise client.BrokenError("the stream ended before a whole event")
 
 
+def _end_of_events(data: bytes) -> int:
+    """Returns the position after the last complete event, or 0."""
+    ends = (
+        data.rfind(line_end) + len(line_end)
+        for line_end in (b"\n\n", b"\n\r\n")
+        if line_end in data
+    )
+    return max(ends, default=0)
+
+
+def split(events: bytes) -> list[bytes]:
+    """Returns complete events one by one, with their line ends."""
+    return _EVENT.findall(events)
+
+
 def is_event_stream(head: client.Head) -> bool:
     """Returns whether the body of an answer consists of events."""
     return "text/event-stream" in head.headers.get("content-type", "")
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -416,15 +416,14 @@
     """
     numbers = [int(number) for number in _EVENT_ID.findall(events)]
     if not numbers:
-        return events, events.count(b"\n\n")
+        return events, len(event_streams.split(events))
     last = sink.last_event
     if last is not None and numbers[0] <= last:
-        kept = [
-            block
-            for block in events.split(b"\n\n")[:-1]
-            if (id_match := _EVENT_ID.search(block)) and int(id_match[1]) > last
-        ]
-        events = b"".join(block + b"\n\n" for block in kept)
+        events = b"".join(
+            event
+            for event in event_streams.split(events)
+            if (id_match := _EVENT_ID.search(event)) and int(id_match[1]) > last
+        )
         numbers = [number for number in numbers if number > last]
     if any(a >= b for a, b in itertools.pairwise(numbers)):
         raise client.ProtocolError("events are out of order")
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -299,6 +299,43 @@
     assert sink.status is None
 
 
+_CR_LF_EVENT = b"id: %d\r\ndata: x\r\n\r\n"
+
+
+def test_events_that_end_with_cr_lf_are_relayed_as_they_arrive():
+    """Guards against events that are held back until the stream ends.
+
+    The line ends of the first event arrive in two parts, and the stream breaks
+    off inside the third event.
+    """
+    first, second = _CR_LF_EVENT % 1, _CR_LF_EVENT % 2
+    endpoint = _Endpoint(
+        [_OPEN_STREAM + first[:-1], 0.02, first[-1:] + second, b"id: 3", None]
+    )
+    results, sink = _run(endpoint, "r")
+    assert results[0].outcome is states.Outcome.BROKEN
+    assert sink.body == first + second
+    assert sink.last_event == 2
+
+
+def test_stream_of_cr_lf_events_without_length_is_whole():
+    """Guards against a whole stream that is taken for a broken one."""
+    whole = _CR_LF_EVENT % 1 + _CR_LF_EVENT % 2
+    results, sink = _run(_Endpoint([_OPEN_STREAM + whole, None]), "r")
+    assert results[0].outcome is states.Outcome.COMPLETED
+    assert sink.body == whole
+    assert sink.tokens == 12
+
+
+def test_resumed_stream_of_cr_lf_events_repeats_no_event():
+    """Guards against sending an event to the caller twice."""
+    whole = b"".join(_CR_LF_EVENT % number for number in (1, 2, 3))
+    endpoint = _Endpoint([_OPEN_STREAM + whole, None])
+    results, sink = _run(endpoint, "r", sink=_Sink(last_event=2))
+    assert results[0].outcome is states.Outcome.COMPLETED
+    assert sink.body == _CR_LF_EVENT % 3
+
+
 def test_stream_without_length_ends_after_a_whole_event():
     """Guards against a whole stream that is taken for a broken one."""
     whole = _event(1) + _event(2)
