Take answers without a body for whole

Answers to HEAD, and those with status 204 or 304, now have no framing and no end to check.

Tests of two neighbouring cases that were right already: a failure without a length that is reset, and a resumed stream without a length and without an event, which stays broken: nothing shows that it had ended.

--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -14,6 +14,8 @@
 
 _READ_BYTES = 65_536
 _MAX_HEADER_BYTES = 65_536
+# RFC 9112, 6.3
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class ClientError(Exception):
@@ -78,8 +80,8 @@
         stall_seconds: Longest wait for one send or receive, or None if the
             caller of this class enforces a timeout itself.
         kept: Whether a pool keeps the connection after its request.
-        framing: What delimits the answer that is being read, or None before
-            its head.
+        framing: What delimits the body of the answer that is being read, or
+            None before its head and if it has no body.
     """
 
     def __init__(self, address: str, stall_seconds: float | None = 30.0):
@@ -224,13 +226,18 @@
                     name.decode("ascii"): value.decode("latin-1")
                     for name, value in event.headers
                 }
-                self.framing = _framing(headers)
+                if self._has_body(event.status_code):
+                    self.framing = _framing(headers)
                 return Head(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenError(
                     f"{self.address}: the connection ended before an answer"
                 )
 
+    def _has_body(self, status: int) -> bool:
+        is_head = self._request_head.method == b"HEAD"
+        return not is_head and status not in _STATUSES_WITHOUT_BODY
+
     async def next_part(self) -> bytes | None:
         """Reads the next part of the body; returns None at its end.
 
--- a/packages/baobabmux-node/src/baobabmux_node/event_streams.py
+++ b/packages/baobabmux-node/src/baobabmux_node/event_streams.py
@@ -40,7 +40,7 @@
         self.has_events = True
         return events
 
-    def check_end(self, framing: client.Framing) -> None:
+    def check_end(self, framing: client.Framing | None) -> None:
         """Checks that the stream is complete once its answer has ended.
 
         Blank lines and comments may follow the last event of an answer whose
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -119,7 +119,9 @@
         await endpoint.serve(peer, address)
 
 
-def _run(endpoint, *calls, sink=None, repeatable=True, **reports):
+def _run(
+    endpoint, *calls, sink=None, repeatable=True, method="POST", **reports
+):
     """Runs calls in sequence; returns their results and the last sink."""
 
     async def run():
@@ -132,7 +134,7 @@
             last = sink or _Sink()
             call = adapters.Call(
                 address=f"127.0.0.1:{port}",
-                method="POST",
+                method=method,
                 target="/a",
                 headers={},
                 body=b"",
@@ -336,6 +338,38 @@
     assert sink.body == _CR_LF_EVENT % 3
 
 
+def test_answer_to_head_without_length_is_whole():
+    """Guards against an answer without a body that is taken for broken."""
+    results, sink = _run(_Endpoint([_OPEN_STREAM]), "r", method="HEAD")
+    assert results[0].outcome is states.Outcome.COMPLETED
+    assert results[0].framing is None
+    assert sink.status == 200
+    assert sink.body == b""
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_failure_without_length_is_whole_only_after_a_close(resets):
+    """Guards against a broken failure that is taken for a complete one."""
+    answer = b"HTTP/1.1 500 x\r\nrequest: r\r\n\r\nabc"
+    endpoint = _Endpoint([answer, 0.05, _RESET if resets else None])
+    results, sink = _run(endpoint, "r", repeatable=False)
+    outcome = states.Outcome.BROKEN if resets else states.Outcome.COMPLETED
+    assert results[0].outcome is outcome
+    assert sink.body == (b"" if resets else b"abc")
+
+
+def test_resumed_stream_without_length_that_has_no_event_is_broken():
+    """Guards against a break right after the head that seems to be the end.
+
+    Nothing shows that the stream had ended with the caller's last event.
+    """
+    results, sink = _run(
+        _Endpoint([_OPEN_STREAM, None]), "r", sink=_Sink(last_event=4)
+    )
+    assert results[0].outcome is states.Outcome.BROKEN
+    assert sink.status is None
+
+
 def test_stream_without_length_ends_after_a_whole_event():
     """Guards against a whole stream that is taken for a broken one."""
     whole = _event(1) + _event(2)
