Record the state of each node's links to endpoints

Nothing showed what a node holds of its links, so a replica that has ended could not be told from a lost link. One module of the core now keeps it: sound or lost, since when, by which evidence. Event 416 has each change and whether other links of the node work, a gauge the number of lost ones. All connections to endpoints are opened in one place (`adapters.Connector`), which feeds it.

Links that may have changed are probed by connections without a request: the others at the first loss, lost ones twice a second, all of them as soon as one returns; none while all are sound (links_test.py). No request is decided otherwise yet.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -126,6 +126,12 @@
         "{endpoint} wants nothing from this node for {seconds} s.",
     )
 
+    LINK_CHANGED = (
+        416,
+        "This node's link to {endpoint} is {state}; it reaches other endpoints:"
+        " {reaches_others}.",
+    )
+
     CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
     CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
     CLAIM_UNAVAILABLE = (503, "The log did not decide the claim in time.")
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -49,6 +49,40 @@
     del seconds
 
 
+class Connector(abc.ABC):
+    """Opens connections to endpoints."""
+
+    @abc.abstractmethod
+    async def open(
+        self, call: "Call", timeout: float, stall_seconds: float | None
+    ) -> client.ClientConnection:
+        """Opens a connection to the endpoint of a call.
+
+        Args:
+            call: The call.
+            timeout: Longest time in seconds for one connection.
+            stall_seconds: See `client.ClientConnection`.
+
+        Raises:
+            ConnectError: No connection was made, so no byte was sent.
+        """
+
+    def answered(self, call: "Call") -> None:  # noqa: B027 - a hook
+        """Records that the endpoint of a call has sent an answer."""
+
+
+class DirectConnector(Connector):
+    """Connects to the address of the call."""
+
+    async def open(
+        self, call: "Call", timeout: float, stall_seconds: float | None
+    ) -> client.ClientConnection:
+        """Opens a connection; see the base class."""
+        connection = client.ClientConnection(call.address, stall_seconds)
+        await connection.connect(timeout)
+        return connection
+
+
 class Call(msgspec.Struct, frozen=True):
     """A request to run at an endpoint.
 
@@ -71,6 +105,7 @@
         report_leaving: Called if an answer says that the endpoint is leaving.
         report_pause: Called with the seconds for which the endpoint wants
             nothing from this node, if its answer says so.
+        connector: Opens the connections of the call.
     """
 
     address: str
@@ -87,6 +122,7 @@
     report_limit: Callable[[float | None], Awaitable[None]] = _ignore_limit
     report_leaving: Callable[[], Awaitable[None]] = _ignore_notice
     report_pause: Callable[[float], Awaitable[None]] = _ignore_pause
+    connector: Connector = DirectConnector()
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -169,9 +205,11 @@
 
     async def run(self, call: Call, sink: Sink) -> Result:
         """Runs a call; see the base class."""
-        connection = client.ClientConnection(call.address, call.timeout)
+        connection = None
         try:
-            await connection.connect(CONNECT_TIMEOUT_SECONDS)
+            connection = await call.connector.open(
+                call, CONNECT_TIMEOUT_SECONDS, call.timeout
+            )
             if not call.permit():
                 return Result(
                     states.Outcome.NOT_SENT,
@@ -181,6 +219,7 @@
                 call.method, call.target, call.headers, call.body
             )
             head = await connection.head()
+            call.connector.answered(call)
             check_attempt(call, head)
             await report_limit(call, head)
             await sink.head(head.status, end_to_end(head.headers))
@@ -203,7 +242,8 @@
                 refused=isinstance(error, client.RefusedError),
             )
         finally:
-            await connection.close()
+            if connection is not None:
+                await connection.close()
 
 
 def check_attempt(call: Call, head: client.Head) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -31,9 +31,11 @@
 
     Attributes:
         protocol: Protocol of callers and endpoints.
+        connector: Opens connections to endpoints.
     """
 
     protocol: protocols.CallerProtocol
+    connector: adapters.Connector
 
     @abc.abstractmethod
     async def admit(self, request: held.HeldRequest) -> None:
@@ -209,6 +211,7 @@
             report_pause=lambda seconds: self.host.pause_observed(
                 self.request, seconds
             ),
+            connector=self.host.connector,
         )
         adapter = self.host.protocol.adapter(kind)
         try:
--- a/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
+++ b/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
@@ -11,8 +11,8 @@
 
 import curio
 
-from baobabmux_core import catalogue, ids, states
-from baobabmux_node import adapters, client, clock
+from baobabmux_core import catalogue, ids, links, states
+from baobabmux_node import adapters, clock
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -20,7 +20,6 @@
 # A process that is ending may still accept a connection, so the first probe is
 # followed by a second one.
 _PROBE_DELAYS_SECONDS = (0.0, 0.1)
-_PROBE_TIMEOUT_SECONDS = 0.3
 # An end without unfinished runs is recorded once in this time.
 _REPEAT_SECONDS = 5.0
 _MAX_KNOWN = 1_000
@@ -95,25 +94,9 @@
         try:
             for delay in _PROBE_DELAYS_SECONDS:
                 await curio.sleep(delay)
-                if await _refuses_connections(address):
+                evidence = await self._host.paths.connects(endpoint, address)
+                if evidence is links.Evidence.REFUSED:
                     await self.record(endpoint, Evidence.REFUSED)
                     return
         finally:
             self._probed.discard(endpoint)
-
-
-async def _refuses_connections(address: str) -> bool:
-    """Returns whether an address refuses a connection.
-
-    An address that does not answer at all may be cut off.
-    """
-    connection = client.ClientConnection(address)
-    try:
-        await connection.connect(_PROBE_TIMEOUT_SECONDS)
-    except client.RefusedError:
-        return True
-    except client.ConnectError:
-        return False
-    finally:
-        await connection.close()
-    return False
--- a/packages/baobabmux-node/src/baobabmux_node/engines.py
+++ b/packages/baobabmux-node/src/baobabmux_node/engines.py
@@ -87,11 +87,10 @@
             None after a complete stream, or the result of a call that has no
             stream.
         """
-        connection = client.ClientConnection(
-            call.address, _STALL_TIMEOUT_SECONDS
+        connection = await call.connector.open(
+            call, adapters.CONNECT_TIMEOUT_SECONDS, _STALL_TIMEOUT_SECONDS
         )
         try:
-            await connection.connect(adapters.CONNECT_TIMEOUT_SECONDS)
             if not call.permit():
                 return adapters.Result(
                     states.Outcome.NOT_SENT,
@@ -101,6 +100,7 @@
                 "POST", "/v1/completions", call.headers, call.body
             )
             head = await connection.head()
+            call.connector.answered(call)
             adapters.check_attempt(call, head)
             if head.status != 503 or adapters.LIMIT_HEADER in head.headers:
                 # Refusals need not repeat the limit.
@@ -131,11 +131,13 @@
         """Resumes the stream at the same engine after the last event."""
         for retry in range(_MAX_RESUME_ATTEMPTS):
             await curio.sleep(_RESUME_DELAY_SECONDS * 2**retry)
-            connection = client.ClientConnection(
-                call.address, _STALL_TIMEOUT_SECONDS
-            )
+            connection = None
             try:
-                await connection.connect(adapters.CONNECT_TIMEOUT_SECONDS)
+                connection = await call.connector.open(
+                    call,
+                    adapters.CONNECT_TIMEOUT_SECONDS,
+                    _STALL_TIMEOUT_SECONDS,
+                )
                 await connection.request(
                     "GET",
                     f"/v1/streams/{stream.stream_id}",
@@ -152,7 +154,8 @@
             except client.ClientError as fault:
                 error = fault
             finally:
-                await connection.close()
+                if connection is not None:
+                    await connection.close()
         return _failed(stream, states.Outcome.BROKEN, error)
 
     async def _relay(self, connection, sink, stream) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -100,6 +100,10 @@
         self.attempts = self._counter(
             "attempts", "Attempts at endpoints", ["service", "outcome"]
         )
+        self.lost_links = self._gauge(
+            "lost_links",
+            "Endpoints to which this node cannot open a connection",
+        )
         self.broken_answers = self._counter(
             "broken_answers",
             "Answers that broke off after their head, by what delimits them",
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -33,6 +33,7 @@
     logs,
     metrics,
     own_ports,
+    paths,
     peers,
     ports,
     responses,
@@ -68,6 +69,7 @@
             now, or None before the first.
         ports: Interface to the platform.
         line_writer: Writer of log lines, or None if no log lines are written.
+        paths: Opens connections to endpoints.
         endpoint_ends: Detects the ends of endpoints.
     """
 
@@ -112,6 +114,7 @@
         self.config = self.ports.config
         self.answers = answers.AnswerService(self)
         self.driver = driver.SchedulerDriver(self)
+        self.paths = paths.EndpointPaths(self)
         self.endpoint_ends = endpoint_ends.EndpointEnds(self)
         self.callers = serving.CallerService(self)
         self._watch = watch.StateWatch(self)
@@ -245,6 +248,7 @@
         if declared is None:
             return
         self.configuration = self.ports.effective(declared)
+        self.paths.endpoints_changed()
         await self.driver.apply(
             self.scheduler.configure(self.configuration, clock.now())
         )
@@ -333,6 +337,7 @@
         self.metrics.held.set(len(self.callers.held))
         self.metrics.stream_records.set(self.scheduler.stream_records())
         self.metrics.members.set(len(self.membership.reachable()))
+        self.metrics.lost_links.set(len(self.paths.links.lost()))
         self.metrics.update_platform(self.ports, self.peers, now)
         if self.configuration is not None:
             self.metrics.endpoints.set(len(self.configuration.endpoints))
@@ -417,6 +422,7 @@
                 self._admin_server.serve,
                 self.peers.send_frames,
                 self._run_timers,
+                self.paths.probe_links,
                 *self.ports.jobs(),
             ):
                 await self._jobs.spawn(job)
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -254,14 +254,15 @@
             # sent, it is unknown whether the request ran. Only repeatable
             # requests may take that risk.
             connection = await self.pool.take(call.endpoint, clock.now())
-        if connection is None:
-            connection = client.ClientConnection(call.address, None)
-            self.pool.opened += 1
         timer = None
         timer_task = None
         splitter = event_streams.EventSplitter()
         try:
-            await connection.ensure_connected(CONNECT_TIMEOUT_SECONDS)
+            if connection is None:
+                self.pool.opened += 1
+                connection = await call.connector.open(
+                    call, CONNECT_TIMEOUT_SECONDS, None
+                )
             if not call.permit():
                 return adapters.Result(
                     states.Outcome.NOT_SENT,
@@ -289,7 +290,10 @@
         finally:
             if timer_task is not None:
                 await timer_task.cancel(blocking=False)
-            await connection.close_unless_kept()
+            if connection is not None:
+                await connection.close_unless_kept()
+        if connection is None:
+            return result
         return msgspec.structs.replace(
             result,
             framing=connection.framing,
@@ -303,6 +307,7 @@
         )
         while True:
             head = await connection.head()
+            call.connector.answered(call)
             verdict = self._dialect.classify(call, head)
             if verdict is not Verdict.STRAY:
                 break
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -25,11 +25,13 @@
     Attributes:
         held: Requests that the node holds, by identifier.
         protocol: Protocol of callers and endpoints.
+        connector: Opens connections to endpoints.
     """
 
     def __init__(self, host: "node.Node"):
         self.held: dict[ids.RequestId, held.HeldRequest] = {}
         self.protocol = host.ports.protocol
+        self.connector = host.paths
         self._host = host
         self._driver = host.driver
 
--- a/packages/baobabmux-node/tests/endpoint_ends_test.py
+++ b/packages/baobabmux-node/tests/endpoint_ends_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from baobabmux_core import catalogue, states
-from baobabmux_node import adapters, endpoint_ends
+from baobabmux_node import adapters, endpoint_ends, paths
 
 _ENDPOINT = "e1"
 
@@ -29,11 +29,14 @@
         self.metrics = types.SimpleNamespace(
             endpoint_ends=types.SimpleNamespace(labels=lambda evidence: self)
         )
+        self.paths = paths.EndpointPaths(self)
 
     def inc(self):
         """Counts an end."""
 
     def record(self, kind, **fields):
+        if kind is catalogue.EventKind.LINK_CHANGED:
+            return
         assert kind is catalogue.EventKind.ENDPOINT_ENDED
         self.recorded.append((fields["endpoint"], fields["evidence"]))
 
