--- a/standins/src/baobabmux_standins/listener.py
+++ b/standins/src/baobabmux_standins/listener.py
@@ -39,9 +39,12 @@
         self.address = f"{_HOST}:{self._port}"
         self._accept_task: curio.Task | None = None
         self._connections: dict[curio.Task, curio.io.Socket] = {}
+        # Sockets that keep new connections waiting.
+        self._silencers: list[socket.socket] = []
 
     async def admit(self) -> None:
         """Starts to accept connections; has no effect if it already does."""
+        self._end_silence()
         if self._accept_task is not None:
             return
         listening = _bound_socket(self._port)
@@ -53,10 +56,28 @@
 
     async def refuse(self) -> None:
         """Refuses new connections; open connections continue."""
+        self._end_silence()
         if self._accept_task is not None:
             await self._accept_task.cancel()
             self._accept_task = None
 
+    async def silence(self) -> None:
+        """Lets new connections hang; open connections continue.
+
+        The system drops the first packets of connections for which the queue
+        of the listening socket has no room.
+        """
+        await self.refuse()
+        listening = _bound_socket(self._port)
+        listening.listen(0)
+        filler = socket.create_connection((_HOST, self._port))
+        self._silencers = [listening, filler]
+
+    def _end_silence(self) -> None:
+        for silencer in self._silencers:
+            silencer.close()
+        self._silencers = []
+
     async def drop(self) -> None:
         """Resets all connections and cancels their handlers.
 
--- a/standins/src/baobabmux_standins/relay.py
+++ b/standins/src/baobabmux_standins/relay.py
@@ -21,10 +21,12 @@
     Attributes:
         cut: Connections are reset and new ones refused.
         stall: Connections stay open, but no bytes are forwarded.
+        silent: As `stall`, and new connections are not established.
     """
 
     cut: bool = False
     stall: bool = False
+    silent: bool = False
 
 
 class Relay(standin.StandIn):
@@ -73,13 +75,16 @@
     async def set_faults(self, values: dict[str, Any]) -> None:
         """Replaces the faults: cuts, stalls or restores the link."""
         self.faults = standin.convert_faults(values, self.faults_type)
-        if self.faults.stall:
+        if self.faults.stall or self.faults.silent:
             self._forwarding.clear()
         else:
             await self._forwarding.set()
         if self.faults.cut or self.faults.refuse:
             await self._listener.refuse()
-            await self._listener.drop()
+            if self.faults.cut:
+                await self._listener.drop()
+        elif self.faults.silent:
+            await self._listener.silence()
         else:
             await self._listener.admit()
 
