Reach endpoints through other nodes when links are lost

What callers saw: nodes without links to endpoints refused nearly all.

Cause: a node had no way to an endpoint but its own links, so that every grant failed there; and each failed connection was a failure of the endpoint for its owner, which opened breakers for all nodes.

Change: a node that cannot connect to an endpoint asks another node for a tunnel (CONNECT). That node connects itself, copies bytes, and passes on the close of either side and a reset as a reset. Request, attempt, deadline, stream and "not run" stay with the node that holds the caller, so nothing of the at-most-once logic is shared between two nodes; a tunnel that fails to open has sent nothing. A carrier never uses a tunnel itself: one hop, no loops. It carries 256 connections at most, 64 for one node, none while it is leaving, none to an endpoint that has asked it for a pause, and waits for open ones before it ends. Pauses that it causes are reported to it.

Nodes that answer that they do not reach the endpoint, but another one, count as evidence that it has failed; otherwise the attempt ends with the new outcome "unreached", which counts against no breaker, and the owner grants another endpoint. Idle connections from before a loss are not used. Nothing is asked or carried while links are sound.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -132,6 +132,12 @@
         " {reaches_others}.",
     )
 
+    TUNNEL_ENDED = (
+        417,
+        "A connection of node {peer} to {endpoint} ended: {outcome}, {bytes}"
+        " bytes.",
+    )
+
     CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
     CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
     CLAIM_UNAVAILABLE = (503, "The log did not decide the claim in time.")
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -435,7 +435,7 @@
     ) -> list[effects.Effect]:
         """Ends a granted request and grants its slot to a queued one."""
         outcome = states.Outcome.of_code(release.outcome)
-        if outcome is not states.Outcome.NOT_SENT:
+        if outcome not in states.UNSENT_OUTCOMES:
             self._record_ended(release.request)
             entry = self._queue.entries.get(release.request)
             if entry is not None and entry.holder == holder:
@@ -1150,6 +1150,9 @@
         now: float,
     ) -> None:
         """Updates breaker, failure share and quarantine by an outcome."""
+        if outcome is states.Outcome.UNREACHED:
+            member.breaker.record_inconclusive(now)
+            return
         if outcome is not states.Outcome.CANCELLED:
             is_completed = outcome is states.Outcome.COMPLETED
             member.failure_share += _FAILURE_WEIGHT * (
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -74,6 +74,8 @@
 # A data centre that is cut off stays so for seconds, and each attempt to
 # connect to it delays a request by a third of a second.
 _UNREACHABLE_SECONDS = 1.5
+# Lost links are probed at this interval.
+_UNREACHED_SECONDS = 0.5
 
 # Rank above all tiers for a request whose stream broke off: its caller has part
 # of the answer and gives up after a pause.
@@ -440,7 +442,10 @@
         )
         if outcome is states.Outcome.COMPLETED:
             self._update_rate(held, output_tokens, now)
-        if outcome is states.Outcome.NOT_SENT:
+        if outcome is states.Outcome.UNREACHED:
+            # The owner grants other endpoints until the link is probed again.
+            self.pauses.observe(held.endpoint, _UNREACHED_SECONDS, now)
+        if outcome in states.UNSENT_OUTCOMES:
             self.unreachable[held.endpoint] = now + _UNREACHABLE_SECONDS
             return [release, *self._retry(held, now)]
         if self._may_repeat(held, outcome):
--- a/packages/baobabmux-core/src/baobabmux_core/links.py
+++ b/packages/baobabmux-core/src/baobabmux_core/links.py
@@ -16,7 +16,8 @@
 _PROBE_INTERVAL_SECONDS = 0.5
 # Other links are probed after a loss unless they worked this recently.
 _FRESH_SECONDS = 0.5
-# A node whose links worked this recently can tell that an endpoint has failed.
+# A node that connected to another endpoint this recently, and since its link
+# to one was lost, can tell that this endpoint has failed.
 _WITNESS_SECONDS = 1.0
 
 
@@ -47,6 +48,7 @@
     """
 
     def __init__(self):
+        self._connected_at: dict[ids.EndpointId, float] = {}
         self._worked_at: dict[ids.EndpointId, float] = {}
         self._lost: dict[ids.EndpointId, LostLink] = {}
         self._probe_at: dict[ids.EndpointId, float] = {}
@@ -60,7 +62,7 @@
             Whether the link was lost before. The other lost links may be back
             too, and are probed at once.
         """
-        self._worked_at[endpoint] = now
+        self._connected_at[endpoint] = self._worked_at[endpoint] = now
         self._probe_at.pop(endpoint, None)
         if self._lost.pop(endpoint, None) is None:
             return False
@@ -107,7 +109,12 @@
 
     def keep(self, endpoints: Collection[ids.EndpointId]) -> None:
         """Forgets all other endpoints, which no longer exist."""
-        for records in (self._worked_at, self._lost, self._probe_at):
+        for records in (
+            self._connected_at,
+            self._worked_at,
+            self._lost,
+            self._probe_at,
+        ):
             for endpoint in records.keys() - endpoints:
                 del records[endpoint]
 
@@ -122,9 +129,17 @@
         return self._lost.get(endpoint)
 
     def reaches_others(self, endpoint: ids.EndpointId, now: float) -> bool:
-        """Returns whether another link worked recently and is sound."""
+        """Returns whether another link is known to be sound.
+
+        Open connections may live on when a link is lost, so only new ones
+        show it, and only those made since the link to `endpoint` was lost.
+        """
+        lost = self._lost.get(endpoint)
+        since = now - _WITNESS_SECONDS
+        if lost is not None:
+            since = max(since, lost.since)
         return any(
-            now - worked_at <= _WITNESS_SECONDS
-            for other, worked_at in self._worked_at.items()
+            connected_at >= since
+            for other, connected_at in self._connected_at.items()
             if other != endpoint and other not in self._lost
         )
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -254,6 +254,8 @@
         address: Address at which the sender accepts frames, sent while the VM
             list does not contain it.
         link: State of the link and the endpoint directory, or None.
+        tunnel_port: Port at which the sender accepts requests for tunnels to
+            endpoints, 0 without one.
     """
 
     leaving: bool
@@ -263,6 +265,7 @@
     suspects: tuple[str, ...] = ()
     address: str = ""
     link: LinkState | None = None
+    tunnel_port: int = 0
 
 
 class Suspect(Message, frozen=True, tag=9):
@@ -591,6 +594,20 @@
     certain: bool
 
 
+class EndpointPaused(Message, frozen=True, tag=32):
+    """Reports that an endpoint wants nothing from the receiver for a while.
+
+    It is sent to a node that carried a connection to the endpoint.
+
+    Attributes:
+        endpoint: The endpoint.
+        ms: Milliseconds from now on.
+    """
+
+    endpoint: ids.EndpointId
+    ms: int
+
+
 AnyMessage = (
     Ask
     | Withdraw
@@ -623,6 +640,7 @@
     | StreamAnswer
     | PartsProved
     | EndpointsLeaving
+    | EndpointPaused
 )
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -573,6 +573,9 @@
                     self._leaving_endpoints.add(endpoint, now)
                 self._update_endpoints()
                 emitted = []
+            case messages.EndpointPaused():
+                self.pause_observed(message.endpoint, message.ms / 1000, now)
+                emitted = []
             case messages.StreamsBegan():
                 self._origins.receive(message, now)
                 emitted = []
@@ -764,6 +767,10 @@
 
     # Queries.
 
+    def pause_left(self, endpoint: ids.EndpointId, now: float) -> float:
+        """Returns for how long an endpoint wants nothing from this node."""
+        return self._holder.pauses.seconds_left(endpoint, now)
+
     def versions(self) -> stream_origins.VersionHistory:
         """Returns the versions of endpoints that were listed recently."""
         return self._origins.history
--- a/packages/baobabmux-core/src/baobabmux_core/states.py
+++ b/packages/baobabmux-core/src/baobabmux_core/states.py
@@ -40,6 +40,8 @@
     FAILED = ("failed", 4)  # The endpoint answered that its run failed.
     BROKEN = ("broken", 5)  # The answer broke off and could not be resumed.
     GARBAGE = ("garbage", 6)  # The endpoint's answer violated its protocol.
+    # No byte reached the endpoint, and only links of the sender have failed.
+    UNREACHED = ("unreached", 7)
 
     def __new__(cls, value: str, code: int):
         """Creates a member with its value and code."""
@@ -64,6 +66,9 @@
 BROKEN_OUTCOMES = frozenset({Outcome.BROKEN, Outcome.GARBAGE})
 """Outcomes after which it is unknown what became of the run."""
 
+UNSENT_OUTCOMES = frozenset({Outcome.NOT_SENT, Outcome.UNREACHED})
+"""Outcomes after which another endpoint gets the request as its first."""
+
 
 class MemberState(enum.Enum):
     """State of a node in the membership view."""
--- a/packages/baobabmux-core/tests/broken_scheduler_test.py
+++ b/packages/baobabmux-core/tests/broken_scheduler_test.py
@@ -80,7 +80,7 @@
         self.events.append(fact)
 
     def finish(self, request, outcome=states.Outcome.COMPLETED):
-        if outcome is states.Outcome.NOT_SENT:
+        if outcome in states.UNSENT_OUTCOMES:
             self.events.remove(self.written[request][-1])
         super().finish(request, outcome)
 
--- a/packages/baobabmux-core/tests/links_test.py
+++ b/packages/baobabmux-core/tests/links_test.py
@@ -65,13 +65,19 @@
     """Guards against a node that takes its lost links for ended endpoints."""
     table = links.LinkTable()
     table.connected("a", 10.0)
-    table.answered("b", 10.0)
+    table.connected("b", 10.0)
     assert table.reaches_others("a", 10.5)
-    table.failed("b", _REFUSED, 10.6)
+    table.failed("a", _REFUSED, 10.6)
+    # The link to "b" may have been lost at the same moment.
     assert not table.reaches_others("a", 10.6)
-    table.answered("b", 10.6)
-    assert not table.reaches_others("a", 10.6)
-    assert not table.reaches_others("c", 20.0)
+    # Open connections may live on.
+    table.answered("b", 10.7)
+    assert not table.reaches_others("a", 10.7)
+    table.connected("b", 10.8)
+    assert table.reaches_others("a", 10.9)
+    assert not table.reaches_others("a", 12.0)
+    table.failed("b", _REFUSED, 12.0)
+    assert not table.reaches_others("a", 12.0)
 
 
 def test_links_to_former_endpoints_are_forgotten():
--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -96,7 +96,7 @@
         self.tiers = {}
         self.pending = {}  # Claim and dispatch effects not yet carried out.
         self.running = {}
-        self.written = {}  # Dispatches by request, without `NOT_SENT` ones.
+        self.written = {}  # Dispatches by request, without unsent ones.
         self.shed = []
         self.finals = collections.defaultdict(list)
         self.refusals = {}
@@ -198,7 +198,7 @@
     def finish(self, request, outcome=states.Outcome.COMPLETED):
         node = self.holder_of[request]
         del self.running[request]
-        if outcome is states.Outcome.NOT_SENT:
+        if outcome in states.UNSENT_OUTCOMES:
             self.written[request].pop()  # No byte was written.
         else:
             self.finals[request].append(outcome.value)
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -67,9 +67,32 @@
             ConnectError: No connection was made, so no byte was sent.
         """
 
-    def answered(self, call: "Call") -> None:  # noqa: B027 - a hook
+    def answered(  # noqa: B027 - a hook
+        self, call: "Call", connection: client.ClientConnection
+    ) -> None:
         """Records that the endpoint of a call has sent an answer."""
 
+    def broke(  # noqa: B027 - a hook
+        self, call: "Call", connection: client.ClientConnection
+    ) -> None:
+        """Records that a connection failed after bytes were sent."""
+
+    async def paused(  # noqa: B027 - a hook
+        self,
+        call: "Call",
+        connection: client.ClientConnection,
+        seconds: float,
+    ) -> None:
+        """Records that the endpoint wants nothing on such connections."""
+
+    def lost_since(self, call: "Call") -> float:
+        """Returns when the direct link was lost, or 0 if it is sound.
+
+        Idle connections from before that time may no longer work.
+        """
+        del call
+        return 0.0
+
 
 class DirectConnector(Connector):
     """Connects to the address of the call."""
@@ -137,6 +160,7 @@
         status: Status of the answer that was relayed, or None.
         framing: What delimits the endpoint's answer, or None without one.
         rest_bytes: Bytes of a stream after its last complete event.
+        via: Node that carried the connection, or "" for a direct one.
     """
 
     outcome: states.Outcome
@@ -147,6 +171,7 @@
     status: int | None = None
     framing: client.Framing | None = None
     rest_bytes: int = 0
+    via: str = ""
 
     @property
     def succeeded(self) -> bool:
@@ -219,7 +244,7 @@
                 call.method, call.target, call.headers, call.body
             )
             head = await connection.head()
-            call.connector.answered(call)
+            call.connector.answered(call, connection)
             check_attempt(call, head)
             await report_limit(call, head)
             await sink.head(head.status, end_to_end(head.headers))
@@ -308,6 +333,8 @@
 
 def failure_outcome(error: client.ClientError) -> states.Outcome:
     """Returns the outcome of a call that ended with an error."""
+    if isinstance(error, client.UnreachedError):
+        return states.Outcome.UNREACHED
     if isinstance(error, client.ConnectError):
         return states.Outcome.NOT_SENT
     if isinstance(error, client.ProtocolError):
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -248,7 +248,7 @@
 
     async def _handle_attempt_end(self, result: adapters.Result) -> None:
         self._attempt = None
-        if result.outcome is states.Outcome.NOT_SENT:
+        if result.outcome in states.UNSENT_OUTCOMES:
             # Nothing reached the endpoint, so the scheduler decides again.
             self.request.dispatched = False
             self._attempts -= 1
--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -7,8 +7,10 @@
 import contextlib
 import enum
 import socket
+from collections.abc import Callable
 
 import curio
+import curio.io
 import h11
 import msgspec
 
@@ -30,6 +32,10 @@
     """The server's host refused the connection: nothing listens there."""
 
 
+class UnreachedError(ConnectError):
+    """Only this node's links failed; the server may be sound."""
+
+
 class BrokenError(ClientError):
     """The connection failed after bytes may have been sent."""
 
@@ -82,6 +88,8 @@
         kept: Whether a pool keeps the connection after its request.
         framing: What delimits the body of the answer that is being read, or
             None before its head and if it has no body.
+        via: Node that carries the connection, or "" for a direct one.
+        on_close: Called when the connection is closed.
     """
 
     def __init__(self, address: str, stall_seconds: float | None = 30.0):
@@ -91,6 +99,8 @@
         self._request_head: h11.Request | None = None
         self.kept = False
         self.framing: Framing | None = None
+        self.via = ""
+        self.on_close: Callable[[], None] | None = None
         self._socket = None
 
     async def connect(self, timeout: float) -> None:
@@ -273,6 +283,19 @@
         if self._socket is not None:
             await self._socket.close()
             self._socket = None
+        if self.on_close is not None:
+            self.on_close()
+            self.on_close = None
+
+    def detach(self) -> curio.io.Socket:
+        """Returns the socket, which the caller closes from now on."""
+        detached, self._socket = self._socket, None
+        return detached
+
+    def attach(self, connected: curio.io.Socket, via: str) -> None:
+        """Takes over a socket that is connected through another node."""
+        self._socket = connected
+        self.via = via
 
     async def _next_event(self):
         while True:
--- a/packages/baobabmux-node/src/baobabmux_node/engines.py
+++ b/packages/baobabmux-node/src/baobabmux_node/engines.py
@@ -100,7 +100,7 @@
                 "POST", "/v1/completions", call.headers, call.body
             )
             head = await connection.head()
-            call.connector.answered(call)
+            call.connector.answered(call, connection)
             adapters.check_attempt(call, head)
             if head.status != 503 or adapters.LIMIT_HEADER in head.headers:
                 # Refusals need not repeat the limit.
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -104,6 +104,15 @@
             "lost_links",
             "Endpoints to which this node cannot open a connection",
         )
+        self.carried_tunnels = self._gauge(
+            "carried_tunnels",
+            "Connections to endpoints that this node carries for others",
+        )
+        self.tunnels = self._counter(
+            "tunnels",
+            "Requests for connections through other nodes, by outcome",
+            ["outcome"],
+        )
         self.broken_answers = self._counter(
             "broken_answers",
             "Answers that broke off after their head, by what delimits them",
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -41,6 +41,7 @@
     serving,
     settings,
     status,
+    tunnels,
     watch,
 )
 
@@ -70,6 +71,7 @@
         ports: Interface to the platform.
         line_writer: Writer of log lines, or None if no log lines are written.
         paths: Opens connections to endpoints.
+        carrier: Carries connections to endpoints for other nodes.
         endpoint_ends: Detects the ends of endpoints.
     """
 
@@ -115,6 +117,7 @@
         self.answers = answers.AnswerService(self)
         self.driver = driver.SchedulerDriver(self)
         self.paths = paths.EndpointPaths(self)
+        self.carrier = tunnels.TunnelServer(self)
         self.endpoint_ends = endpoint_ends.EndpointEnds(self)
         self.callers = serving.CallerService(self)
         self._watch = watch.StateWatch(self)
@@ -127,6 +130,11 @@
         self._admin_server = self._make_server(
             node_settings.admin, admin.Admin(self).handle
         )
+        self._tunnel_server: server.Server | None = None
+        if node_settings.tunnels is not None:
+            self._tunnel_server = self._make_server(
+                node_settings.tunnels, self.carrier.handle
+            )
 
     # HTTP listeners.
 
@@ -180,6 +188,9 @@
                 self.membership.record_suspects(
                     frame.sender, message.suspects, now
                 )
+                self.paths.tunnels.announced(
+                    frame.sender, 0 if message.leaving else message.tunnel_port
+                )
         if not restarted:
             return []
         return self.scheduler.node_restarted(frame.sender, now)
@@ -293,6 +304,7 @@
                 self.membership.suspects_for(target),
                 self._announced_address(),
                 self.ports.link_state(*self.peers.newest_frame_from(target)),
+                0 if self._tunnel_server is None else self._tunnel_server.port,
             )
             self.peers.enqueue(target, heartbeat)
 
@@ -338,6 +350,7 @@
         self.metrics.stream_records.set(self.scheduler.stream_records())
         self.metrics.members.set(len(self.membership.reachable()))
         self.metrics.lost_links.set(len(self.paths.links.lost()))
+        self.metrics.carried_tunnels.set(self.carrier.carried.total())
         self.metrics.update_platform(self.ports, self.peers, now)
         if self.configuration is not None:
             self.metrics.endpoints.set(len(self.configuration.endpoints))
@@ -407,6 +420,8 @@
         signal.signal(signal.SIGHUP, self._request_reload)
         self._caller_server.start()
         self._admin_server.start()
+        if self._tunnel_server is not None:
+            self._tunnel_server.start()
         self.peers.start(self.settings.peers.host, self.settings.peers.port)
         listening = [
             f"{listener} {host_port}"
@@ -420,6 +435,7 @@
             for job in (
                 self._caller_server.serve,
                 self._admin_server.serve,
+                *self._tunnel_jobs(),
                 self.peers.send_frames,
                 self._run_timers,
                 self.paths.probe_links,
@@ -433,13 +449,23 @@
         if self._jobs.completed.exception is not None:
             raise self._jobs.completed.exception
 
+    def _tunnel_jobs(self) -> list[ports.Job]:
+        return (
+            [] if self._tunnel_server is None else [self._tunnel_server.serve]
+        )
+
     def addresses(self) -> dict[str, str]:
         """Returns the addresses of the listeners by their names."""
-        return {
+        listening = {
             "callers": f"{self._caller_server.host}:{self._caller_server.port}",
             "admin": f"{self._admin_server.host}:{self._admin_server.port}",
             "peers": self.peers.address,
         }
+        if self._tunnel_server is not None:
+            listening["tunnels"] = (
+                f"{self._tunnel_server.host}:{self._tunnel_server.port}"
+            )
+        return listening
 
     def announcement(self) -> str:
         """Returns the line on standard output that announces the addresses."""
@@ -492,7 +518,11 @@
         await curio.sleep(self.settings.announce_seconds)
         self._caller_server.finish()
         limit = self.settings.shutdown_seconds
-        while self.callers.held or self._caller_server.busy:
+        while (
+            self.callers.held
+            or self._caller_server.busy
+            or self.carrier.carried.total()
+        ):
             if limit is not None and clock.now() - now >= limit:
                 break
             await curio.sleep(_TICK_SECONDS)
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -105,6 +105,7 @@
 
 class _IdleConnection(msgspec.Struct):
     connection: client.ClientConnection
+    idle_since: float
     expires_at: float
 
 
@@ -126,16 +127,21 @@
         ] = {}
 
     async def take(
-        self, endpoint: ids.EndpointId, now: float
+        self, endpoint: ids.EndpointId, now: float, idle_after: float = 0.0
     ) -> client.ClientConnection | None:
         """Returns a connection that is open and has no unread bytes, or None.
 
-        Connections that have expired or have unread bytes are closed.
+        Connections that have expired or have unread bytes are closed, and
+        those that were idle before `idle_after`.
         """
         idle = self._idle.get(endpoint)
         while idle:
             entry = idle.pop()
-            if entry.expires_at > now and entry.connection.is_reusable():
+            if (
+                entry.expires_at > now
+                and entry.idle_since >= idle_after
+                and entry.connection.is_reusable()
+            ):
                 self.reused += 1
                 return entry.connection
             await entry.connection.close()
@@ -150,11 +156,12 @@
     ) -> None:
         """Adds a connection whose answer has ended, or closes it."""
         seconds = _idle_seconds(head)
-        if seconds <= 0 or not connection.recycle():
+        # A tunnel is not kept: its way is only needed while a link is lost.
+        if seconds <= 0 or connection.via or not connection.recycle():
             await connection.close()
             return
         idle = self._idle.setdefault(endpoint, collections.deque())
-        idle.append(_IdleConnection(connection, now + seconds))
+        idle.append(_IdleConnection(connection, now, now + seconds))
         if len(idle) > self.limits.get(endpoint, _MAX_IDLE_CONNECTIONS):
             await idle.popleft().connection.close()
 
@@ -253,7 +260,9 @@
             # If the endpoint closes a pooled connection while a request is
             # sent, it is unknown whether the request ran. Only repeatable
             # requests may take that risk.
-            connection = await self.pool.take(call.endpoint, clock.now())
+            connection = await self.pool.take(
+                call.endpoint, clock.now(), call.connector.lost_since(call)
+            )
         timer = None
         timer_task = None
         splitter = event_streams.EventSplitter()
@@ -277,6 +286,8 @@
             )
         except client.ClientError as error:
             outcome = adapters.failure_outcome(error)
+            if connection is not None and outcome is states.Outcome.BROKEN:
+                call.connector.broke(call, connection)
             expired = timer is not None and timer.expired
             detail = (
                 "the endpoint sent no data in time" if expired else str(error)
@@ -298,6 +309,7 @@
             result,
             framing=connection.framing,
             rest_bytes=len(splitter.rest),
+            via=connection.via,
         )
 
     async def _exchange(self, call, sink, connection, timer, splitter):
@@ -307,13 +319,13 @@
         )
         while True:
             head = await connection.head()
-            call.connector.answered(call)
+            call.connector.answered(call, connection)
             verdict = self._dialect.classify(call, head)
             if verdict is not Verdict.STRAY:
                 break
             await connection.read(MAX_BODY_BYTES)
             connection.skip_answer()
-        await self._report_statements(call, head, verdict)
+        await self._report_statements(call, connection, head, verdict)
         if verdict is Verdict.GARBAGE:
             return adapters.Result(
                 states.Outcome.GARBAGE,
@@ -354,7 +366,7 @@
             status=head.status,
         )
 
-    async def _report_statements(self, call, head, verdict) -> None:
+    async def _report_statements(self, call, connection, head, verdict) -> None:
         """Reports what an answer of the call's endpoint says of it."""
         if verdict in (Verdict.GARBAGE, Verdict.MISDIRECTED):
             return
@@ -362,6 +374,7 @@
             await call.report_leaving()
         if seconds := adapters.parse_pause(head):
             await call.report_pause(seconds)
+            await call.connector.paused(call, connection, seconds)
         try:
             rate = self._dialect.request_limit(head)
         except ValueError:
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -8,15 +8,15 @@
 import http
 import logging
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 
 import curio
+import curio.io
 import h11
 import msgspec
 
 from baobabmux_core import errors
-from baobabmux_node import responses
+from baobabmux_node import responses, sockets
 
 _READ_BYTES = 65_536
 _CLOSE_CHECK_SECONDS = 1.0
@@ -141,6 +141,15 @@
         """Ends the answer."""
         await self._connection.send(h11.EndOfMessage())
 
+    def take_over(self) -> tuple[curio.io.Socket, bytes]:
+        """Returns the socket after a successful answer to CONNECT.
+
+        Returns:
+            The socket, which the server still closes after the handler, and
+            the bytes that have been read from it already.
+        """
+        return self._connection.take_over()
+
     def abort(self) -> None:
         """Closes the connection before the answer is complete.
 
@@ -389,6 +398,9 @@
             else:
                 raise PeerGoneError
 
+    def take_over(self) -> tuple[curio.io.Socket, bytes]:
+        return self.client, self.http.trailing_data[0] + bytes(self.received)
+
     async def wait_for_close(self) -> None:
         while True:
             data = await self.client.recv(_READ_BYTES)
@@ -445,16 +457,9 @@
         )
 
     def _reset_on_close(self, enabled: bool) -> None:
-        """Chooses whether the connection is reset when it is closed.
-
-        It is then also reset if the process is killed.
-        """
-        if enabled is self._resets:
-            return
-        self._resets = enabled
-        linger = struct.pack("ii", int(enabled), 0)
-        with contextlib.suppress(OSError):
-            self.client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if enabled is not self._resets:
+            self._resets = enabled
+            sockets.set_reset_on_close(self.client, enabled)
 
     async def _receive(self, timeout: float) -> bytes | None:
         """Returns the next bytes, or None after `timeout` seconds."""
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -234,6 +234,7 @@
             status=result.status,
             framing=None if result.framing is None else result.framing.value,
             rest_bytes=result.rest_bytes,
+            via=result.via,
         )
         self._record_content_answer(request, result)
         self._host.metrics.attempts.labels(
@@ -244,7 +245,7 @@
         ):
             self._host.metrics.broken_answers.labels(result.framing.value).inc()
         self._count_outcome(request, result, now)
-        if result.outcome is not states.Outcome.NOT_SENT:
+        if result.outcome not in states.UNSENT_OUTCOMES:
             await self._host.answers.store_outcome(request, result, answer)
         await self._driver.apply(
             self._host.scheduler.finished(
@@ -323,7 +324,7 @@
 
     def _count_outcome(self, request, result, now) -> None:
         parsed = request.parsed
-        if result.outcome is states.Outcome.NOT_SENT:
+        if result.outcome in states.UNSENT_OUTCOMES:
             return
         service = parsed.work.service
         completed = result.outcome is states.Outcome.COMPLETED
--- a/packages/baobabmux-node/src/baobabmux_node/settings.py
+++ b/packages/baobabmux-node/src/baobabmux_node/settings.py
@@ -66,6 +66,8 @@
             accepted during a shutdown.
         shutdown_seconds: Longest time of a shutdown, or None if only the
             routes' timeouts bound it.
+        tunnels: Address on which the node carries connections to endpoints
+            for other nodes, or None if it does not.
     """
 
     node: ids.NodeId
@@ -89,6 +91,7 @@
     cell: str = ""
     serve_while_draining: bool = False
     shutdown_seconds: float | None = None
+    tunnels: Address | None = None
 
 
 class SettingsError(msgspec.Struct, frozen=True):
@@ -115,6 +118,7 @@
         "callers": "listen_address",
         "admin": "listen_address",
         "peers": "listen_address",
+        "tunnels": "listen_address",
     },
     "platform": {
         "log": "address",
@@ -304,7 +308,7 @@
 ) -> list[SettingsError]:
     key_by_address: dict[str, str] = {}
     errors = []
-    for key in ("callers", "admin", "peers"):
+    for key in ("callers", "admin", "peers", "tunnels"):
         address = values.get(key)
         if address is None or address.port == 0:
             continue
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/tunnels.py
@@ -0,0 +1,317 @@
+"""Carries connections of other nodes to endpoints, and opens such tunnels.
+
+A node that has lost its link to an endpoint asks another node for a tunnel
+(CONNECT, RFC 9110, 9.3.6). The other node connects to the endpoint itself and
+copies bytes; it never uses a tunnel of its own, so there is one hop. The
+requests and their answers stay with the node that holds the caller.
+"""
+
+import collections
+import enum
+import hashlib
+import hmac
+from collections.abc import Collection
+from typing import TYPE_CHECKING
+
+import curio
+
+from baobabmux_core import catalogue, ids, links
+from baobabmux_node import client, clock, responses, server, sockets, wall_clock
+
+if TYPE_CHECKING:
+    from baobabmux_node import node
+
+# The node that carries the tunnel connects within a shorter time.
+_OPEN_TIMEOUT_SECONDS = 0.5
+_CONNECT_TIMEOUT_SECONDS = 0.3
+_READ_BYTES = 65_536
+# Connections carried at a time, for all nodes and for one of them. Each takes
+# two descriptors and its share of the loop.
+_MAX_CARRIED = 256
+_MAX_CARRIED_FOR_NODE = 64
+_MAX_TOKEN_AGE_MS = 30_000
+
+_ENDPOINT = "baobabmux-endpoint"
+_NODE = "baobabmux-node"
+_REQUEST = "baobabmux-request-id"
+_TIME = "baobabmux-time"
+_TOKEN = "baobabmux-token"
+_FAILURE = "baobabmux-failure"
+
+Kind = catalogue.EventKind
+
+
+class Failure(enum.Enum):
+    """Why a node opened no tunnel."""
+
+    # The endpoint does not accept connections from that node, which reaches
+    # other endpoints.
+    REFUSED = "refused"
+    SILENT = "silent"
+    # That node says nothing about the endpoint.
+    UNSUITABLE = "unsuitable"
+
+
+class TunnelError(Exception):
+    """No tunnel was opened, so no byte reached the endpoint.
+
+    Attributes:
+        failure: Why.
+    """
+
+    def __init__(self, failure: Failure):
+        super().__init__(failure.value)
+        self.failure = failure
+
+
+class TunnelServer:
+    """Opens and carries tunnels for other nodes.
+
+    Attributes:
+        carried: Number of open tunnels by the node that they are for.
+    """
+
+    def __init__(self, host: "node.Node"):
+        self.carried: collections.Counter[ids.NodeId] = collections.Counter()
+        self._host = host
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answers a request for a tunnel and carries it to its end."""
+        await exchange.read_body(0)
+        headers = exchange.headers
+        if exchange.method != "CONNECT" or not self._is_authentic(headers):
+            await exchange.respond(*responses.text("not allowed\n", 403))
+            return
+        endpoint = ids.EndpointId(headers.get(_ENDPOINT, ""))
+        peer = ids.NodeId(headers.get(_NODE, ""))
+        carried = 0
+        if self._is_suitable(endpoint, peer):
+            self.carried[peer] += 1
+            try:
+                failure, carried = await self._carry(exchange, endpoint)
+            finally:
+                self.carried[peer] -= 1
+        else:
+            failure = Failure.UNSUITABLE
+        if failure is not None:
+            await exchange.respond(502, {_FAILURE: failure.value}, b"")
+        self._host.events.record(
+            Kind.TUNNEL_ENDED,
+            ids.RequestId(headers.get(_REQUEST, "")),
+            endpoint,
+            peer=peer,
+            outcome="carried" if failure is None else failure.value,
+            bytes=carried,
+        )
+
+    def _is_suitable(self, endpoint: ids.EndpointId, peer: ids.NodeId) -> bool:
+        """Returns whether this node may carry a connection for another one."""
+        now = clock.now()
+        return (
+            not self._host.draining
+            and self.carried.total() < _MAX_CARRIED
+            and self.carried[peer] < _MAX_CARRIED_FOR_NODE
+            and self._host.configuration is not None
+            and endpoint in self._host.configuration.endpoints
+            and self._host.scheduler.pause_left(endpoint, now) == 0.0
+        )
+
+    async def _carry(
+        self, exchange: server.Exchange, endpoint: ids.EndpointId
+    ) -> tuple[Failure | None, int]:
+        """Returns why there is no tunnel, or else the bytes that it carried."""
+        paths = self._host.paths
+        declared = self._host.configuration.endpoints[endpoint]
+        upstream = client.ClientConnection(declared.address)
+        lost = paths.links.lost_link(endpoint)
+        evidence = None if lost is None else lost.evidence
+        try:
+            if evidence is None:
+                try:
+                    await paths.connect(
+                        upstream, endpoint, _CONNECT_TIMEOUT_SECONDS
+                    )
+                except client.RefusedError:
+                    evidence = links.Evidence.REFUSED
+                except client.ConnectError:
+                    evidence = links.Evidence.SILENT
+            if evidence is not None:
+                if not await paths.reaches_another(endpoint):
+                    return Failure.UNSUITABLE, 0
+                return Failure(evidence.value), 0
+            await exchange.start(200, {})
+            return None, await _join(exchange, upstream)
+        finally:
+            await upstream.close()
+
+    def _is_authentic(self, headers: dict[str, str]) -> bool:
+        secret = self._host.settings.secret
+        if not secret:
+            return True
+        time_ms = headers.get(_TIME, "")
+        if not time_ms.isdigit():
+            return False
+        age_ms = abs(wall_clock.unix_ms() - int(time_ms))
+        expected = _token(
+            secret, headers.get(_ENDPOINT, ""), headers.get(_NODE, ""), time_ms
+        )
+        return age_ms <= _MAX_TOKEN_AGE_MS and hmac.compare_digest(
+            expected, headers.get(_TOKEN, "")
+        )
+
+
+def _token(secret: bytes, *parts: str) -> str:
+    text = "\n".join(parts).encode()
+    return hashlib.blake2b(text, digest_size=16, key=secret).hexdigest()
+
+
+async def _join(
+    exchange: server.Exchange, upstream: client.ClientConnection
+) -> int:
+    """Copies bytes between a node and an endpoint until either side ends.
+
+    The close of either side is passed on, and a reset of the endpoint as a
+    reset: an answer may have no other end than that of its connection.
+
+    Returns:
+        The number of bytes copied.
+    """
+    downstream, early = exchange.take_over()
+    endpoint = upstream.detach()
+    sockets.set_reset_on_close(downstream, True)
+    counts = [0, 0]
+    try:
+        if early:
+            await endpoint.sendall(early)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(_copy_request, downstream, endpoint, counts)
+            await group.spawn(_copy_answer, endpoint, downstream, counts)
+    finally:
+        await endpoint.close()
+    return sum(counts)
+
+
+async def _copy_request(downstream, endpoint, counts: list[int]) -> None:
+    try:
+        while data := await downstream.recv(_READ_BYTES):
+            counts[0] += len(data)
+            await endpoint.sendall(data)
+    except OSError:
+        return
+
+
+async def _copy_answer(endpoint, downstream, counts: list[int]) -> None:
+    try:
+        while data := await endpoint.recv(_READ_BYTES):
+            counts[1] += len(data)
+            await downstream.sendall(data)
+    except OSError:
+        return
+    sockets.set_reset_on_close(downstream, False)
+
+
+class Tunnels:
+    """Opens tunnels through other nodes.
+
+    Attributes:
+        open_through: Number of open tunnels by the node that carries them.
+    """
+
+    def __init__(self, host: "node.Node"):
+        self.open_through: collections.Counter[ids.NodeId] = (
+            collections.Counter()
+        )
+        self._host = host
+        # Ports at which other nodes accept requests for tunnels.
+        self._ports: dict[ids.NodeId, int] = {}
+
+    def announced(self, peer: ids.NodeId, port: int) -> None:
+        """Records the port in a node's heartbeat, 0 without one."""
+        if port:
+            self._ports[peer] = port
+        else:
+            self._ports.pop(peer, None)
+
+    def keep(self, peers: Collection[ids.NodeId]) -> None:
+        """Forgets all other nodes."""
+        for peer in self._ports.keys() - peers:
+            del self._ports[peer]
+
+    def carriers(self) -> list[ids.NodeId]:
+        """Returns the other nodes that may carry tunnels, least used first."""
+        nodes = [
+            peer
+            for peer in self._host.membership.reachable()
+            if peer in self._ports
+        ]
+        return sorted(nodes, key=lambda peer: (self.open_through[peer], peer))
+
+    async def open(
+        self,
+        peer: ids.NodeId,
+        endpoint: ids.EndpointId,
+        address: str,
+        stall_seconds: float | None,
+        request: str = "",
+    ) -> client.ClientConnection:
+        """Opens a connection to an endpoint through another node.
+
+        Args:
+            peer: Node that carries it.
+            endpoint: The endpoint.
+            address: Address of the endpoint.
+            stall_seconds: See `client.ClientConnection`.
+            request: Request for which it is opened, for the log of the peer.
+
+        Raises:
+            TunnelError: No tunnel was opened.
+        """
+        host = self._host.membership.peer_address(peer).rpartition(":")[0]
+        carrier = client.ClientConnection(f"{host}:{self._ports[peer]}", None)
+        try:
+            async with curio.timeout_after(_OPEN_TIMEOUT_SECONDS):
+                await carrier.connect(_OPEN_TIMEOUT_SECONDS)
+                await carrier.send_request(
+                    "CONNECT",
+                    address,
+                    self._fields(endpoint, address, request),
+                    b"",
+                )
+                head = await carrier.head()
+        except (client.ClientError, curio.TaskTimeout) as error:
+            await carrier.close()
+            raise TunnelError(Failure.UNSUITABLE) from error
+        if head.status != 200:
+            await carrier.close()
+            raise TunnelError(_failure(head))
+        connection = client.ClientConnection(address, stall_seconds)
+        connection.attach(carrier.detach(), peer)
+        self.open_through[peer] += 1
+        connection.on_close = lambda: self._closed(peer)
+        return connection
+
+    def _closed(self, peer: ids.NodeId) -> None:
+        self.open_through[peer] -= 1
+
+    def _fields(
+        self, endpoint: ids.EndpointId, address: str, request: str
+    ) -> client.Fields:
+        own = self._host.settings.node
+        fields: client.Fields = [
+            ("Host", address),
+            (_ENDPOINT, endpoint),
+            (_NODE, own),
+            (_REQUEST, request),
+        ]
+        if secret := self._host.settings.secret:
+            time_ms = str(wall_clock.unix_ms())
+            token = _token(secret, endpoint, own, time_ms)
+            fields += [(_TIME, time_ms), (_TOKEN, token)]
+        return fields
+
+
+def _failure(head: client.Head) -> Failure:
+    try:
+        return Failure(head.headers.get(_FAILURE, ""))
+    except ValueError:
+        return Failure.UNSUITABLE
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -488,6 +488,8 @@
 class _IdleConnection:
     """An idle connection that records whether it was closed."""
 
+    via = ""
+
     def __init__(self):
         self.open = True
 
