Take an endpoint for ended only if another node sees it

Cause: after a broken run a node connects again and took a refusal for the end of the endpoint. A link of one node says something of the link.

Change: a refusal is an end if another node, which reaches other endpoints at that moment, is refused too and none that is asked gets through.

--- a/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
+++ b/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
@@ -2,7 +2,7 @@
 
 A broken connection does not tell whether the endpoint ended, closed one
 connection or was cut off. After a broken run the node therefore connects again:
-only an endpoint that has ended refuses the connection.
+only an endpoint that has ended refuses the connections of several nodes.
 """
 
 import collections
@@ -11,7 +11,7 @@
 
 import curio
 
-from baobabmux_core import catalogue, ids, links, states
+from baobabmux_core import catalogue, ids, states
 from baobabmux_node import adapters, clock
 
 if TYPE_CHECKING:
@@ -30,7 +30,7 @@
 class Evidence(enum.Enum):
     """What shows that an endpoint has ended."""
 
-    REFUSED = "refused"  # It refuses connections.
+    REFUSED = "refused"  # It refuses the connections of several nodes.
     UNLISTED = "unlisted"  # The endpoint directory no longer lists it.
 
 
@@ -94,8 +94,7 @@
         try:
             for delay in _PROBE_DELAYS_SECONDS:
                 await curio.sleep(delay)
-                evidence = await self._host.paths.connects(endpoint, address)
-                if evidence is links.Evidence.REFUSED:
+                if await self._host.paths.has_ended(endpoint, address):
                     await self.record(endpoint, Evidence.REFUSED)
                     return
         finally:
--- a/packages/baobabmux-node/tests/endpoint_ends_test.py
+++ b/packages/baobabmux-node/tests/endpoint_ends_test.py
@@ -7,7 +7,13 @@
 import pytest
 
 from baobabmux_core import catalogue, states
-from baobabmux_node import adapters, endpoint_ends, paths
+from baobabmux_node import (
+    adapters,
+    client,
+    endpoint_ends,
+    paths,
+    tunnels,
+)
 
 _ENDPOINT = "e1"
 
@@ -27,12 +33,23 @@
         self.driver = self
         self.events = self
         self.metrics = types.SimpleNamespace(
-            endpoint_ends=types.SimpleNamespace(labels=lambda evidence: self)
+            endpoint_ends=types.SimpleNamespace(labels=lambda evidence: self),
+            tunnels=types.SimpleNamespace(labels=lambda outcome: self),
         )
         self.paths = paths.EndpointPaths(self)
 
+        self.carriers = list
+        # What the nodes that are asked for a tunnel answer.
+        self.answers = {}
+        self.paths.tunnels = self
+
+    async def open(self, peer, endpoint, address, stall_seconds, request=""):
+        if self.answers[peer] is None:
+            return client.ClientConnection(address)
+        raise tunnels.TunnelError(self.answers[peer])
+
     def inc(self):
-        """Counts an end."""
+        """Counts an end or a tunnel."""
 
     def record(self, kind, **fields):
         if kind is catalogue.EventKind.LINK_CHANGED:
@@ -78,6 +95,37 @@
     assert host.recorded == [(_ENDPOINT, "refused")]
 
 
+_REFUSED = tunnels.Failure.REFUSED
+_SILENT = tunnels.Failure.SILENT
+_UNSUITABLE = tunnels.Failure.UNSUITABLE
+
+
+@pytest.mark.parametrize(
+    ("answers", "has_ended"),
+    [
+        ([None], False),
+        ([_REFUSED], True),
+        ([_SILENT], False),
+        ([_UNSUITABLE, _UNSUITABLE], False),
+        ([_UNSUITABLE, _REFUSED], True),
+        ([_REFUSED, None], False),
+    ],
+)
+def test_endpoint_that_refuses_one_node_has_ended_if_another_sees_it(
+    answers, has_ended
+):
+    """Guards against taking a lost link for the end of an endpoint.
+
+    Requests that ran there would count as harmful. Of the other nodes, one
+    that reaches no endpoint says nothing.
+    """
+    host = _Host(_closed_address())
+    host.answers = dict(zip(("n2", "n3"), answers, strict=False))
+    host.carriers = lambda: list(host.answers)
+    curio.run(_attempt, host, states.Outcome.BROKEN)
+    assert host.ended == [(_ENDPOINT, True)] * has_ended
+
+
 def test_endpoint_that_accepts_connections_has_not_ended():
     """Guards against taking a reset connection for an end."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
