Do not ask nodes for tunnels that have gone meanwhile

Found by reading: an attempt that asks several nodes one after the other may come to one whose port has been forgotten. The lookup failed with a KeyError, and the request would have had no outcome (test: failed before). A cancelled request left the connection to the carrier to the garbage collector. Ports of nodes that are gone are forgotten.

Also tests that unreached attempts leave the breaker closed, and that the next ask names the endpoint.

--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -522,6 +522,44 @@
     assert owner.breaker("e0").state is breakers.BreakerState.OPEN
 
 
+def test_endpoint_that_one_node_does_not_reach_keeps_its_breaker_closed():
+    """Guards against a node's lost links that keep others from an endpoint."""
+    owner = _owner(endpoints=1)
+    for number in range(6):
+        owner.ask(_ask(f"r{number}"), "n1", 100.0)
+        release = messages.Release(
+            _GROUP,
+            f"r{number}",
+            "e0",
+            states.Outcome.UNREACHED.code,
+            -1,
+            9,
+            9,
+            9,
+        )
+        owner.release(release, "n1", 100.0)
+    assert owner.breaker("e0").state is breakers.BreakerState.CLOSED
+
+
+def test_node_asks_for_another_endpoint_than_the_one_it_does_not_reach(holder):
+    """Guards against grants that the node cannot use.
+
+    The request has not been sent, so it counts as its first attempt.
+    """
+    holder.members_of = lambda group: {"e1", "e2"}
+    holder.submit(_work(), _GROUP, 160.0, 100.0)
+    holder.granted(messages.Grant("r", "e1", 3000), "n2", 100.0)
+    holder.start_dispatch("r", 100.0)
+    emitted = holder.finished("r", states.Outcome.UNREACHED, 100.1, -1, 0)
+    (ask,) = (
+        effect.message
+        for effect in emitted
+        if isinstance(effect.message, messages.Ask)
+    )
+    assert [pause.endpoint for pause in ask.terms.pauses] == ["e1"]
+    assert ask.terms.attempt == 1
+
+
 def test_stream_that_is_not_resumable_is_not_run_again(holder):
     """Guards against sending a caller the same events twice."""
     holder.submit(_work(idempotent=True), _GROUP, 160.0, 100.0)
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -286,6 +286,7 @@
             )
             if change.state is states.MemberState.GONE:
                 self.peers.forget(change.node)
+                self.paths.tunnels.announced(change.node, 0)
             if change.restarted or change.state is states.MemberState.GONE:
                 self.answers.holder_gone(change.node)
         if changes:
--- a/packages/baobabmux-node/src/baobabmux_node/tunnels.py
+++ b/packages/baobabmux-node/src/baobabmux_node/tunnels.py
@@ -10,7 +10,6 @@
 import enum
 import hashlib
 import hmac
-from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 import curio
@@ -232,11 +231,6 @@
         else:
             self._ports.pop(peer, None)
 
-    def keep(self, peers: Collection[ids.NodeId]) -> None:
-        """Forgets all other nodes."""
-        for peer in self._ports.keys() - peers:
-            del self._ports[peer]
-
     def carriers(self) -> list[ids.NodeId]:
         """Returns the other nodes that may carry tunnels, least used first."""
         nodes = [
@@ -266,8 +260,12 @@
         Raises:
             TunnelError: No tunnel was opened.
         """
-        host = self._host.membership.peer_address(peer).rpartition(":")[0]
-        carrier = client.ClientConnection(f"{host}:{self._ports[peer]}", None)
+        frames_address = self._host.membership.peer_address(peer)
+        port = self._ports.get(peer)
+        if frames_address is None or port is None:
+            raise TunnelError(Failure.UNSUITABLE)
+        host = frames_address.rpartition(":")[0]
+        carrier = client.ClientConnection(f"{host}:{port}", None)
         try:
             async with curio.timeout_after(_OPEN_TIMEOUT_SECONDS):
                 await carrier.connect(_OPEN_TIMEOUT_SECONDS)
@@ -278,14 +276,14 @@
                     b"",
                 )
                 head = await carrier.head()
+            if head.status != 200:
+                raise TunnelError(_failure(head))
+            connection = client.ClientConnection(address, stall_seconds)
+            connection.attach(carrier.detach(), peer)
         except (client.ClientError, curio.TaskTimeout) as error:
-            await carrier.close()
             raise TunnelError(Failure.UNSUITABLE) from error
-        if head.status != 200:
+        finally:
             await carrier.close()
-            raise TunnelError(_failure(head))
-        connection = client.ClientConnection(address, stall_seconds)
-        connection.attach(carrier.detach(), peer)
         self.open_through[peer] += 1
         connection.on_close = lambda: self._closed(peer)
         return connection
--- a/packages/baobabmux-node/tests/tunnels_test.py
+++ b/packages/baobabmux-node/tests/tunnels_test.py
@@ -266,6 +266,19 @@
     _play(scenario)
 
 
+def test_node_that_has_gone_meanwhile_is_not_asked():
+    """Guards against an attempt that ends without an outcome."""
+
+    async def scenario(n1, n2, endpoint, call):
+        n1.paths.tunnels.announced("n2", 0)
+        with pytest.raises(tunnels.TunnelError):
+            await n1.paths.tunnels.open("n2", _ENDPOINT, "127.0.0.1:1", None)
+        with pytest.raises(client.RefusedError):
+            await n1.paths.open(call, 0.3, None)
+
+    _play(scenario)
+
+
 def test_request_without_the_secret_is_not_carried():
     """Guards against strangers who use a node to reach endpoints."""
 
