Probe links from the node's timer loop

Reading the change once more: a task of its own woke up ten times a second on every node, also while all links are sound. The loop that runs the timers now starts the probes that are due. Some comments in the field's words.

--- a/packages/baobabmux-core/src/baobabmux_core/links.py
+++ b/packages/baobabmux-core/src/baobabmux_core/links.py
@@ -17,7 +17,7 @@
 # Other links are probed after a loss unless they worked this recently.
 _FRESH_SECONDS = 0.5
 # A node that connected to another endpoint this recently, and since its link
-# to one was lost, can tell that this endpoint has failed.
+# to one was lost, has evidence that this endpoint has failed.
 _WITNESS_SECONDS = 1.0
 
 
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -396,6 +396,7 @@
             if self.line_writer is not None:
                 self.line_writer.flush()
             await self.driver.apply([])
+            await self.paths.probe_links()
             if self._reload_requested:
                 self._reload()
             if self._stop_requested and not stopping:
@@ -439,7 +440,6 @@
                 *self._tunnel_jobs(),
                 self.peers.send_frames,
                 self._run_timers,
-                self.paths.probe_links,
                 *self.ports.jobs(),
             ):
                 await self._jobs.spawn(job)
--- a/packages/baobabmux-node/src/baobabmux_node/paths.py
+++ b/packages/baobabmux-node/src/baobabmux_node/paths.py
@@ -10,15 +10,14 @@
 if TYPE_CHECKING:
     from baobabmux_node import node
 
-_PROBE_CHECK_SECONDS = 0.1
 _PROBE_TIMEOUT_SECONDS = 0.3
 # Bounds what probes cost a node that has lost many links.
 _MAX_PROBES = 8
-# Links to other endpoints that are tried before this node says that one of
-# them has failed.
+# Links to other endpoints that are tried before this node reports that an
+# endpoint has failed.
 _MAX_WITNESS_PROBES = 2
 _WITNESS_TIMEOUT_SECONDS = 0.15
-# Nodes that are asked for a tunnel for one connection, and the time for them.
+# Nodes that are asked for a tunnel for one connection, and the total time.
 _MAX_CARRIERS = 3
 _CARRIERS_TIMEOUT_SECONDS = 0.6
 # Time for which a node is not asked again that could not carry a tunnel.
@@ -56,8 +55,8 @@
 
         Raises:
             RefusedError: The endpoint refuses this node and another one.
-            UnreachedError: Only this node's link has failed, as far as other
-                nodes can tell.
+            UnreachedError: This node's link has failed, and no other node has
+                evidence that the endpoint has.
             ConnectError: No connection was made for another reason.
         """
         endpoint = call.endpoint
@@ -153,7 +152,7 @@
     async def reaches_another(self, endpoint: ids.EndpointId) -> bool:
         """Returns whether this node's links to other endpoints work.
 
-        Otherwise it cannot tell whether an endpoint that it does not reach
+        Otherwise it has no evidence that an endpoint which it does not reach
         has failed.
         """
         if self.links.reaches_others(endpoint, clock.now()):
@@ -174,19 +173,13 @@
         return False
 
     async def probe_links(self) -> None:
-        """Probes links that may have changed, until cancelled."""
-        while True:
-            await curio.sleep(_PROBE_CHECK_SECONDS)
-            configuration = self._host.configuration
-            if configuration is None:
-                continue
-            due = self.links.take_due_probes(_MAX_PROBES, clock.now())
-            for endpoint in due:
-                declared = configuration.endpoints.get(endpoint)
-                if declared is not None:
-                    await curio.spawn(
-                        self.connects, endpoint, declared.address, daemon=True
-                    )
+        """Starts to probe the links that may have changed and are due."""
+        for endpoint in self.links.take_due_probes(_MAX_PROBES, clock.now()):
+            declared = self._host.configuration.endpoints.get(endpoint)
+            if declared is not None:
+                await curio.spawn(
+                    self.connects, endpoint, declared.address, daemon=True
+                )
 
     def endpoints_changed(self) -> None:
         """Forgets links to endpoints that no longer exist."""
--- a/packages/baobabmux-node/src/baobabmux_node/tunnels.py
+++ b/packages/baobabmux-node/src/baobabmux_node/tunnels.py
@@ -47,7 +47,7 @@
     # other endpoints.
     REFUSED = "refused"
     SILENT = "silent"
-    # That node says nothing about the endpoint.
+    # That node may not carry a tunnel, or has no evidence about the endpoint.
     UNSUITABLE = "unsuitable"
 
 
--- a/packages/baobabmux-node/tests/tunnels_test.py
+++ b/packages/baobabmux-node/tests/tunnels_test.py
@@ -329,10 +329,9 @@
         )
         declared = n1.configuration.endpoints[_ENDPOINT]
         declared.address = endpoint.address
-        probes = await curio.spawn(n1.paths.probe_links, daemon=True)
         while n1.paths.links.lost():
+            await n1.paths.probe_links()
             await curio.sleep(0.05)
-        await probes.cancel()
         connection = await n1.paths.open(_call(endpoint.address), 0.3, None)
         assert connection.via == ""
         await connection.close()
