Refuse tunnels to endpoints that take no new work

Found by reading. A carrier opened connections to endpoints that it knew to be drained or leaving if the other node had not heard of it yet; it checked pauses only. Now one query answers whether an endpoint takes work from this node (pauses_test.py; the query did not exist before).

--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -767,9 +767,16 @@
 
     # Queries.
 
-    def pause_left(self, endpoint: ids.EndpointId, now: float) -> float:
-        """Returns for how long an endpoint wants nothing from this node."""
-        return self._holder.pauses.seconds_left(endpoint, now)
+    def takes_work(self, endpoint: ids.EndpointId, now: float) -> bool:
+        """Returns whether an endpoint takes new work from this node now.
+
+        It does not while it is drained or leaving, or during a pause that it
+        has asked this node for.
+        """
+        return (
+            self._is_open(endpoint)
+            and self._holder.pauses.seconds_left(endpoint, now) == 0.0
+        )
 
     def versions(self) -> stream_origins.VersionHistory:
         """Returns the versions of endpoints that were listed recently."""
--- a/packages/baobabmux-core/tests/pauses_test.py
+++ b/packages/baobabmux-core/tests/pauses_test.py
@@ -42,6 +42,20 @@
     assert _used_by(cluster, 1) == {"e0-col-a"}
 
 
+def test_endpoint_takes_no_work_from_a_node_during_its_pause():
+    """Guards against connections for other nodes to a paused endpoint."""
+    cluster = _cluster_module._Cluster(endpoints=2)
+    _pause(cluster, 0, ["e0-col-a"], 6.0)
+    first, second = list(cluster.nodes.values())[:2]
+    now = cluster.now
+    assert not first.takes_work("e0-col-a", now)
+    assert first.takes_work("e0-col-a", now + 6.1)
+    assert first.takes_work("e1-col-a", now)
+    assert second.takes_work("e0-col-a", now)
+    second.leaving_observed("e0-col-a", now)
+    assert not second.takes_work("e0-col-a", now)
+
+
 def test_request_waits_for_the_end_of_a_pause():
     """Guards against a last resort that sends to a paused endpoint."""
     cluster = _cluster_module._Cluster(endpoints=2)
--- a/packages/baobabmux-node/src/baobabmux_node/tunnels.py
+++ b/packages/baobabmux-node/src/baobabmux_node/tunnels.py
@@ -112,7 +112,7 @@
             and self.carried[peer] < _MAX_CARRIED_FOR_NODE
             and self._host.configuration is not None
             and endpoint in self._host.configuration.endpoints
-            and self._host.scheduler.pause_left(endpoint, now) == 0.0
+            and self._host.scheduler.takes_work(endpoint, now)
         )
 
     async def _carry(
--- a/packages/baobabmux-node/tests/tunnels_test.py
+++ b/packages/baobabmux-node/tests/tunnels_test.py
@@ -29,7 +29,7 @@
             }
         )
         self.draining = False
-        self.pauses = {}
+        self.closed_endpoints = set()
         self.sent = []
         self.recorded = []
         self.scheduler = self.events = self.peers = self.membership = self
@@ -44,8 +44,8 @@
             "127.0.0.1", 0, self.carrier.handle, server.Limits()
         )
 
-    def pause_left(self, endpoint, now):
-        return self.pauses.get(endpoint, 0.0)
+    def takes_work(self, endpoint, now):
+        return endpoint not in self.closed_endpoints
 
     def record(self, kind, request="", endpoint="", **fields):
         self.recorded.append((kind.title, fields))
@@ -246,15 +246,15 @@
     _play(scenario)
 
 
-@pytest.mark.parametrize("reason", ["leaving", "paused", "full", "unknown"])
+@pytest.mark.parametrize("reason", ["leaving", "closed", "full", "unknown"])
 def test_node_that_may_not_carry_a_tunnel_sends_nothing(reason):
     """Guards against connections that a node may not or cannot open."""
 
     async def scenario(n1, n2, endpoint, call):
         if reason == "leaving":
             n2.draining = True
-        elif reason == "paused":
-            n2.pauses[_ENDPOINT] = 1.0
+        elif reason == "closed":
+            n2.closed_endpoints.add(_ENDPOINT)
         elif reason == "full":
             n2.carrier.carried["n1"] = tunnels._MAX_CARRIED_FOR_NODE
         else:
