Try lost links while no other node can be asked

Found by reading. A node that knows no other node for tunnels, as all of a deployment without `listen.tunnels`, did not try a lost link again until a probe had found it, and reported its attempts as unreached. So the breaker of an endpoint that had failed did not open, and the owner went on granting it (test: failed before). It now connects directly as before the tunnels.

--- a/packages/baobabmux-node/src/baobabmux_node/paths.py
+++ b/packages/baobabmux-node/src/baobabmux_node/paths.py
@@ -64,13 +64,14 @@
             connection = client.ClientConnection(call.address, stall_seconds)
             await connection.connect(timeout)
             return connection
-        if self.links.lost_link(endpoint) is None:
+        has_carriers = bool(self.tunnels.carriers())
+        if self.links.lost_link(endpoint) is None or not has_carriers:
             connection = client.ClientConnection(call.address, stall_seconds)
             try:
                 await self.connect(connection, endpoint, timeout)
                 return connection
             except client.ConnectError:
-                if not self.tunnels.carriers():
+                if not has_carriers:
                     raise
         return await self._open_tunnel(
             endpoint, call.address, stall_seconds, call.parsed
--- a/packages/baobabmux-node/tests/tunnels_test.py
+++ b/packages/baobabmux-node/tests/tunnels_test.py
@@ -318,6 +318,25 @@
     _play(scenario)
 
 
+def test_node_without_others_tries_its_lost_links():
+    """Guards against a breaker that does not open for a failed endpoint.
+
+    With no other node to ask, each failed connection is an attempt that was
+    not sent, and an endpoint that is back is used at once.
+    """
+
+    async def scenario(n1, n2, endpoint, call):
+        n1.paths.tunnels.announced("n2", 0)
+        for _ in range(2):
+            with pytest.raises(client.RefusedError):
+                await n1.paths.open(call, 0.3, None)
+        connection = await n1.paths.open(_call(endpoint.address), 0.3, None)
+        assert connection.via == ""
+        await connection.close()
+
+    _play(scenario)
+
+
 def test_link_that_returns_is_used_again():
     """Guards against tunnels that outlast the loss of the link."""
 
