--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -450,7 +450,7 @@
     def _ends_with_close(self, head: h11.Response) -> bool:
         """Returns whether only a close shows the peer the end of an answer.
 
-        Peers that speak HTTP/1.0 know no chunks.
+        HTTP/1.0 has no chunks.
         """
         return self.http.their_http_version == b"1.0" and not any(
             name == b"content-length" for name, _ in head.headers
--- a/packages/baobabmux-node/tests/endpoint_ends_test.py
+++ b/packages/baobabmux-node/tests/endpoint_ends_test.py
@@ -116,8 +116,8 @@
 ):
     """Guards against taking a lost link for the end of an endpoint.
 
-    Requests that ran there would count as harmful. Of the other nodes, one
-    that reaches no endpoint says nothing.
+    Requests that ran there would count as harmful. A node that reaches no
+    endpoint has no evidence.
     """
     host = _Host(_closed_address())
     host.answers = dict(zip(("n2", "n3"), answers, strict=False))
