Ask who can carry a tunnel only after a direct failure

Opening a connection sorted the reachable nodes each time, also while the link is sound, and treated an endpoint that is no longer declared in a branch of its own, which `connect` does already.

--- a/packages/baobabmux-node/src/baobabmux_node/paths.py
+++ b/packages/baobabmux-node/src/baobabmux_node/paths.py
@@ -60,18 +60,18 @@
             ConnectError: No connection was made for another reason.
         """
         endpoint = call.endpoint
-        if endpoint not in self._host.configuration.endpoints:
-            connection = client.ClientConnection(call.address, stall_seconds)
-            await connection.connect(timeout)
-            return connection
-        has_carriers = bool(self.tunnels.carriers())
-        if self.links.lost_link(endpoint) is None or not has_carriers:
+        if (
+            self.links.lost_link(endpoint) is None
+            or not self.tunnels.carriers()
+        ):
             connection = client.ClientConnection(call.address, stall_seconds)
             try:
                 await self.connect(connection, endpoint, timeout)
                 return connection
             except client.ConnectError:
-                if not has_carriers:
+                if not (
+                    self._is_declared(endpoint) and self.tunnels.carriers()
+                ):
                     raise
         return await self._open_tunnel(
             endpoint, call.address, stall_seconds, call.parsed
