Log how long an answer has made no progress

Event 205 says with silent_ms how long the answer of an attempt was without progress at most. An attempt that ended by silence is thus told from one whose connection broke off, and a long silence that went on shows too. The limits are unchanged; their timer is a module of its own now.

packages/baobabmux-node/tests/relay_test.py passes unchanged.

--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -161,6 +161,8 @@
         framing: What delimits the endpoint's answer, or None without one.
         rest_bytes: Bytes of a stream after its last complete event.
         via: Node that carried the connection, or "" for a direct one.
+        silent_seconds: Longest time without progress of the answer, 0 if it
+            was not watched.
     """
 
     outcome: states.Outcome
@@ -172,6 +174,7 @@
     framing: client.Framing | None = None
     rest_bytes: int = 0
     via: str = ""
+    silent_seconds: float = 0.0
 
     @property
     def succeeded(self) -> bool:
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from baobabmux_core import declarations, ids, states
-from baobabmux_node import adapters, client, clock, event_streams
+from baobabmux_node import adapters, client, clock, event_streams, silence
 
 # A handshake takes a few milliseconds. If the first packet is lost or the
 # endpoint is unreachable, the request moves to another endpoint.
@@ -28,7 +28,6 @@
 # A connection expires this long before the endpoint's idle timeout, because
 # the endpoint measures the timeout with its own clock.
 _IDLE_MARGIN_SECONDS = 0.5
-_TIMER_CHECK_SECONDS = 0.5
 
 _EVENT_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 
@@ -221,25 +220,6 @@
     return float(match[1]) - _IDLE_MARGIN_SECONDS
 
 
-class _InactivityTimer:
-    """Ends a connection on which no data arrives before a deadline.
-
-    One task checks the deadline for a whole call, because a timer for each
-    read would cost more than the read.
-    """
-
-    def __init__(self, connection: client.ClientConnection, deadline: float):
-        self.deadline = deadline
-        self.expired = False
-        self._connection = connection
-
-    async def run(self) -> None:
-        while (left := self.deadline - clock.now()) > 0:
-            await curio.sleep(min(left, _TIMER_CHECK_SECONDS))
-        self.expired = True
-        self._connection.interrupt()
-
-
 class RelayAdapter(adapters.EndpointAdapter):
     """Runs calls at HTTP/1.1 endpoints with the header fields of a dialect.
 
@@ -263,8 +243,8 @@
             connection = await self.pool.take(
                 call.endpoint, clock.now(), call.connector.lost_since(call)
             )
-        timer = None
-        timer_task = None
+        watch = None
+        watch_task = None
         splitter = event_streams.EventSplitter()
         try:
             if connection is None:
@@ -279,16 +259,16 @@
                 )
             if call.repeatable:
                 first = self._dialect.answer_timeouts(call).first_seconds
-                timer = _InactivityTimer(connection, clock.now() + first)
-                timer_task = await curio.spawn(timer.run, daemon=True)
+                watch = silence.SilenceWatch(first, clock.now(), connection)
+                watch_task = await curio.spawn(watch.run, daemon=True)
             result = await self._exchange(
-                call, sink, connection, timer, splitter
+                call, sink, connection, watch, splitter
             )
         except client.ClientError as error:
             outcome = adapters.failure_outcome(error)
             if connection is not None and outcome is states.Outcome.BROKEN:
                 call.connector.broke(call, connection)
-            expired = timer is not None and timer.expired
+            expired = watch is not None and watch.expired
             detail = (
                 "the endpoint sent no data in time" if expired else str(error)
             )
@@ -299,8 +279,8 @@
                 refused=isinstance(error, client.RefusedError),
             )
         finally:
-            if timer_task is not None:
-                await timer_task.cancel(blocking=False)
+            if watch_task is not None:
+                await watch_task.cancel(blocking=False)
             if connection is not None:
                 await connection.close_unless_kept()
         if connection is None:
@@ -310,9 +290,12 @@
             framing=connection.framing,
             rest_bytes=len(splitter.rest),
             via=connection.via,
+            silent_seconds=0.0
+            if watch is None
+            else watch.longest_until(clock.now()),
         )
 
-    async def _exchange(self, call, sink, connection, timer, splitter):
+    async def _exchange(self, call, sink, connection, watch, splitter):
         fields = self._dialect.request_fields(call, sink.last_event)
         await connection.send_request(
             call.method, call.target, fields, call.body
@@ -350,7 +333,7 @@
         streams = event_streams.is_event_stream(head)
         if streams and verdict is Verdict.ANSWER:
             await self._relay_events(
-                call, sink, connection, timer, head, splitter
+                call, sink, connection, watch, head, splitter
             )
         else:
             # The head is sent only once the body is complete, so that the
@@ -395,7 +378,7 @@
         await self.pool.put(call.endpoint, connection, head, clock.now())
 
     async def _relay_events(
-        self, call, sink, connection, timer, head, splitter
+        self, call, sink, connection, watch, head, splitter
     ) -> None:
         """Sends complete events to the sink, each event number once."""
         gap = self._dialect.answer_timeouts(call).gap_seconds
@@ -407,8 +390,8 @@
             events, count = _new_events(events, sink)
             if not events:
                 continue
-            if timer is not None:
-                timer.deadline = clock.now() + gap
+            if watch is not None:
+                watch.progressed(gap, clock.now())
             await sink.head(head.status, headers)
             await sink.data(events)
             sink.progress(sink.tokens + count * tokens_each)
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -235,6 +235,7 @@
             framing=None if result.framing is None else result.framing.value,
             rest_bytes=result.rest_bytes,
             via=result.via,
+            silent_ms=round(result.silent_seconds * 1000),
         )
         self._record_content_answer(request, result)
         self._host.metrics.attempts.labels(
