Return a declined grant to its owner before the next ask

Some requests of callers were neither sent to an endpoint nor answered before their deadline while all endpoints turned requests away with 503 and Retry-After.

A holder declines a grant if the endpoint has paused it, is closed for it or changed its version after the owner granted. It then asked again, but the owner still had the grant and repeated it, so grant and refusal went back and forth at each tick until the deadline. The pauses that the ask carries were not read. The holder now withdraws a declined grant before it asks again, so that the owner decides anew with what the ask says.

The core tests run the ticks of a busy node, every 50 ms; the older test of a grant under way ticks every 250 ms, so that the fallback to the own share hid the repetition. All six new core cases failed before. The core suite, pauses and promises tests of the platform pass.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -131,6 +131,8 @@
         attempt: Number of the current attempt, from 1.
         avoided: Endpoints of earlier attempts that failed or were rejected.
         charged: Whether its workspace's quota was charged.
+        declined: Whether the latest grant was declined; it is returned to the
+            owner with the next `Ask`.
         acknowledged: Whether the owner has confirmed that it queued the
             request.
         asked_at: Time from which the acknowledgement timeout counts, in
@@ -155,6 +157,7 @@
         "charged",
         "claimed",
         "deadline",
+        "declined",
         "dispatched_at",
         "dispatched_version",
         "endpoint",
@@ -206,6 +209,7 @@
         self.attempt = 1
         self.avoided: tuple[ids.EndpointId, ...] = ()
         self.charged = False
+        self.declined = False
         self.acknowledged = False
         self.own_share = False
         self.owner_has_ask = False
@@ -397,14 +401,16 @@
         held = self.held.get(request)
         if held is None or held.state is not states.RequestState.GRANTED:
             return False
-        late = now >= held.lease_end or now >= held.deadline
-        is_paused = self.pauses.seconds_left(held.endpoint, now) > 0.0
-        if late or is_paused or not self.is_open(held.endpoint):
+        if now >= held.lease_end or now >= held.deadline:
             self._requeue(held, now)
             return False
+        is_paused = self.pauses.seconds_left(held.endpoint, now) > 0.0
         version = self.version_of(held.endpoint) or ""
-        if held.version and version != held.version:
-            # Its entry changed while the grant was in transit.
+        # Its entry may have changed while the grant was in transit.
+        is_other_version = held.version and version != held.version
+        if is_paused or is_other_version or not self.is_open(held.endpoint):
+            # The owner may not know the reason yet and would repeat the grant.
+            held.declined = True
             self._requeue(held, now)
             return False
         held.state = states.RequestState.DISPATCHED
@@ -886,6 +892,11 @@
             reminder = messages.Reminder(held.group, work.request)
             return [effects.Send(held.owner, reminder)]
         held.owner_has_ask = True
+        emitted: list[effects.Effect] = []
+        if held.declined:
+            held.declined = False
+            withdraw = messages.Withdraw(held.group, work.request)
+            emitted.append(effects.Send(held.owner, withdraw))
         remaining = max(0, round((held.deadline - now) * 1000))
         ask = messages.Ask(
             held.group,
@@ -901,7 +912,7 @@
             held.spilled,
             self._terms(held, now),
         )
-        return [effects.Send(held.owner, ask)]
+        return [*emitted, effects.Send(held.owner, ask)]
 
     def _terms(self, held: Held, now: float) -> messages.AskTerms | None:
         active = self.pauses.active(now)
--- a/packages/baobabmux-core/tests/pauses_test.py
+++ b/packages/baobabmux-core/tests/pauses_test.py
@@ -11,6 +11,8 @@
     pathlib.Path(__file__).with_name("content_ends_test.py"), "pauses_driver"
 )
 
+_TICK_SECONDS = 0.05
+
 
 def _pause(cluster, node, endpoints, seconds):
     core = cluster.nodes[list(cluster.nodes)[node]]
@@ -105,6 +107,67 @@
     assert cluster.running["n0-a"] != granted
 
 
+def _run_for(cluster, seconds):
+    """Lets time pass at the interval of a busy node's ticks."""
+    for _ in range(round(seconds / _TICK_SECONDS)):
+        cluster.advance(_TICK_SECONDS)
+        cluster.run()
+
+
+@pytest.mark.parametrize("owner", [True, False])
+def test_declined_grant_is_not_repeated(owner):
+    """Guards against an owner that repeats a grant until the deadline.
+
+    The node was turned away by the endpoint while the grant was under way, so
+    it declines each repetition. Another endpoint is free.
+    """
+    cluster = _cluster_module._Cluster(endpoints=2)
+    node = _node_of(cluster, owner)
+    cluster.submit("r", node)
+    cluster.deliver_all()
+    granted = cluster.pending["r"].endpoint
+    _pause(cluster, node, [granted], 6.0)
+    cluster.run()
+    _run_for(cluster, 0.1)
+    assert cluster.running["r"] != granted
+
+
+@pytest.mark.parametrize("owner", [True, False])
+@pytest.mark.parametrize("first_by", [None, 3.75])
+def test_request_whose_grant_was_declined_is_refused_at_once(owner, first_by):
+    """Guards against requests that get no answer until their deadline.
+
+    All endpoints want nothing from the node for longer than the request has
+    left; the node learned of it after the owner had granted one.
+    """
+    cluster = _cluster_module._Cluster(endpoints=2)
+    node = _node_of(cluster, owner)
+    submitted = cluster.now
+    cluster.submit(
+        "r",
+        node,
+        deadline=submitted + 3.0,
+        first_by=first_by and submitted + first_by,
+    )
+    cluster.deliver_all()
+    _pause(cluster, node, ["e0-col-a", "e1-col-a"], 6.0)
+    while "r" not in cluster.refusals:
+        _run_for(cluster, _TICK_SECONDS)
+        assert cluster.now < submitted + 0.3
+    assert cluster.refusal("r") == "deadline_unreachable"
+    assert cluster.refusals["r"].retry_after >= 2.5
+
+
+def _node_of(cluster, owner):
+    """Returns the number of a node that owns the group, or that does not."""
+    name = cluster.members.owner("drafting@col-a")
+    return next(
+        number
+        for number, node in enumerate(cluster.nodes)
+        if (node == name) == owner
+    )
+
+
 def test_own_share_keeps_pauses():
     """Guards against a silent owner that lifts all pauses."""
     cluster = _cluster_module._Cluster(endpoints=2)
