Refuse waiting requests before their deadline, not after it

Requests that waited without a grant were refused by the first tick after their deadline, when the caller had given up. That was so whenever the owner was silent or no endpoint was declared for the service any more.

The holder now refuses 0.2 s before the deadline, which covers some ticks of 50 ms and the way to the caller, or after three quarters of a time limit below 0.8 s.

The new test runs three waiting requests under a silent owner, a closed endpoint and no endpoints, with deadlines of 0.32 to 8 s.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -79,6 +79,11 @@
 # Lost links are probed at this interval.
 _UNREACHED_SECONDS = 0.5
 
+# A waiting request is refused this long before its deadline, or this share of
+# its time limit if that is shorter, so that its caller still gets the refusal.
+_REFUSAL_SECONDS = 0.2
+_REFUSAL_SHARE = 0.25
+
 # Rank above all tiers for a request whose stream broke off: its caller has part
 # of the answer and gives up after a pause.
 RESUMED_RANK = -1
@@ -263,12 +268,14 @@
             or bool(work.parts)
         )
 
-    def latest_dispatch(self) -> float:
-        """Returns the time after which a dispatch would be useless."""
+    def refuse_at(self) -> float:
+        """Returns the time at which it is refused unless it is dispatched."""
+        time_limit = self.deadline - self.arrival
+        margin = min(_REFUSAL_SECONDS, _REFUSAL_SHARE * time_limit)
         useful_by = self.useful_by()
         if useful_by is None:
-            return self.deadline
-        return min(self.deadline, useful_by)
+            return self.deadline - margin
+        return min(self.deadline - margin, useful_by)
 
     def first_repeat(self) -> float:
         """Returns the seconds until an `Ask` is repeated the first time."""
@@ -788,7 +795,7 @@
     ) -> list[effects.Effect]:
         if held.state in _RUNNING_STATES:
             return []
-        if now >= held.latest_dispatch():
+        if now >= held.refuse_at():
             return self._refuse(
                 held,
                 errors.ErrorKind.DEADLINE_PASSED,
--- a/packages/baobabmux-core/tests/late_requests_test.py
+++ b/packages/baobabmux-core/tests/late_requests_test.py
@@ -4,6 +4,9 @@
 is on time depends on its first event.
 """
 
+import pathlib
+
+import msgspec
 import pytest
 
 from baobabmux_core import (
@@ -14,7 +17,13 @@
     quarantine,
     states,
 )
+from baobabmux_standins import modules
+
+_cluster_module = modules.load(
+    pathlib.Path(__file__).with_name("scheduler_test.py"), "late_driver"
+)
 
+_TICK_SECONDS = 0.05
 _GROUP = "drafting@cell"
 _TARGET_SECONDS = 0.8
 _LATEST_FIRST_EVENT_SECONDS = 2.0
@@ -206,3 +215,40 @@
     )  # fmt: skip
     (grant,) = burst.owner.ask(ask, "n1", burst.now)
     assert isinstance(grant.message, messages.Grant)
+
+
+@pytest.mark.parametrize("deadline", [0.32, 0.5, 1.0, 3.0, 8.0])
+@pytest.mark.parametrize("cause", ["owner silent", "endpoints gone", "closed"])
+@pytest.mark.parametrize("first_by", [None, 20.0])
+def test_request_is_refused_while_its_caller_waits(deadline, cause, first_by):
+    """Guards against refusals that are sent once the deadline has passed.
+
+    The request waits for an endpoint; none becomes free for its node.
+    """
+    cluster = _cluster_module.Cluster(endpoints=1)
+    owner = cluster.members.owner("drafting@col-a")
+    names = list(cluster.nodes)
+    node = next(n for n, name in enumerate(names) if name != owner)
+    submitted = cluster.now
+    if cause == "owner silent":
+        cluster.paused.add(owner)
+    for number in range(3):
+        cluster.submit(f"r{number}", node, deadline=submitted + deadline,
+                       first_by=first_by and submitted + first_by)  # fmt: skip
+    cluster.deliver_all()
+    cluster.step_all()
+    if cause == "endpoints gone":
+        for name, core in cluster.nodes.items():
+            declared = msgspec.structs.replace(
+                core._configuration, endpoints={}
+            )
+            cluster.carry_out(name, core.configure(declared, cluster.now))
+    elif cause == "closed":
+        cluster.members.endpoint_states["vm0"] = states.EndpointState.LEAVING
+        cluster.members_changed()
+    waiting = [f"r{n}" for n in range(3) if f"r{n}" not in cluster.running]
+    assert waiting
+    while cluster.now < submitted + deadline - _TICK_SECONDS / 2:
+        cluster.advance(_TICK_SECONDS)
+        cluster.step_all()
+    assert set(waiting) <= set(cluster.refusals) | set(cluster.running)
