Refuse requests whose service was removed at the next tick

A request that waited in a queue, or had a grant that was not used yet, when a configuration removed its service got neither an answer nor a refusal: its group had no owner any more, the holder asked nobody and waited for the deadline. New requests for such a service were refused at once.

Each tick now refuses the requests of services that are not declared, also those whose attempt broke off after the change. Dispatched requests go on.

The test plays four changes of the configuration in four phases of a request, as a stream or not, on the owner or another node: 12 of 64 cases took until the deadline before, none after. The core suite passes.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -65,6 +65,8 @@
 # dropped its queued requests in the meantime.
 _PAUSE_SECONDS = 1.5
 _NO_ENDPOINT_RETRY_SECONDS = 2.0
+# A route whose service was removed has been moved or removed as well.
+_UNDECLARED_RETRY_SECONDS = 0.5
 # An owner acknowledges an `Ask` with terms within a round trip of a few
 # milliseconds, or within tens of milliseconds if it is busy.
 _ACK_TIMEOUT_SECONDS = 0.15
@@ -570,6 +572,23 @@
                 )
         return emitted
 
+    def refuse_undeclared(
+        self, declared: Set[ids.ServiceName]
+    ) -> list[effects.Effect]:
+        """Refuses undispatched requests for services that are not declared.
+
+        Args:
+            declared: Services of the configuration in force.
+        """
+        emitted = []
+        for held in list(self.held.values()):
+            if held.state in _RUNNING_STATES or held.work.service in declared:
+                continue
+            emitted += self._refuse(
+                held, errors.ErrorKind.NO_ENDPOINT, _UNDECLARED_RETRY_SECONDS
+            )
+        return emitted
+
     # Messages from owners.
 
     def queued(self, request: ids.RequestId, sender: ids.NodeId) -> None:
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -757,6 +757,9 @@
         emitted = self._holder.tick(
             now, lambda held: self._move_target(held, now)
         )
+        if self._configuration is not None:
+            services = self._configuration.services.keys()
+            emitted += self._holder.refuse_undeclared(services)
         emitted += self._tick_owned_groups(now)
         for endpoint, (left, due) in list(self._drain_repeats.items()):
             if now < due:
