Wait for requests that have begun to arrive before a shutdown ends

A request that was in the buffer of a kept connection when the server stopped reading was overlooked: no request was being handled at that moment, so the shutdown went on, and the node read the request, passed it on and ended 0.3 s later. Its caller saw the connection close. A request of which only a part had arrived was cut off, or refused with 400 if its head was complete.

The server now leaves connections alone on which bytes of a request have arrived, and the node waits until all connections are closed, each of which handles one request at most and is bounded by the timeouts for headers and bodies.

The test sends a request, or 10 to 53 of its 55 bytes, into the socket before the shutdown begins without a turn of the event loop.

--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -521,7 +521,7 @@
         limit = self.settings.shutdown_seconds
         while (
             self.callers.held
-            or self._caller_server.busy
+            or not self._caller_server.is_finished
             or self.carrier.carried.total()
         ):
             if limit is not None and clock.now() - now >= limit:
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -209,13 +209,19 @@
         """Accepts no further request; requests already read are answered.
 
         Idle connections are not read any more. A request that arrives on one
-        of them gets no answer, so its caller sees that it was not accepted.
+        of them gets no answer, so its caller sees that it was not accepted. A
+        request of which some bytes have arrived is accepted.
         """
         self.closing = self.finishing = True
         for connection in self._open:
-            if connection.idle:
+            if connection.idle and not connection.has_received():
                 connection.stop_reading()
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether the server has answered its last request."""
+        return self.finishing and not self._open
+
     async def _serve_connection(self, client) -> None:
         self.connections += 1
         connection = _Connection(client, self)
@@ -250,6 +256,15 @@
         self._reading_stopped = False
         self._resets = False
 
+    def has_received(self) -> bool:
+        """Returns whether bytes of the next request have arrived."""
+        if self.received:
+            return True
+        try:
+            return bool(self.client._socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def stop_reading(self) -> None:
         """Accepts no further request; a request already read is answered."""
         self._reading_stopped = True
--- a/packages/baobabmux-node/tests/server_test.py
+++ b/packages/baobabmux-node/tests/server_test.py
@@ -179,6 +179,42 @@
     curio.run(run)
 
 
+@pytest.mark.parametrize("sent", [10, 30, 51, 53, None])
+def test_stopping_server_answers_a_request_that_has_begun_to_arrive(sent):
+    """Guards against a shutdown that overlooks bytes which it has not read.
+
+    The request, or a part of it, is in the socket's buffer when the shutdown
+    begins; the rest follows.
+    """
+    head = b"POST /late HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+    request = head + b"body"
+
+    async def run():
+        served = _BodyLengthServer()
+        served.gate_paths.add("/late")
+        await curio.spawn(served.server.serve, daemon=True)
+        kept = await served.connect()
+        await kept.sendall(_GET)
+        assert (await kept.recv(65536)).startswith(b"HTTP/1.1 200")
+        await curio.sleep(0.05)
+        # Sent and arrived without a turn of the event loop.
+        kept._socket.send(request[:sent])
+        served.server.finish()
+        assert not served.server.is_finished
+        await curio.sleep(0.05)
+        await kept.sendall(request[sent:] if sent else b"")
+        await curio.sleep(0.05)
+        assert not served.server.is_finished
+        await served.gate.set()
+        answer = await _read_all(kept)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.endswith(b"4")
+        await curio.sleep(0.05)
+        assert served.server.is_finished
+
+    curio.run(run)
+
+
 def test_stopping_server_accepts_nothing_after_an_answer_that_had_begun():
     """Guards against accepting a request shortly before the node stops.
 
