Keep the connection of a request that was refused before its body

A caller that sent its next request on a kept connection after a 404, 401 or another refusal got neither an answer nor a refusal. A configuration that drops a route or a key makes such refusals frequent.

A request that is refused by its head is answered before its body is read. The server then took the connection for unusable although the answer announced no close: it shut its side down, read and dropped whatever the caller sent for up to a second, and closed. The body was usually in the buffer already.

The server now skips the received rest of a refused request and keeps the connection. If the rest has not arrived, the answer announces the close. The connection is then also drained during a shutdown, where the close with unread input could reset the answer.

The node suite passes.

--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -302,7 +302,7 @@
                 if exchange.answered:
                     return
                 await self._refuse(errors.ErrorKind.INTERNAL, None)
-            if self.server.finishing or not await self._prepare_reuse():
+            if not await self._prepare_reuse() or self.server.finishing:
                 # An answer whose head was sent before the shutdown began has
                 # no `connection: close`; the peer's next request is not read.
                 return
@@ -429,7 +429,9 @@
                 return
 
     async def send(self, event: h11.Event) -> None:
-        if self.server.closing and isinstance(event, h11.Response):
+        if isinstance(event, h11.Response) and (
+            self.server.closing or not self._skip_received_body()
+        ):
             event = h11.Response(
                 status_code=event.status_code,
                 headers=[*event.headers, (b"connection", b"close")],
@@ -462,6 +464,21 @@
         except (curio.TaskTimeout, OSError) as error:
             raise PeerGoneError from error
 
+    def _skip_received_body(self) -> bool:
+        """Skips the part of the body that has arrived and was not read.
+
+        Returns:
+            Whether the request has been received to its end. Otherwise its
+            connection cannot be used again.
+        """
+        while self.http.their_state is h11.SEND_BODY:
+            try:
+                if self.http.next_event() is h11.NEED_DATA:
+                    return False
+            except h11.RemoteProtocolError:
+                return False
+        return True
+
     def _ends_with_close(self, head: h11.Response) -> bool:
         """Returns whether only a close shows the peer the end of an answer.
 
@@ -510,13 +527,13 @@
             pass
 
     async def _prepare_reuse(self) -> bool:
-        if self.http.our_state is h11.MUST_CLOSE:
-            return False
-        if self.http.our_state is not h11.DONE:
+        if self.http.our_state not in (h11.DONE, h11.MUST_CLOSE):
             return False
-        if self.http.their_state is not h11.DONE:
+        if self.http.their_state is h11.SEND_BODY:
             await self._drain()
             return False
+        if (self.http.our_state, self.http.their_state) != (h11.DONE, h11.DONE):
+            return False
         self.received += self.http.trailing_data[0]
         closed = self.http.trailing_data[1]
         self.http = self._new_http()
--- a/packages/baobabmux-node/tests/server_test.py
+++ b/packages/baobabmux-node/tests/server_test.py
@@ -179,6 +179,71 @@
     curio.run(run)
 
 
+async def _refuse_unread(exchange):
+    await exchange.respond(404, {}, b"none")
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_connection_is_kept_after_a_refusal_that_needed_no_body(chunked):
+    """Guards against a request that is read and dropped after a refusal.
+
+    The first request is refused without reading its body, which has arrived.
+    """
+    head = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+    if chunked:
+        request = (
+            head + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+        )
+    else:
+        request = head + b"Content-Length: 1\r\n\r\na"
+
+    async def run():
+        http_server = server.Server(
+            "127.0.0.1", 0, _refuse_unread, server.Limits()
+        )
+        http_server.start()
+        await curio.spawn(http_server.serve, daemon=True)
+        peer = await curio.open_connection("127.0.0.1", http_server.port)
+        for _ in range(3):
+            await peer.sendall(request)
+            answer = b""
+            while not answer.endswith(b"none"):
+                part = await peer.recv(65536)
+                assert part
+                answer += part
+            assert answer.startswith(b"HTTP/1.1 404")
+            assert b"connection: close" not in answer.lower()
+
+    curio.run(run)
+
+
+@pytest.mark.parametrize("closing", [False, True])
+def test_refusal_before_the_end_of_a_body_announces_the_close(closing):
+    """Guards against a caller that sends its next request into a close.
+
+    The rest of the body arrives after the answer and must not reset it.
+    """
+    request = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n\r\n"
+
+    async def run():
+        http_server = server.Server(
+            "127.0.0.1", 0, _refuse_unread, server.Limits()
+        )
+        http_server.start()
+        http_server.closing = closing
+        await curio.spawn(http_server.serve, daemon=True)
+        peer = await curio.open_connection("127.0.0.1", http_server.port)
+        await peer.sendall(request + bytes(30_000))
+        await curio.sleep(0.05)
+        await peer.sendall(bytes(60_000))
+        answer = await _read_all(peer)
+        assert answer.startswith(b"HTTP/1.1 404")
+        assert b"connection: close" in answer.lower()
+        assert answer.endswith(b"none")
+
+    curio.run(run)
+
+
 @pytest.mark.parametrize("sent", [10, 30, 51, 53, None])
 def test_stopping_server_answers_a_request_that_has_begun_to_arrive(sent):
     """Guards against a shutdown that overlooks bytes which it has not read.
