Pass on header fields with characters outside ASCII

An answer of an endpoint with such a character in a header field was received, but got its caller neither an answer nor a refusal: fields are decoded as Latin-1 and h11 encodes text as ASCII, so the head could not be built. The same holds for a refusal that echoes such a request id.

Answers encode their fields as Latin-1 again. The test failed with a connection that was closed without an answer.

--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -600,7 +600,10 @@
 def _response(status: int, headers: dict[str, str]) -> h11.Response:
     return h11.Response(
         status_code=status,
-        headers=list(headers.items()),
+        # h11 accepts text in ASCII only.
+        headers=[
+            (name, value.encode("latin-1")) for name, value in headers.items()
+        ],
         reason=_REASONS.get(status, ""),
     )
 
--- a/packages/baobabmux-node/tests/server_test.py
+++ b/packages/baobabmux-node/tests/server_test.py
@@ -371,3 +371,31 @@
     data, was_reset = curio.run(run)
     assert data.endswith(b"\r\n\r\npart")
     assert was_reset is is_reset
+
+
+def test_header_field_outside_ascii_is_sent_as_it_was_received():
+    """Guards against an endpoint's answer that cannot be passed on.
+
+    Header fields are decoded as Latin-1 when they are received.
+    """
+
+    async def handle(exchange):
+        await exchange.read_body(0)
+        await exchange.respond(200, {"x-note": "caf\xe9"}, b"whole")
+
+    async def run():
+        http_server = server.Server("127.0.0.1", 0, handle, server.Limits())
+        http_server.start()
+        await curio.spawn(http_server.serve, daemon=True)
+        peer = await curio.open_connection("127.0.0.1", http_server.port)
+        await peer.sendall(_GET)
+        answer = b""
+        while not answer.endswith(b"whole"):
+            part = await peer.recv(65536)
+            assert part
+            answer += part
+        return answer
+
+    answer = curio.run(run)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b"x-note: caf\xe9\r\n" in answer
