End a request whose attempt failed with an unexpected error

If an error that the adapter does not report ended the task of an attempt, its caller got nothing until the timeout of the route, and the slot at the endpoint stayed taken as long. curio logged "Task Crash" for the task.

The attempt now ends as not sent if nothing was dispatched, and as broken otherwise; the error is logged with its traceback.

The test fails an adapter before the dispatch, after it and after the head of the answer. Before, none of the three callers got an answer within a quarter of the timeout; now they get 503, 502 and a connection that closes before the end of the answer.

--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -6,6 +6,7 @@
 
 import abc
 import contextlib
+import logging
 
 import curio
 
@@ -20,6 +21,7 @@
     sinks,
 )
 
+_LOG = logging.getLogger(__name__)
 _ERROR_KIND_BY_OUTCOME = {
     states.Outcome.GARBAGE: errors.ErrorKind.ENDPOINT_GARBAGE,
     states.Outcome.REJECTED: errors.ErrorKind.OVERLOADED,
@@ -321,6 +323,15 @@
             result = adapters.Result(states.Outcome.GARBAGE, str(error))
         except adapters.SupersededError:
             return
+        except Exception:
+            # Without a result the caller would wait for the route's timeout.
+            _LOG.exception("an attempt at an endpoint failed")
+            result = adapters.Result(
+                states.Outcome.BROKEN
+                if request.dispatched
+                else states.Outcome.NOT_SENT,
+                "an error of the node ended the attempt",
+            )
         await request.decide(held.AttemptEnded(parsed.request, result))
 
     def _begin_dispatch(self, attempt: _Attempt) -> bool:
--- /dev/null
+++ b/packages/baobabmux-node/tests/callers_test.py
@@ -0,0 +1,161 @@
+"""Tests of the handler of one caller's request with a fake host."""
+
+import curio
+import pytest
+
+from baobabmux_core import declarations, effects, states
+from baobabmux_node import callers, clock, held, responses, server
+
+_GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+_TIMEOUT_SECONDS = 20.0
+
+
+class _Protocol:
+    """Protocol whose adapter fails in a way that it does not report."""
+
+    def __init__(self, host):
+        self.host = host
+
+    def adapter(self, kind):
+        return self
+
+    async def run(self, call, sink):
+        if self.host.fails == "before the dispatch":
+            raise KeyError("a fault of the adapter")
+        assert call.permit()
+        if self.host.fails == "after the head":
+            await sink.head(200, {"content-type": "text/event-stream"})
+        raise KeyError("a fault of the adapter")
+
+    def status_headers(self, public_id, status):
+        return {}
+
+    def refusal(self, kind, public_id, detail, retry_after):
+        return responses.problem(kind, public_id, detail, retry_after)
+
+    def stream_failure(self, kind, public_id, detail):
+        return None
+
+
+class _Host(callers.Host):
+    """Host that grants a request once and refuses it afterwards."""
+
+    def __init__(self, fails):
+        self.fails = fails
+        self.protocol = _Protocol(self)
+        self.connector = None
+        self.outcomes = []
+        self.refusals = []
+
+    async def admit(self, request):
+        dispatch = effects.Dispatch(request.parsed.request, "e", False)
+        await request.decide(dispatch)
+
+    def endpoint(self, endpoint):
+        return "engine", "127.0.0.1:9"
+
+    def begin_dispatch(self, request):
+        return True
+
+    def progress(self, request, tokens):
+        pass
+
+    async def limit_observed(self, request, rate, sent_at):
+        pass
+
+    async def leaving_observed(self, request):
+        pass
+
+    async def pause_observed(self, request, seconds):
+        pass
+
+    async def attempt_ended(self, request, result, answer):
+        self.outcomes.append(result.outcome)
+        if result.outcome in states.UNSENT_OUTCOMES:
+            kind = callers.errors.ErrorKind.NO_ENDPOINT
+            await request.decide(
+                effects.Refuse(request.parsed.request, kind, 1.0)
+            )
+
+    def may_repeat(self, request, result):
+        return False
+
+    async def ask_backup(self, request, backup, seconds):
+        return False
+
+    def supersede(self, request, backup, outcome, tokens):
+        raise AssertionError("there is no backup")
+
+    async def superseded_ended(self, request):
+        raise AssertionError("there is no backup")
+
+    async def cancel(self, request):
+        pass
+
+    async def release_key(self, request):
+        pass
+
+    async def first_answer(self, repeat, request):
+        raise AssertionError
+
+    def record_refusal(self, request, kind):
+        self.refusals.append(kind)
+
+
+def _parsed():
+    route = declarations.Route(
+        "/a", "s", "t0", streaming=True, timeout_seconds=_TIMEOUT_SECONDS
+    )
+    work = effects.Work(
+        request="r", route="a", service="s", tier=0, workspace="w",
+        deadline=None, prompt_tokens=1, output_tokens=1, content=1,
+    )  # fmt: skip
+    return held.ParsedRequest(
+        "r", "r", "a", route, "w", "GET", "/a", {}, b"", True, None, 0, work,
+        clock.now(),
+    )  # fmt: skip
+
+
+def _serve(host):
+    """Returns what a caller receives before the timeout of its route."""
+
+    async def handle(exchange):
+        request = held.HeldRequest(_parsed())
+        await callers.RequestHandler(host, exchange, request).run()
+
+    async def run():
+        http_server = server.Server("127.0.0.1", 0, handle, server.Limits())
+        http_server.start()
+        await curio.spawn(http_server.serve, daemon=True)
+        peer = await curio.open_connection("127.0.0.1", http_server.port)
+        await peer.sendall(_GET)
+        data = b""
+        async with curio.timeout_after(_TIMEOUT_SECONDS / 4):
+            while part := await peer.recv(65536):
+                data += part
+                if data.endswith(b"}"):
+                    break
+        return data
+
+    return curio.run(run)
+
+
+@pytest.mark.parametrize(
+    ("fails", "outcome", "status"),
+    [
+        ("before the dispatch", states.Outcome.NOT_SENT, b"503"),
+        ("after the dispatch", states.Outcome.BROKEN, b"502"),
+        ("after the head", states.Outcome.BROKEN, b"200"),
+    ],
+)
+def test_fault_during_an_attempt_ends_the_request(fails, outcome, status):
+    """Guards against a request that waits for an attempt that is gone.
+
+    An unexpected error ended the task of the attempt, and the caller got
+    nothing until the timeout of the route.
+    """
+    host = _Host(fails)
+    answer = _serve(host)
+    assert answer.startswith(b"HTTP/1.1 " + status)
+    assert host.outcomes == [outcome]
+    assert len(host.refusals) == 1
