Record attempts that end before their answer, and repeated pauses

The logs did not tell whether a pause was not read or did not hold. Event 418 and baobabmux_unread_answers_total have each attempt whose connection is closed after its request was sent and before the head of its answer arrived; 418 counts as routine, so its lines are bounded. Event 415 and baobabmux_endpoint_pauses_total say whether an earlier pause still lasted, and 415 how long before its request was sent: a pause that does not hold shows as repeated at an age of more than half a second. No decision is changed.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -133,7 +133,9 @@
     )
     ENDPOINT_PAUSED = (
         415,
-        "{endpoint} wants nothing from this node for {seconds} s.",
+        "{endpoint} wants nothing from this node for {seconds} s, as it answers"
+        " a request sent {age_ms} ms before; an earlier pause lasts:"
+        " {repeated}.",
     )
 
     LINK_CHANGED = (
@@ -148,6 +150,12 @@
         " bytes.",
     )
 
+    ANSWER_UNREAD = (
+        418,
+        "The attempt at {endpoint} ended before its answer began; {age_ms} ms"
+        " after its start the answer is: {outcome}.",
+    )
+
     CLAIM_DECIDED = (501, "The claim was decided: {verdict}.")
     CLAIM_WITHDRAWN = (502, "The claim is withdrawn.")
     CLAIM_UNAVAILABLE = (503, "The log did not decide the claim in time.")
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -89,6 +89,19 @@
     ) -> None:
         """Records that the endpoint wants nothing on such connections."""
 
+    async def release(
+        self, call: "Call", connection: client.ClientConnection
+    ) -> None:
+        """Closes the connection of a call that has ended, unless it is kept.
+
+        Args:
+            call: The call.
+            connection: Its connection.
+        """
+        del call
+        if not connection.kept:
+            await connection.close()
+
     def lost_since(self, call: "Call") -> float:
         """Returns when the direct link was lost, or 0 if it is sound.
 
@@ -138,6 +151,8 @@
         report_progress: Called when the answer goes on after a silence. It
             raises `SupersededError` if that is too late.
         connector: Opens the connections of the call.
+        started_at: Time on the node's clock at which the attempt began, in
+            seconds.
     """
 
     address: str
@@ -157,6 +172,7 @@
     report_silence: Callable[[float], Awaitable[None]] | None = None
     report_progress: Callable[[], Awaitable[None]] = _ignore_notice
     connector: Connector = DirectConnector()
+    started_at: float = 0.0
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -282,7 +298,7 @@
             )
         finally:
             if connection is not None:
-                await connection.close()
+                await call.connector.release(call, connection)
 
 
 def check_attempt(call: Call, head: client.Head) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -88,9 +88,15 @@
 
     @abc.abstractmethod
     async def pause_observed(
-        self, request: held.HeldRequest, seconds: float
+        self, request: held.HeldRequest, seconds: float, sent_at: float
     ) -> None:
-        """Reports for how long the endpoint wants nothing from this node."""
+        """Reports for how long the endpoint wants nothing from this node.
+
+        Args:
+            request: The request.
+            seconds: Seconds from now on.
+            sent_at: Time at which the request was sent, in seconds.
+        """
 
     @abc.abstractmethod
     async def attempt_ended(
@@ -303,13 +309,14 @@
             ),
             report_leaving=lambda: self.host.leaving_observed(request),
             report_pause=lambda seconds: self.host.pause_observed(
-                request, seconds
+                request, seconds, now
             ),
             report_silence=lambda seconds: self._record_silence(
                 attempt, seconds
             ),
             report_progress=lambda: self._record_progress(attempt),
             connector=self.host.connector,
+            started_at=now,
         )
         adapter = self.host.protocol.adapter(kind)
         sink = sinks.AttemptSink(
--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -88,6 +88,8 @@
         stall_seconds: Longest wait for one send or receive, or None if the
             caller of this class enforces a timeout itself.
         kept: Whether a pool keeps the connection after its request.
+        awaits_head: Whether a request was sent, at least in part, and the head
+            of its answer has not arrived.
         framing: What delimits the body of the answer that is being read, or
             None before its head and if it has no body.
         via: Node that carries the connection, or "" for a direct one.
@@ -101,6 +103,7 @@
         self._http = _new_http()
         self._request_head: h11.Request | None = None
         self.kept = False
+        self.awaits_head = False
         self.framing: Framing | None = None
         self.via = ""
         self.received_at = 0.0
@@ -136,11 +139,6 @@
         if self._socket is None:
             await self.connect(timeout)
 
-    async def close_unless_kept(self) -> None:
-        """Closes the connection unless a pool keeps it."""
-        if not self.kept:
-            await self.close()
-
     async def request(
         self, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> None:
@@ -170,6 +168,7 @@
         head = h11.Request(method=method, target=target, headers=fields)
         self._request_head = head
         self.kept = False
+        self.awaits_head = True
         self.framing = None
         data = self._http.send(head)
         if body:
@@ -193,6 +192,7 @@
         """
         left, closed = self._http.trailing_data
         self._http = _new_http()
+        self.awaits_head = True
         self._http.send(self._request_head)
         self._http.send(h11.EndOfMessage())
         self._http.receive_data(left)
@@ -236,6 +236,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self.awaits_head = False
                 headers = {
                     name.decode("ascii"): value.decode("latin-1")
                     for name, value in event.headers
--- a/packages/baobabmux-node/src/baobabmux_node/engines.py
+++ b/packages/baobabmux-node/src/baobabmux_node/engines.py
@@ -119,7 +119,7 @@
             await self._relay(connection, sink, stream)
             return None
         finally:
-            await connection.close()
+            await call.connector.release(call, connection)
 
     async def _relay_error(self, connection, head, sink) -> None:
         """Relays an answer that is not a stream, such as a 400."""
--- a/packages/baobabmux-node/src/baobabmux_node/events.py
+++ b/packages/baobabmux-node/src/baobabmux_node/events.py
@@ -13,8 +13,8 @@
 # burst of requests.
 _MAX_ROUTINE_LINES_PER_SECOND = 600
 
-# Events that every successful request causes. Refusals, failures and changes of
-# the node's state are always written.
+# Events that every successful request, or every caller that leaves, causes.
+# Refusals, failures and changes of the node's state are always written.
 _ROUTINE_KINDS = frozenset(
     {
         catalogue.EventKind.REQUEST_RECEIVED,
@@ -24,6 +24,7 @@
         catalogue.EventKind.REQUEST_ASKED,
         catalogue.EventKind.GRANT_SENT,
         catalogue.EventKind.RELEASE_RECEIVED,
+        catalogue.EventKind.ANSWER_UNREAD,
     }
 )
 
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -177,6 +177,13 @@
         self.endpoint_pauses = self._counter(
             "endpoint_pauses",
             "Pauses that endpoints asked this node for with Retry-After",
+            ["repeated"],
+        )
+        self.unread_answers = self._counter(
+            "unread_answers",
+            "Attempts that ended before the head of their answer, by what"
+            " became of it",
+            ["outcome"],
         )
         self.counted_parts = self._gauge(
             "counted_parts",
--- a/packages/baobabmux-node/src/baobabmux_node/paths.py
+++ b/packages/baobabmux-node/src/baobabmux_node/paths.py
@@ -105,6 +105,16 @@
             )
             await self._host.peers.send(connection.via, message)
 
+    async def release(
+        self, call: adapters.Call, connection: client.ClientConnection
+    ) -> None:
+        """Closes the connection of a call; see the base class."""
+        if connection.kept:
+            return
+        if connection.awaits_head:
+            self._record_unread(call, "closed")
+        await connection.close()
+
     def lost_since(self, call: adapters.Call) -> float:
         """Returns when a link was lost; see the base class."""
         lost = self.links.lost_link(call.endpoint)
@@ -291,6 +301,16 @@
     def _is_declared(self, endpoint: ids.EndpointId) -> bool:
         return endpoint in self._host.configuration.endpoints
 
+    def _record_unread(self, call: adapters.Call, outcome: str) -> None:
+        self._host.metrics.unread_answers.labels(outcome).inc()
+        self._host.events.record(
+            Kind.ANSWER_UNREAD,
+            ids.RequestId("") if call.parsed is None else call.parsed.request,
+            call.endpoint,
+            outcome=outcome,
+            age_ms=round((clock.now() - call.started_at) * 1000),
+        )
+
     def _record_change(self, endpoint: ids.EndpointId, state: str) -> None:
         self._host.events.record(
             Kind.LINK_CHANGED,
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -284,7 +284,7 @@
             if watch_task is not None:
                 await watch_task.cancel(blocking=False)
             if connection is not None:
-                await connection.close_unless_kept()
+                await call.connector.release(call, connection)
         if connection is None:
             return result
         return msgspec.structs.replace(
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -262,19 +262,22 @@
             await self._driver.apply(emitted)
 
     async def pause_observed(
-        self, request: held.HeldRequest, seconds: float
+        self, request: held.HeldRequest, seconds: float, sent_at: float
     ) -> None:
         """Passes the time that a 503 answer names to the scheduler."""
-        if not self._host.scheduler.pause_observed(
-            request.endpoint, seconds, clock.now()
-        ):
-            return
-        self._host.metrics.endpoint_pauses.inc()
+        now = clock.now()
+        is_new = self._host.scheduler.pause_observed(
+            request.endpoint, seconds, now
+        )
+        repeated = "no" if is_new else "yes"
+        self._host.metrics.endpoint_pauses.labels(repeated).inc()
         self._host.events.record(
             Kind.ENDPOINT_PAUSED,
             request.parsed.request,
             request.endpoint,
             seconds=seconds,
+            repeated=repeated,
+            age_ms=round((now - sent_at) * 1000),
         )
 
     async def attempt_ended(
