--- a/standins/src/baobabmux_standins/server.py
+++ b/standins/src/baobabmux_standins/server.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib import parse
@@ -107,6 +108,15 @@
         await self.write_raw(data)
         raise HangUp
 
+    def peer_has_left(self) -> bool:
+        """Returns whether the peer has closed or reset the connection."""
+        try:
+            return not self._peer._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     async def _send(self, event: h11.Event) -> None:
         await self._peer.sendall(self._protocol.send(event))
 
