Read the heads of answers whose attempts have ended

Callers saw refusals of endpoints that had asked their node for a pause, and endpoints got up to 38 requests of one node within a pause (2 allowed).

Cause: an attempt that ended before its answer began (its caller left, the route's timeout passed, the request could not be sent whole) closed the connection unread, so the pause in the answer, a limit or a notice of leaving was lost. An endpoint that turns requests away late then looks idle and gets more of them.

Reports name the endpoint of the attempt, as the request may be at another one by then.

--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from baobabmux_core import ids, states
-from baobabmux_node import client, event_streams
+from baobabmux_node import client, event_streams, unread_answers
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 MAX_ANSWER_BYTES = 64_000_000
@@ -90,15 +90,19 @@
         """Records that the endpoint wants nothing on such connections."""
 
     async def release(
-        self, call: "Call", connection: client.ClientConnection
+        self,
+        call: "Call",
+        connection: client.ClientConnection,
+        report: unread_answers.Report,
     ) -> None:
         """Closes the connection of a call that has ended, unless it is kept.
 
         Args:
             call: The call.
             connection: Its connection.
+            report: Called with the head of the answer if that arrives later.
         """
-        del call
+        del call, report
         if not connection.kept:
             await connection.close()
 
@@ -298,7 +302,9 @@
             )
         finally:
             if connection is not None:
-                await call.connector.release(call, connection)
+                await call.connector.release(
+                    call, connection, lambda head: report_limit(call, head)
+                )
 
 
 def check_attempt(call: Call, head: client.Head) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -72,28 +72,33 @@
 
     @abc.abstractmethod
     async def limit_observed(
-        self, request: held.HeldRequest, rate: float | None, sent_at: float
+        self, endpoint: ids.EndpointId, rate: float | None, sent_at: float
     ) -> None:
-        """Reports the limit that the answer to a request names.
+        """Reports the limit that an endpoint's answer names.
 
         Args:
-            request: The request.
+            endpoint: The endpoint.
             rate: Requests a second, or None if the answer names no limit.
             sent_at: Time at which the request was sent, in seconds.
         """
 
     @abc.abstractmethod
-    async def leaving_observed(self, request: held.HeldRequest) -> None:
-        """Reports that the answer says that its endpoint is leaving."""
+    async def leaving_observed(self, endpoint: ids.EndpointId) -> None:
+        """Reports that an endpoint's answer says that it is leaving."""
 
     @abc.abstractmethod
     async def pause_observed(
-        self, request: held.HeldRequest, seconds: float, sent_at: float
+        self,
+        request: ids.RequestId,
+        endpoint: ids.EndpointId,
+        seconds: float,
+        sent_at: float,
     ) -> None:
-        """Reports for how long the endpoint wants nothing from this node.
+        """Reports for how long an endpoint wants nothing from this node.
 
         Args:
-            request: The request.
+            request: Request that the endpoint has turned away.
+            endpoint: The endpoint.
             seconds: Seconds from now on.
             sent_at: Time at which the request was sent, in seconds.
         """
@@ -305,11 +310,13 @@
             ),
             deadline=ends_at,
             report_limit=lambda rate: self.host.limit_observed(
-                request, rate, now
+                decision.endpoint, rate, now
+            ),
+            report_leaving=lambda: self.host.leaving_observed(
+                decision.endpoint
             ),
-            report_leaving=lambda: self.host.leaving_observed(request),
             report_pause=lambda seconds: self.host.pause_observed(
-                request, seconds, now
+                parsed.request, decision.endpoint, seconds, now
             ),
             report_silence=lambda seconds: self._record_silence(
                 attempt, seconds
--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -14,7 +14,7 @@
 import h11
 import msgspec
 
-from baobabmux_node import clock
+from baobabmux_node import clock, sockets
 
 _READ_BYTES = 65_536
 _MAX_HEADER_BYTES = 65_536
@@ -231,6 +231,15 @@
         with contextlib.suppress(OSError):
             self._socket._socket.shutdown(socket.SHUT_RDWR)
 
+    def end_sending(self) -> None:
+        """Ends the connection for the server; its answer can still be read."""
+        with contextlib.suppress(OSError):
+            self._socket._socket.shutdown(socket.SHUT_WR)
+
+    def reset_on_close(self) -> None:
+        """Makes `close` reset the connection."""
+        sockets.set_reset_on_close(self._socket, True)
+
     async def head(self) -> Head:
         """Reads the status and the header fields of the answer."""
         while True:
--- a/packages/baobabmux-node/src/baobabmux_node/engines.py
+++ b/packages/baobabmux-node/src/baobabmux_node/engines.py
@@ -102,9 +102,7 @@
             head = await connection.head()
             call.connector.answered(call, connection)
             adapters.check_attempt(call, head)
-            if head.status != 503 or adapters.LIMIT_HEADER in head.headers:
-                # Refusals need not repeat the limit.
-                await adapters.report_limit(call, head)
+            await _report_limit(call, head)
             if head.status == 503:
                 return adapters.Result(
                     states.Outcome.REJECTED, "the engine is at capacity"
@@ -119,7 +117,9 @@
             await self._relay(connection, sink, stream)
             return None
         finally:
-            await call.connector.release(call, connection)
+            await call.connector.release(
+                call, connection, lambda head: _report_limit(call, head)
+            )
 
     async def _relay_error(self, connection, head, sink) -> None:
         """Relays an answer that is not a stream, such as a 400."""
@@ -194,6 +194,12 @@
             )
 
 
+async def _report_limit(call: adapters.Call, head: client.Head) -> None:
+    if head.status != 503 or adapters.LIMIT_HEADER in head.headers:
+        # Refusals need not repeat the limit.
+        await adapters.report_limit(call, head)
+
+
 def _is_next(number: int, last: int | None) -> bool:
     """Returns whether an event is new and not one that was relayed before.
 
--- a/packages/baobabmux-node/src/baobabmux_node/paths.py
+++ b/packages/baobabmux-node/src/baobabmux_node/paths.py
@@ -5,7 +5,7 @@
 import curio
 
 from baobabmux_core import catalogue, ids, links, messages
-from baobabmux_node import adapters, client, clock, tunnels
+from baobabmux_node import adapters, client, clock, tunnels, unread_answers
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -35,11 +35,13 @@
     Attributes:
         links: The node's own links to endpoints.
         tunnels: Ways to endpoints through other nodes.
+        unread: Answers that nobody awaits.
     """
 
     def __init__(self, host: "node.Node"):
         self.links = links.LinkTable()
         self.tunnels = tunnels.Tunnels(host)
+        self.unread = unread_answers.UnreadAnswers()
         self._host = host
         # Nodes that could not carry tunnels, with the time until which they
         # are asked last; in general, and to single endpoints.
@@ -106,14 +108,31 @@
             await self._host.peers.send(connection.via, message)
 
     async def release(
-        self, call: adapters.Call, connection: client.ClientConnection
+        self,
+        call: adapters.Call,
+        connection: client.ClientConnection,
+        report: unread_answers.Report,
     ) -> None:
-        """Closes the connection of a call; see the base class."""
+        """Closes the connection of a call; see the base class.
+
+        If its answer has not begun, the connection is read in the background.
+        """
         if connection.kept:
             return
-        if connection.awaits_head:
-            self._record_unread(call, "closed")
-        await connection.close()
+        if not connection.awaits_head:
+            await connection.close()
+            return
+
+        async def report_head(head: client.Head) -> None:
+            self.answered(call, connection)
+            await report(head)
+
+        await self.unread.take(
+            call.endpoint,
+            connection,
+            report_head,
+            lambda outcome: self._record_unread(call, outcome),
+        )
 
     def lost_since(self, call: adapters.Call) -> float:
         """Returns when a link was lost; see the base class."""
@@ -301,13 +320,15 @@
     def _is_declared(self, endpoint: ids.EndpointId) -> bool:
         return endpoint in self._host.configuration.endpoints
 
-    def _record_unread(self, call: adapters.Call, outcome: str) -> None:
-        self._host.metrics.unread_answers.labels(outcome).inc()
+    def _record_unread(
+        self, call: adapters.Call, outcome: unread_answers.Outcome
+    ) -> None:
+        self._host.metrics.unread_answers.labels(outcome.value).inc()
         self._host.events.record(
             Kind.ANSWER_UNREAD,
             ids.RequestId("") if call.parsed is None else call.parsed.request,
             call.endpoint,
-            outcome=outcome,
+            outcome=outcome.value,
             age_ms=round((clock.now() - call.started_at) * 1000),
         )
 
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -8,6 +8,7 @@
 import collections
 import contextlib
 import enum
+import functools
 import itertools
 import re
 
@@ -284,7 +285,11 @@
             if watch_task is not None:
                 await watch_task.cancel(blocking=False)
             if connection is not None:
-                await call.connector.release(call, connection)
+                await call.connector.release(
+                    call,
+                    connection,
+                    functools.partial(self._report_unawaited, call, connection),
+                )
         if connection is None:
             return result
         return msgspec.structs.replace(
@@ -370,6 +375,12 @@
             return
         await call.report_limit(rate)
 
+    async def _report_unawaited(self, call, connection, head) -> None:
+        """Reports what an answer says that arrived after its attempt ended."""
+        verdict = self._dialect.classify(call, head)
+        if verdict is not Verdict.STRAY:
+            await self._report_statements(call, connection, head, verdict)
+
     async def _discard_body(self, call, connection, head) -> None:
         """Reads an answer to its end, so that its connection can be reused."""
         with contextlib.suppress(client.ClientError):
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -244,37 +244,37 @@
         )
 
     async def limit_observed(
-        self, request: held.HeldRequest, rate: float | None, sent_at: float
+        self, endpoint: ids.EndpointId, rate: float | None, sent_at: float
     ) -> None:
         """Passes the limit that an answer names to the scheduler."""
         emitted = self._host.scheduler.limit_observed(
-            request.endpoint, rate, sent_at, clock.now()
+            endpoint, rate, sent_at, clock.now()
         )
         if emitted:
             await self._driver.apply(emitted)
 
-    async def leaving_observed(self, request: held.HeldRequest) -> None:
+    async def leaving_observed(self, endpoint: ids.EndpointId) -> None:
         """Passes the notice of an answer's endpoint to the scheduler."""
-        emitted = self._host.scheduler.leaving_observed(
-            request.endpoint, clock.now()
-        )
+        emitted = self._host.scheduler.leaving_observed(endpoint, clock.now())
         if emitted:
             await self._driver.apply(emitted)
 
     async def pause_observed(
-        self, request: held.HeldRequest, seconds: float, sent_at: float
+        self,
+        request: ids.RequestId,
+        endpoint: ids.EndpointId,
+        seconds: float,
+        sent_at: float,
     ) -> None:
         """Passes the time that a 503 answer names to the scheduler."""
         now = clock.now()
-        is_new = self._host.scheduler.pause_observed(
-            request.endpoint, seconds, now
-        )
+        is_new = self._host.scheduler.pause_observed(endpoint, seconds, now)
         repeated = "no" if is_new else "yes"
         self._host.metrics.endpoint_pauses.labels(repeated).inc()
         self._host.events.record(
             Kind.ENDPOINT_PAUSED,
-            request.parsed.request,
-            request.endpoint,
+            request,
+            endpoint,
             seconds=seconds,
             repeated=repeated,
             age_ms=round((now - sent_at) * 1000),
