Carry answers that begin after the other node has ended its side

A node reads the answer of an attempt that has ended after it has ended its side of the connection. Through a tunnel it got a reset: the carrier closed the endpoint's connection on the end of the other one. The carrier passes the end on as what it is and copies the answer for 2 s at most; a carrier that stops does not wait for it.

--- a/packages/baobabmux-node/src/baobabmux_node/tunnels.py
+++ b/packages/baobabmux-node/src/baobabmux_node/tunnels.py
@@ -10,6 +10,7 @@
 import enum
 import hashlib
 import hmac
+import socket
 from typing import TYPE_CHECKING
 
 import curio
@@ -24,6 +25,10 @@
 _OPEN_TIMEOUT_SECONDS = 0.5
 _CONNECT_TIMEOUT_SECONDS = 0.3
 _READ_BYTES = 65_536
+# The node that asked for a tunnel may read an answer after it has ended its
+# side, but for no longer.
+_ANSWER_TIMEOUT_SECONDS = 2.0
+_CHECK_SECONDS = 0.1
 # Connections carried at a time, for all nodes and for one of them. Each takes
 # two descriptors and its share of the loop.
 _MAX_CARRIED = 256
@@ -139,10 +144,50 @@
                     return Failure.UNSUITABLE, 0
                 return Failure(evidence.value), 0
             await exchange.start(200, {})
-            return None, await _join(exchange, upstream)
+            return None, await self._join(exchange, upstream)
         finally:
             await upstream.close()
 
+    async def _join(
+        self, exchange: server.Exchange, upstream: client.ClientConnection
+    ) -> int:
+        """Copies bytes between a node and an endpoint until either side ends.
+
+        The end of either side is passed on, and a reset as a reset: an answer
+        may have no other end than that of its connection. After the node has
+        ended its side, an answer is still copied for a bounded time.
+
+        Returns:
+            The number of bytes copied.
+        """
+        downstream, early = exchange.take_over()
+        endpoint = upstream.detach()
+        sockets.set_reset_on_close(downstream, True)
+        counts = [0, 0]
+        try:
+            if early:
+                await endpoint.sendall(early)
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(
+                    self._copy_request, downstream, endpoint, counts
+                )
+                await group.spawn(_copy_answer, endpoint, downstream, counts)
+        finally:
+            await endpoint.close()
+        return sum(counts)
+
+    async def _copy_request(self, downstream, endpoint, counts) -> None:
+        try:
+            while data := await downstream.recv(_READ_BYTES):
+                counts[0] += len(data)
+                await endpoint.sendall(data)
+            await endpoint.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+        ends_at = clock.now() + _ANSWER_TIMEOUT_SECONDS
+        while clock.now() < ends_at and not self._host.draining:
+            await curio.sleep(_CHECK_SECONDS)
+
     def _is_authentic(self, headers: dict[str, str]) -> bool:
         secret = self._host.settings.secret
         if not secret:
@@ -164,41 +209,6 @@
     return hashlib.blake2b(text, digest_size=16, key=secret).hexdigest()
 
 
-async def _join(
-    exchange: server.Exchange, upstream: client.ClientConnection
-) -> int:
-    """Copies bytes between a node and an endpoint until either side ends.
-
-    The close of either side is passed on, and a reset of the endpoint as a
-    reset: an answer may have no other end than that of its connection.
-
-    Returns:
-        The number of bytes copied.
-    """
-    downstream, early = exchange.take_over()
-    endpoint = upstream.detach()
-    sockets.set_reset_on_close(downstream, True)
-    counts = [0, 0]
-    try:
-        if early:
-            await endpoint.sendall(early)
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(_copy_request, downstream, endpoint, counts)
-            await group.spawn(_copy_answer, endpoint, downstream, counts)
-    finally:
-        await endpoint.close()
-    return sum(counts)
-
-
-async def _copy_request(downstream, endpoint, counts: list[int]) -> None:
-    try:
-        while data := await downstream.recv(_READ_BYTES):
-            counts[0] += len(data)
-            await endpoint.sendall(data)
-    except OSError:
-        return
-
-
 async def _copy_answer(endpoint, downstream, counts: list[int]) -> None:
     try:
         while data := await endpoint.recv(_READ_BYTES):
--- a/packages/baobabmux-node/tests/tunnels_test.py
+++ b/packages/baobabmux-node/tests/tunnels_test.py
@@ -99,6 +99,11 @@
         async with peer:
             with contextlib.suppress(ConnectionError):
                 self.received += await peer.recv(65536)
+                if self.end in ("late", "silent"):
+                    while await peer.recv(65536):
+                        pass
+                if self.end == "silent":
+                    await curio.sleep(10.0)
                 await peer.sendall(self.answer)
                 if self.end == "reset":
                     await curio.sleep(0.05)
@@ -216,6 +221,45 @@
     _play(scenario)
 
 
+def test_answer_arrives_after_the_caller_has_ended_its_side():
+    """Guards against refusals through tunnels that nobody can read.
+
+    The endpoint answers once it has seen the end of the connection.
+    """
+
+    async def scenario(n1, n2, endpoint, call):
+        connection = await n1.paths.open(call, 0.3, None)
+        await connection._socket.sendall(b"question")
+        connection.end_sending()
+        assert await connection._socket.recv(100) == b"answer"
+        assert await connection._socket.recv(100) == b""
+        await connection.close()
+
+    _play(scenario, _Endpoint(end="late"))
+
+
+@pytest.mark.parametrize("draining", [False, True])
+def test_tunnel_without_an_answer_ends(monkeypatch, draining):
+    """Guards against tunnels of callers that have left which stay open.
+
+    A node that stops does not wait for them.
+    """
+    seconds = 5.0 if draining else 0.1
+    monkeypatch.setattr(tunnels, "_ANSWER_TIMEOUT_SECONDS", seconds)
+
+    async def scenario(n1, n2, endpoint, call):
+        connection = await n1.paths.open(call, 0.3, None)
+        await connection._socket.sendall(b"question")
+        connection.end_sending()
+        n2.draining = draining
+        async with curio.timeout_after(1.0):
+            while n2.carrier.carried.total():
+                await curio.sleep(0.01)
+        await connection.close()
+
+    _play(scenario, _Endpoint(end="silent"))
+
+
 def test_tunnel_goes_over_one_hop():
     """Guards against nodes without links that pass connections in circles."""
 
