Read pauses in the answers that a carrier copies

A pause concerns the node whose connection the endpoint sees, which is the carrier of a tunnel. It heard of it by one message (EndpointPaused) of the node that read the answer; if that was lost, or its sender had left the answer unread, the carrier went on to send its own requests. The carrier reads the head of each answer that it copies now and observes the pause itself. The message stays, for carriers of earlier builds; no message changes.

--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -74,7 +74,8 @@
 """Header fields in order."""
 
 
-def _new_http() -> h11.Connection:
+def new_http() -> h11.Connection:
+    """Returns the HTTP state of a new connection."""
     return h11.Connection(
         h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
     )
@@ -100,7 +101,7 @@
     def __init__(self, address: str, stall_seconds: float | None = 30.0):
         self.address = address
         self.stall_seconds = stall_seconds
-        self._http = _new_http()
+        self._http = new_http()
         self._request_head: h11.Request | None = None
         self.kept = False
         self.awaits_head = False
@@ -191,7 +192,7 @@
         It is called after reading an answer that belongs to another request.
         """
         left, closed = self._http.trailing_data
-        self._http = _new_http()
+        self._http = new_http()
         self.awaits_head = True
         self._http.send(self._request_head)
         self._http.send(h11.EndOfMessage())
@@ -246,13 +247,10 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self.awaits_head = False
-                headers = {
-                    name.decode("ascii"): value.decode("latin-1")
-                    for name, value in event.headers
-                }
-                if self._has_body(event.status_code):
-                    self.framing = _framing(headers)
-                return Head(event.status_code, headers)
+                head = convert_head(event)
+                if self._has_body(head.status):
+                    self.framing = _framing(head.headers)
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenError(
                     f"{self.address}: the connection ended before an answer"
@@ -337,6 +335,15 @@
             raise BrokenError(f"{self.address}: {error}") from error
 
 
+def convert_head(response: h11.Response) -> Head:
+    """Returns the head of an answer."""
+    headers = {
+        name.decode("ascii"): value.decode("latin-1")
+        for name, value in response.headers
+    }
+    return Head(response.status_code, headers)
+
+
 def _framing(headers: dict[str, str]) -> Framing:
     if "transfer-encoding" in headers:
         return Framing.CHUNKS
--- a/packages/baobabmux-node/src/baobabmux_node/tunnels.py
+++ b/packages/baobabmux-node/src/baobabmux_node/tunnels.py
@@ -8,15 +8,26 @@
 
 import collections
 import enum
+import functools
 import hashlib
 import hmac
 import socket
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import curio
 
 from baobabmux_core import catalogue, ids, links
-from baobabmux_node import client, clock, responses, server, sockets, wall_clock
+from baobabmux_node import (
+    adapters,
+    answer_heads,
+    client,
+    clock,
+    responses,
+    server,
+    sockets,
+    wall_clock,
+)
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -144,12 +155,32 @@
                     return Failure.UNSUITABLE, 0
                 return Failure(evidence.value), 0
             await exchange.start(200, {})
-            return None, await self._join(exchange, upstream)
+            report = functools.partial(
+                self._report_pause, exchange, endpoint, clock.now()
+            )
+            return None, await self._join(exchange, upstream, report)
         finally:
             await upstream.close()
 
+    async def _report_pause(
+        self,
+        exchange: server.Exchange,
+        endpoint: ids.EndpointId,
+        started_at: float,
+        head: client.Head,
+    ) -> None:
+        """Reports a pause, which concerns the node that the endpoint sees."""
+        if seconds := adapters.parse_pause(head):
+            request = ids.RequestId(exchange.headers.get(_REQUEST, ""))
+            await self._host.callers.pause_observed(
+                request, endpoint, seconds, started_at
+            )
+
     async def _join(
-        self, exchange: server.Exchange, upstream: client.ClientConnection
+        self,
+        exchange: server.Exchange,
+        upstream: client.ClientConnection,
+        report: Callable[[client.Head], Awaitable[None]],
     ) -> int:
         """Copies bytes between a node and an endpoint until either side ends.
 
@@ -157,6 +188,11 @@
         may have no other end than that of its connection. After the node has
         ended its side, an answer is still copied for a bounded time.
 
+        Args:
+            exchange: The connection of the node.
+            upstream: The connection of the endpoint.
+            report: Called with the head of the answer.
+
         Returns:
             The number of bytes copied.
         """
@@ -171,7 +207,9 @@
                 await group.spawn(
                     self._copy_request, downstream, endpoint, counts
                 )
-                await group.spawn(_copy_answer, endpoint, downstream, counts)
+                await group.spawn(
+                    _copy_answer, endpoint, downstream, counts, report
+                )
         finally:
             await endpoint.close()
         return sum(counts)
@@ -209,10 +247,13 @@
     return hashlib.blake2b(text, digest_size=16, key=secret).hexdigest()
 
 
-async def _copy_answer(endpoint, downstream, counts: list[int]) -> None:
+async def _copy_answer(endpoint, downstream, counts, report) -> None:
+    reader = answer_heads.HeadReader()
     try:
         while data := await endpoint.recv(_READ_BYTES):
             counts[1] += len(data)
+            if (head := reader.add(data)) is not None:
+                await report(head)
             await downstream.sendall(data)
     except OSError:
         return
--- a/packages/baobabmux-node/tests/tunnels_test.py
+++ b/packages/baobabmux-node/tests/tunnels_test.py
@@ -33,6 +33,8 @@
         self.sent = []
         self.recorded = []
         self.scheduler = self.events = self.peers = self.membership = self
+        self.callers = self
+        self.pauses = []
         counter = types.SimpleNamespace(inc=lambda: None)
         self.metrics = types.SimpleNamespace(
             tunnels=types.SimpleNamespace(labels=lambda outcome: counter)
@@ -56,6 +58,9 @@
     def peer_address(self, peer):
         return self.addresses[peer]
 
+    async def pause_observed(self, request, endpoint, seconds, sent_at):
+        self.pauses.append((request, endpoint, seconds))
+
     async def send(self, peer, message):
         self.sent.append((peer, message))
 
@@ -349,6 +354,39 @@
     _play(scenario)
 
 
+@pytest.mark.parametrize(
+    ("answer", "pauses"),
+    [
+        (b"HTTP/1.1 503 Busy\r\nRetry-After: 6\r\n\r\n", [6.0]),
+        (
+            b"HTTP/1.1 100 Go on\r\n\r\n"
+            b"HTTP/1.1 503 Busy\r\nRetry-After: 6\r\n\r\n",
+            [6.0],
+        ),
+        (b"HTTP/1.1 200 OK\r\nRetry-After: 6\r\n\r\n", []),
+        (b"no answer in HTTP\r\n\r\n", []),
+    ],
+)
+def test_node_that_carries_a_connection_reads_its_pause(answer, pauses):
+    """Guards against a carrier that depends on a report, which may be lost.
+
+    The other node reports nothing.
+    """
+
+    async def scenario(n1, n2, endpoint, call):
+        connection = await n1.paths.open(call, 0.3, None)
+        await connection._socket.sendall(b"question")
+        received = b""
+        while len(received) < len(answer):
+            received += await connection._socket.recv(100)
+        assert received == answer
+        assert n2.pauses == [("", _ENDPOINT, value) for value in pauses]
+        assert not n1.sent
+        await connection.close()
+
+    _play(scenario, _Endpoint(answer))
+
+
 def test_sound_links_use_no_tunnel():
     """Guards against traffic between nodes on a day without faults."""
 
