--- a/packages/baobabmux-core/tests/pauses_test.py
+++ b/packages/baobabmux-core/tests/pauses_test.py
@@ -181,6 +181,32 @@
     assert _used_by(cluster, node) == {"e1-col-a"}
 
 
+def test_pause_outlasts_changes_of_the_configuration_and_the_owner():
+    """Guards against a pause that is forgotten with an entry or an owner.
+
+    The entry of the endpoint is gone for a moment, and the owner for good.
+    """
+    cluster = _cluster_module._Cluster(endpoints=2)
+    owner = cluster.members.owner("drafting@col-a")
+    node = next(n for n, name in enumerate(cluster.nodes) if name != owner)
+    _pause(cluster, node, ["e1-col-a"], 6.0)
+    for endpoints in (1, 2):
+        configuration = _cluster_module._cluster_module._configuration(
+            endpoints=endpoints
+        )
+        for name, core in cluster.nodes.items():
+            cluster.carry_out(name, core.configure(configuration, cluster.now))
+        cluster.deliver_all()
+    cluster.paused.add(owner)
+    cluster.members.centres["col-a"].remove(owner)
+    cluster.members_changed()
+    cluster.advance(1.0)
+    _submit(cluster, 4, node)
+    cluster.advance(0.5)
+    cluster.run()
+    assert _used_by(cluster, node) == {"e0-col-a"}
+
+
 @pytest.mark.parametrize(("seconds", "left"), [(2.0, 2.0), (1e9, 600.0)])
 def test_pauses_are_bounded(seconds, left):
     """Guards against an endpoint that is never used again."""
