Lose only what is unknown in frames of other builds

A refusal of an unknown kind was worse: it decoded, and `ErrorKind(...)` raised in the scheduler, which ends the node.

A frame that does not decode as a whole is decoded message by message, and messages with an unknown tag are left out. Unknown codes are replaced by stated defaults: an outcome by `unreached` (the slot is free, nothing is learned about the endpoint, a repeated ask is accepted), a refusal by `overloaded`, a run status by `unknown`. Malformed bytes, also in a known message, still reject the frame. Event 903 and a metric count by kind and peer, bounded.

Before: [Cleared, tag 33] raised FrameError `Invalid value 33`.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -182,6 +182,11 @@
         "A request was refused at once: {error}, {detail}.",
     )
     FRAME_REJECTED = (902, "Frames were rejected: {count}.")
+    UNKNOWN_RECEIVED = (
+        903,
+        "Node {peer} sent what this build does not know: {unknown}, {count}"
+        " times.",
+    )
 
     @property
     def number(self) -> int:
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -4,6 +4,10 @@
 4 KB/s of control traffic per node has to carry about nine requests a second.
 Delivery is at most once and unordered, so every message is idempotent.
 
+Nodes of newer builds may send messages, fields and codes that this build does
+not know. Unknown messages and fields are left out; an unknown code is replaced
+by a default that the message states.
+
 The module defines types and functions only; it holds no state.
 """
 
@@ -13,18 +17,29 @@
 
 import msgspec
 
-from baobabmux_core import ids, states
+from baobabmux_core import errors, ids, states
 
 MAC_BYTES = 16
+_MAX_SHOWN_CODE_LENGTH = 40
+
+OutcomeCode = Annotated[int, msgspec.Meta(ge=0)]
 
-OutcomeCode = Annotated[
-    int, msgspec.Meta(ge=0, le=max(item.code for item in states.Outcome))
-]
+_OUTCOME_CODES = frozenset(item.code for item in states.Outcome)
+_ERROR_KINDS = frozenset(item.value for item in errors.ErrorKind)
+_RUN_STATUSES = frozenset(item.value for item in states.RunStatus)
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """Base of all messages between nodes."""
 
+    def unknown_code(self) -> str | None:
+        """Returns a code that this build does not know, or None."""
+        return None
+
+    def with_known_code(self) -> "Message":
+        """Returns the message with the default for an unknown code."""
+        return self
+
 
 class PrefixPart(msgspec.Struct, frozen=True, array_like=True):
     """One prefix of a prompt.
@@ -151,6 +166,17 @@
     kind: str
     retry_after_ms: int
 
+    def unknown_code(self) -> str | None:
+        """Returns an unknown kind; see the base class."""
+        if self.kind in _ERROR_KINDS:
+            return None
+        return f"refusal {self.kind[:_MAX_SHOWN_CODE_LENGTH]}"
+
+    def with_known_code(self) -> "Refusal":
+        """Replaces the kind by one that also says that nothing was run."""
+        kind = errors.ErrorKind.OVERLOADED.value
+        return msgspec.structs.replace(self, kind=kind)
+
 
 class Progress(Message, frozen=True, tag=5):
     """Reports the progress of a long answer.
@@ -194,6 +220,22 @@
     decode_ms: int
     succeeded: bool = True
 
+    def unknown_code(self) -> str | None:
+        """Returns an unknown outcome; see the base class."""
+        if self.outcome in _OUTCOME_CODES:
+            return None
+        return f"outcome {self.outcome}"
+
+    def with_known_code(self) -> "Release":
+        """Replaces the outcome by `UNREACHED`.
+
+        The owner frees the slot and learns nothing about the endpoint. It does
+        not record the request as ended, so that it accepts another ask if the
+        attempt was not sent.
+        """
+        code = states.Outcome.UNREACHED.code
+        return msgspec.structs.replace(self, outcome=code)
+
 
 class InFlight(msgspec.Struct, frozen=True, array_like=True):
     """One dispatched request, as reported to a new owner."""
@@ -332,6 +374,17 @@
     status: str
     body: ids.ContentDigest
 
+    def unknown_code(self) -> str | None:
+        """Returns an unknown status; see the base class."""
+        if self.status in _RUN_STATUSES:
+            return None
+        return f"status {self.status[:_MAX_SHOWN_CODE_LENGTH]}"
+
+    def with_known_code(self) -> "ClaimAnswer":
+        """Replaces the status by `UNKNOWN`, so that nothing runs again."""
+        status = states.RunStatus.UNKNOWN.value
+        return msgspec.structs.replace(self, status=status)
+
 
 class KeyAsk(Message, frozen=True, tag=13):
     """Registers a key of an idempotent route at the key's home node."""
@@ -382,6 +435,17 @@
     content_type: str
     data: bytes
 
+    def unknown_code(self) -> str | None:
+        """Returns an unknown status; see the base class."""
+        if self.status in _RUN_STATUSES:
+            return None
+        return f"status {self.status[:_MAX_SHOWN_CODE_LENGTH]}"
+
+    def with_known_code(self) -> "AnswerPart":
+        """Replaces the status by `UNKNOWN`, so that nothing runs again."""
+        status = states.RunStatus.UNKNOWN.value
+        return msgspec.structs.replace(self, status=status)
+
 
 class ConfigAsk(Message, frozen=True, tag=17):
     """Asks a peer for its configuration if it is newer than `through`."""
@@ -667,8 +731,39 @@
     """A frame could not be decoded or authenticated."""
 
 
+class Received(msgspec.Struct, frozen=True):
+    """A decoded frame and what was unknown in it.
+
+    Attributes:
+        frame: The frame, without unknown messages and with known codes only.
+        unknown: What this build does not know, as `message TAG`,
+            `outcome CODE`, `refusal KIND` or `status STATUS`.
+    """
+
+    frame: Frame
+    unknown: tuple[str, ...] = ()
+
+
+class _RawFrame(msgspec.Struct, frozen=True, array_like=True):
+    """A `Frame` whose messages are not decoded."""
+
+    sender: ids.NodeId
+    incarnation: int
+    sequence: int
+    hlc: int
+    messages: tuple[msgspec.Raw, ...]
+
+
+MESSAGE_TYPES: dict[int, type[Message]] = {
+    item.__struct_config__.tag: item for item in AnyMessage.__args__
+}
+"""Types of messages by their tags."""
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Frame)
+_RAW_DECODER = msgspec.msgpack.Decoder(_RawFrame)
+_MESSAGE_DECODER = msgspec.msgpack.Decoder(AnyMessage)
+_GENERIC_DECODER = msgspec.msgpack.Decoder()
 
 
 def encode_frame(frame: Frame, secret: bytes = b"") -> bytes:
@@ -686,6 +781,11 @@
 
 
 def decode_frame(data: bytes, secret: bytes = b"") -> Frame:
+    """Decodes a frame without what is unknown in it; see `receive_frame`."""
+    return receive_frame(data, secret).frame
+
+
+def receive_frame(data: bytes, secret: bytes = b"") -> Received:
     """Decodes a frame.
 
     Args:
@@ -693,7 +793,7 @@
         secret: Key of the authentication code (MAC); empty means no MAC.
 
     Returns:
-        The frame.
+        The frame and what is unknown in it.
 
     Raises:
         FrameError: The bytes are not a valid frame or the MAC is wrong.
@@ -704,10 +804,52 @@
         if not hmac.compare_digest(data[:MAC_BYTES], _mac(body, secret)):
             raise FrameError("the authentication code does not match")
     try:
-        return _DECODER.decode(body)
+        return _decode(body)
     except (msgspec.DecodeError, RecursionError) as error:
         raise FrameError(str(error)) from error
 
 
+def _decode(body: bytes) -> Received:
+    unknown: list[str] = []
+    try:
+        frame = _DECODER.decode(body)
+    except msgspec.ValidationError:
+        frame = _decode_known(body, unknown)
+    codes = [message.unknown_code() for message in frame.messages]
+    if not any(codes):
+        return Received(frame, tuple(unknown))
+    unknown += [code for code in codes if code is not None]
+    known = tuple(
+        message if code is None else message.with_known_code()
+        for message, code in zip(frame.messages, codes, strict=True)
+    )
+    return Received(
+        msgspec.structs.replace(frame, messages=known), tuple(unknown)
+    )
+
+
+def _decode_known(body: bytes, unknown: list[str]) -> Frame:
+    """Decodes a frame message by message and leaves unknown ones out."""
+    raw = _RAW_DECODER.decode(body)
+    known = []
+    for item in raw.messages:
+        tag = _tag_of(item)
+        if tag is None or tag in MESSAGE_TYPES:
+            known.append(_MESSAGE_DECODER.decode(item))
+        else:
+            unknown.append(f"message {tag}")
+    return Frame(
+        raw.sender, raw.incarnation, raw.sequence, raw.hlc, tuple(known)
+    )
+
+
+def _tag_of(item: msgspec.Raw) -> int | None:
+    """Returns the tag of an encoded message, or None if it has none."""
+    fields = _GENERIC_DECODER.decode(item)
+    if not isinstance(fields, list) or not fields:
+        return None
+    return fields[0] if type(fields[0]) is int else None
+
+
 def _mac(body: bytes, secret: bytes) -> bytes:
     return hashlib.blake2b(body, key=secret, digest_size=MAC_BYTES).digest()
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -195,6 +195,11 @@
             "Answers to contents under which endpoints had ended",
             ["succeeded"],
         )
+        self.unknown_received = self._counter(
+            "unknown_received",
+            "Messages and codes of other builds that this one does not know",
+            ["kind", "peer"],
+        )
         self.stray_answers = self._counter(
             "stray_answers", "Answers that matched no request"
         )
@@ -215,6 +220,8 @@
             self.control_bytes.labels("received"), transport.received_bytes
         )
         self._set_total(self.dropped_frames, transport.dropped_frames)
+        for (item, peer), count in transport.unknown.counts.items():
+            self._set_total(self.unknown_received.labels(item, peer), count)
         self._set_total(self.log_appends, appends)
 
     def update_platform(self, ports, transport, now: float) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/peers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -11,7 +11,7 @@
 from curio.traps import _read_wait
 from pynng import _nng
 
-from baobabmux_core import ids, messages
+from baobabmux_core import ids, messages, revisions
 from baobabmux_node import clock, wall_clock
 
 _SEND_BUFFER_FRAMES = 64
@@ -61,6 +61,7 @@
         received_bytes: Bytes received.
         dropped_frames: Frames dropped for a full buffer or an unknown address.
         rejected_frames: Frames that could not be decoded.
+        unknown: Counts of what was unknown in the frames of other builds.
         reconnects: Connections closed because the peer acknowledged no frames;
             the next frame opens a new one.
     """
@@ -79,6 +80,7 @@
         self.received_bytes = 0
         self.dropped_frames = 0
         self.rejected_frames = 0
+        self.unknown = revisions.UnknownCounts()
         self._secret = secret
         self._address_of = address_of
         self._stamp = stamp
@@ -136,10 +138,12 @@
             while (data := self._receive()) is not None:
                 self.received_bytes += len(data)
                 try:
-                    frame = messages.decode_frame(data, self._secret)
+                    received = messages.receive_frame(data, self._secret)
                 except messages.FrameError:
                     self.rejected_frames += 1
                     continue
+                frame = received.frame
+                self.unknown.record(frame.sender, received.unknown)
                 self._newest_frames[frame.sender] = (
                     frame.sequence,
                     frame.incarnation,
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -12,6 +12,7 @@
 # Lines in one check; an endpoint that ends leaves some tens of contents.
 _MAX_CONTENT_LINES = 100
 _MAX_LIMIT_LINES = 50
+_MAX_UNKNOWN_LINES = 20
 _MIN_RECORDED_PART_ENDS = 2
 
 Kind = catalogue.EventKind
@@ -22,7 +23,7 @@
 
     Covers group ownership, circuit breakers, contents and parts of prompts
     under which endpoints ended, request limits of endpoints, reachability of
-    the log and rejected frames.
+    the log, rejected frames and what other builds sent that is unknown here.
     """
 
     def __init__(self, host: "node.Node"):
@@ -60,6 +61,7 @@
         self._check_limits(self._host.scheduler.request_limits())
         self._check_log()
         self._check_frames()
+        self._check_unknown()
 
     def _check_ownership(self, owned: set[ids.GroupId]) -> None:
         record = self._host.events.record
@@ -183,3 +185,12 @@
             count = rejected - self._rejected_frames
             self._rejected_frames = rejected
             self._host.events.record(Kind.FRAME_REJECTED, count=count)
+
+    def _check_unknown(self) -> None:
+        found = self._host.peers.unknown.take()
+        for (item, peer), count in itertools.islice(
+            found.items(), _MAX_UNKNOWN_LINES
+        ):
+            self._host.events.record(
+                Kind.UNKNOWN_RECEIVED, unknown=item, peer=peer, count=count
+            )
