Send peers only what their build decodes

Heartbeats state the build's revision, messages declare since which revision they exist, and `revisions.PeerRevisions` decides what goes into the frames to a peer. `unreached` becomes the return of the grant at an older owner: `not_sent` would count against its breaker for an endpoint that others reach. `EndpointPaused` is withheld, since older builds carry no connections. What a build that states no revision may not know has a frame of its own. State is sent again once a peer understands it.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -174,6 +174,8 @@
 
     MEMBER_CHANGED = (701, "Node {peer} is {state}, was {previous}.")
 
+    REVISION_KNOWN = (702, "Node {peer} has revision {revision} at least.")
+
     VM_LIST_REACHED = (801, "The VM list is reachable: {reachable}.")
     LOG_REACHED = (802, "The log service is reachable: {reachable}.")
 
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -4,16 +4,17 @@
 4 KB/s of control traffic per node has to carry about nine requests a second.
 Delivery is at most once and unordered, so every message is idempotent.
 
-Nodes of newer builds may send messages, fields and codes that this build does
-not know. Unknown messages and fields are left out; an unknown code is replaced
-by a default that the message states.
+A message declares since which revision it exists; `revisions.LANDED` has the
+builds. Nodes of newer builds may send messages, fields and codes that this
+build does not know. Unknown messages and fields are left out; an unknown code
+is replaced by a default that the message states.
 
 The module defines types and functions only; it holds no state.
 """
 
 import hashlib
 import hmac
-from typing import Annotated
+from typing import Annotated, ClassVar
 
 import msgspec
 
@@ -26,11 +27,37 @@
 
 _OUTCOME_CODES = frozenset(item.code for item in states.Outcome)
 _ERROR_KINDS = frozenset(item.value for item in errors.ErrorKind)
+# Revisions since which kinds of refusals exist, except those of revision 1.
+_ERROR_KINDS_SINCE = {
+    errors.ErrorKind.VERSION_GONE.value: 3,
+    errors.ErrorKind.STREAM_UNKNOWN.value: 3,
+}
+_UNREACHED_SINCE = 5
+_TUNNELS_SINCE = 5
 _RUN_STATUSES = frozenset(item.value for item in states.RunStatus)
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
-    """Base of all messages between nodes."""
+    """Base of all messages between nodes.
+
+    Attributes:
+        since: First revision whose builds know the message.
+    """
+
+    since: ClassVar[int] = 1
+
+    def for_revision(self, revision: int) -> "Message | None":
+        """Returns what a node of a revision is sent instead.
+
+        Returns:
+            The message itself if that node knows it, a substitute, or None if
+            nothing is sent.
+        """
+        return self if self.since <= revision else None
+
+    def proven_revision(self) -> int:
+        """Returns the revision that the sender of the message has at least."""
+        return self.since
 
     def unknown_code(self) -> str | None:
         """Returns a code that this build does not know, or None."""
@@ -177,6 +204,11 @@
         kind = errors.ErrorKind.OVERLOADED.value
         return msgspec.structs.replace(self, kind=kind)
 
+    def for_revision(self, revision: int) -> "Refusal":
+        """Replaces a kind that would end a node of an older build."""
+        is_known = _ERROR_KINDS_SINCE.get(self.kind, 1) <= revision
+        return self if is_known else self.with_known_code()
+
 
 class Progress(Message, frozen=True, tag=5):
     """Reports the progress of a long answer.
@@ -236,6 +268,18 @@
         code = states.Outcome.UNREACHED.code
         return msgspec.structs.replace(self, outcome=code)
 
+    def for_revision(self, revision: int) -> "Release | Withdraw":
+        """Replaces the outcome `UNREACHED` by the return of the grant.
+
+        Both free the slot, give back the endpoint's request limit, count
+        against no breaker and let the holder ask again. `NOT_SENT` would open
+        the owner's breaker for an endpoint that others reach.
+        """
+        is_unreached = self.outcome == states.Outcome.UNREACHED.code
+        if is_unreached and revision < _UNREACHED_SINCE:
+            return Withdraw(self.group, self.request)
+        return self
+
 
 class InFlight(msgspec.Struct, frozen=True, array_like=True):
     """One dispatched request, as reported to a new owner."""
@@ -298,6 +342,7 @@
         link: State of the link and the endpoint directory, or None.
         tunnel_port: Port at which the sender accepts requests for tunnels to
             endpoints, 0 without one.
+        revision: Revision of the sender, 0 from builds that state none.
     """
 
     leaving: bool
@@ -308,6 +353,12 @@
     address: str = ""
     link: LinkState | None = None
     tunnel_port: int = 0
+    revision: int = 0
+
+    def proven_revision(self) -> int:
+        """Returns the revision as stated, or shown by the tunnel port."""
+        shown = _TUNNELS_SINCE if self.tunnel_port else self.since
+        return max(self.revision, shown)
 
 
 class Suspect(Message, frozen=True, tag=9):
@@ -574,6 +625,8 @@
         parts: The parts of their prompts that may have ended it.
     """
 
+    since: ClassVar[int] = 2
+
     endpoint: ids.EndpointId
     certain: bool
     ends: tuple[ContentEnd, ...]
@@ -583,6 +636,8 @@
 class PartsProved(Message, frozen=True, tag=30):
     """Reports parts of prompts that have been shown to end no endpoint."""
 
+    since: ClassVar[int] = 4
+
     parts: tuple[ids.PartDigest, ...]
 
 
@@ -604,12 +659,16 @@
 class EndpointLimits(Message, frozen=True, tag=26):
     """Reports the request limits of endpoints."""
 
+    since: ClassVar[int] = 3
+
     limits: tuple[EndpointLimit, ...]
 
 
 class EndpointsLeaving(Message, frozen=True, tag=31):
     """Reports endpoints whose answers say that they are leaving."""
 
+    since: ClassVar[int] = 4
+
     endpoints: tuple[ids.EndpointId, ...]
 
 
@@ -622,6 +681,8 @@
         streams: Keys of the streams.
     """
 
+    since: ClassVar[int] = 3
+
     service: ids.ServiceName
     version: str
     streams: tuple[ids.StreamKey, ...]
@@ -636,6 +697,8 @@
         service: Service that is assumed to run it.
     """
 
+    since: ClassVar[int] = 3
+
     request: ids.RequestId
     stream: ids.StreamKey
     service: ids.ServiceName
@@ -652,6 +715,8 @@
             has known no other version of the service for long enough.
     """
 
+    since: ClassVar[int] = 3
+
     request: ids.RequestId
     service: ids.ServiceName
     version: str | None
@@ -661,13 +726,16 @@
 class EndpointPaused(Message, frozen=True, tag=32):
     """Reports that an endpoint wants nothing from the receiver for a while.
 
-    It is sent to a node that carried a connection to the endpoint.
+    It is sent to a node that carried a connection to the endpoint. Builds that
+    do not know it carry none, so they need no substitute.
 
     Attributes:
         endpoint: The endpoint.
         ms: Milliseconds from now on.
     """
 
+    since: ClassVar[int] = 5
+
     endpoint: ids.EndpointId
     ms: int
 
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -627,9 +627,9 @@
         }
         reachable = self._local_nodes | set(self._membership.reachable())
         lost = self._reachable - reachable
-        emitted = self._send_state(reachable - self._reachable, now)
+        emitted = self.send_state(reachable - self._reachable, now)
         if reachable != self._reachable:
-            emitted += self._resend_streams(now)
+            emitted += self.resend_streams(now)
         self._reachable = reachable
         for owner in self._owned.values():
             for holder in lost:
@@ -649,13 +649,13 @@
         for owner in self._owned.values():
             owner.holder_lost(node, now)
         return [
-            *self._send_state({node}, now),
-            *self._resend_streams(now),
+            *self.send_state({node}, now),
+            *self.resend_streams(now),
             *self._holder.owner_restarted(node, now),
             *self._tick_owned_groups(now),
         ]
 
-    def _send_state(
+    def send_state(
         self, nodes: set[ids.NodeId], now: float
     ) -> list[effects.Effect]:
         """Sends ends of endpoints and their limits to nodes that lack them."""
@@ -669,7 +669,7 @@
         ]
         return [effects.Send(to, r) for to in others for r in reports]
 
-    def _resend_streams(self, now: float) -> list[effects.Effect]:
+    def resend_streams(self, now: float) -> list[effects.Effect]:
         """Reports running streams again, since nodes have come or gone."""
         self._origins.resend(
             held.work.stream
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -200,6 +200,11 @@
             "Messages and codes of other builds that this one does not know",
             ["kind", "peer"],
         )
+        self.replaced_messages = self._counter(
+            "replaced_messages",
+            "Messages withheld from nodes of older builds, or replaced",
+            ["message"],
+        )
         self.stray_answers = self._counter(
             "stray_answers", "Answers that matched no request"
         )
@@ -220,6 +225,8 @@
             self.control_bytes.labels("received"), transport.received_bytes
         )
         self._set_total(self.dropped_frames, transport.dropped_frames)
+        for name, count in transport.revisions.replaced.items():
+            self._set_total(self.replaced_messages.labels(name), count)
         for (item, peer), count in transport.unknown.counts.items():
             self._set_total(self.unknown_received.labels(item, peer), count)
         self._set_total(self.log_appends, appends)
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -19,6 +19,7 @@
     membership,
     messages,
     rendezvous,
+    revisions,
     scheduler,
     states,
     timers,
@@ -153,6 +154,7 @@
         now = clock.now()
         self.events.update_clock(frame.hlc)
         decided = self._record_sender(frame, now)
+        decided += self._record_revision(frame, now)
         for message in frame.messages:
             self.driver.record_message(
                 frame.sender, self.settings.node, message
@@ -195,6 +197,29 @@
             return []
         return self.scheduler.node_restarted(frame.sender, now)
 
+    def _record_revision(
+        self, frame: messages.Frame, now: float
+    ) -> list[effects.Effect]:
+        """Records the revision of a frame's sender.
+
+        Returns:
+            Effects that send the state again to a sender that understands it
+            now.
+        """
+        before = self.peers.revisions.of(frame.sender)
+        lacks_state = self.peers.revisions.record(frame)
+        revision = self.peers.revisions.of(frame.sender)
+        if revision > before:
+            self.events.record(
+                Kind.REVISION_KNOWN, peer=frame.sender, revision=revision
+            )
+        if not lacks_state:
+            return []
+        return [
+            *self.scheduler.send_state({frame.sender}, now),
+            *self.scheduler.resend_streams(now),
+        ]
+
     async def _receive_non_scheduling(
         self, sender: ids.NodeId, message: messages.AnyMessage
     ) -> bool:
@@ -286,6 +311,7 @@
             )
             if change.state is states.MemberState.GONE:
                 self.peers.forget(change.node)
+                self.peers.revisions.forget(change.node)
                 self.paths.tunnels.announced(change.node, 0)
             if change.restarted or change.state is states.MemberState.GONE:
                 self.answers.holder_gone(change.node)
@@ -306,6 +332,7 @@
                 self._announced_address(),
                 self.ports.link_state(*self.peers.newest_frame_from(target)),
                 0 if self._tunnel_server is None else self._tunnel_server.port,
+                revisions.CURRENT,
             )
             self.peers.enqueue(target, heartbeat)
 
--- a/packages/baobabmux-node/src/baobabmux_node/peers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -62,6 +62,7 @@
         dropped_frames: Frames dropped for a full buffer or an unknown address.
         rejected_frames: Frames that could not be decoded.
         unknown: Counts of what was unknown in the frames of other builds.
+        revisions: Revisions of the peers.
         reconnects: Connections closed because the peer acknowledged no frames;
             the next frame opens a new one.
     """
@@ -81,6 +82,7 @@
         self.dropped_frames = 0
         self.rejected_frames = 0
         self.unknown = revisions.UnknownCounts()
+        self.revisions = revisions.PeerRevisions()
         self._secret = secret
         self._address_of = address_of
         self._stamp = stamp
@@ -129,7 +131,8 @@
         """Sends all queued messages now."""
         outbox, self._outbox = self._outbox, {}
         for to, queued in outbox.items():
-            self._send(to, tuple(queued))
+            for frame_messages in self.revisions.frames(to, tuple(queued)):
+                self._send(to, frame_messages)
 
     async def receive_frames(self, receiver: Receiver) -> None:
         """Passes frames to a receiver until cancelled."""
--- a/packages/baobabmux-node/tests/node_test.py
+++ b/packages/baobabmux-node/tests/node_test.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from baobabmux_core import messages, revisions
 from baobabmux_node import node, settings
 
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -65,3 +66,19 @@
     new_node._request_stop(0, None)
     curio.run(new_node.run)
     assert new_node.events.timeline.select()[-1].kind == 103
+
+
+def test_state_is_sent_again_to_a_peer_that_understands_it():
+    """Guards against a peer that lacks what was withheld from it.
+
+    Until its first heartbeat a peer counts as an old build.
+    """
+    new_node = _make_node()
+    new_node.scheduler._leaving_endpoints.add("draft-a1", 0.0)
+    peers = new_node.peers.revisions
+    peers.frames("n2", (messages.EndpointPaused("draft-a1", 700),))
+    heartbeat = messages.Heartbeat(False, -1, revision=revisions.CURRENT)
+    frame = messages.Frame("n2", 5, 1, 1, (heartbeat,))
+    curio.run(new_node._receive, frame)
+    sent = new_node.peers._outbox["n2"]
+    assert messages.EndpointsLeaving(("draft-a1",)) in sent
