Send kinds of refusals only to builds proved to know them

A peer of which nothing is proved counts as revision 4, and messages that it may not know have frames of their own. A refusal `version_gone` or `stream_unknown` is a known message with an unknown kind: builds before decode it, and `ErrorKind(...)` then ends the node.

Codes in messages that a peer decodes are now sent by what is proved; an ask that is bound to a version proves revision 3, so a holder that can get such a refusal still gets it.

Before: test_refusal_of_a_stream_reaches_a_build_that_binds_streams failed, the kind was sent to a peer of which nothing was proved. After: passes.

--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -32,6 +32,7 @@
     errors.ErrorKind.VERSION_GONE.value: 3,
     errors.ErrorKind.STREAM_UNKNOWN.value: 3,
 }
+_VERSIONS_SINCE = 3
 _UNREACHED_SINCE = 5
 _TUNNELS_SINCE = 5
 _RUN_STATUSES = frozenset(item.value for item in states.RunStatus)
@@ -157,6 +158,11 @@
     spilled: bool = False
     terms: AskTerms | None = None
 
+    def proven_revision(self) -> int:
+        """Returns the revision that knows the terms of the ask."""
+        is_bound = self.terms is not None and self.terms.version is not None
+        return _VERSIONS_SINCE if is_bound else self.since
+
 
 class Withdraw(Message, frozen=True, tag=2):
     """Cancels an ask or returns an unused grant to the owner."""
--- a/packages/baobabmux-core/src/baobabmux_core/revisions.py
+++ b/packages/baobabmux-core/src/baobabmux_core/revisions.py
@@ -140,7 +140,11 @@
         shared = []
         alone = []
         for message in queued:
-            sent = message.for_revision(max(peer.proven, _ASSUMED))
+            # A message that a build decodes may hold a code that ends it, so
+            # codes are sent only where they are proved to be known.
+            is_known = message.since <= peer.proven
+            assumed = max(peer.proven, _ASSUMED)
+            sent = message.for_revision(peer.proven if is_known else assumed)
             if sent is not message:
                 self.replaced[type(message).__name__] += 1
             if sent is None:
--- a/packages/baobabmux-core/tests/revisions_test.py
+++ b/packages/baobabmux-core/tests/revisions_test.py
@@ -98,6 +98,20 @@
     assert peers.frames("old", (_UNREACHED,)) == [(withdraw,)]
 
 
+def test_refusal_of_a_stream_reaches_a_build_that_binds_streams():
+    """Guards against a substitute although an ask has shown the build."""
+    gone = messages.Refusal("n1-1", "version_gone", 500)
+    replaced = messages.Refusal("n1-1", "overloaded", 500)
+    ask = messages.Ask("g", "n1-1", 0, 1, -1, 9, 9, (), 7)
+    terms = messages.AskTerms(version="v1")
+    bound = msgspec.structs.replace(ask, terms=terms)
+    peers = revisions.PeerRevisions()
+    peers.record(_frame(ask))
+    assert peers.frames("old", (gone,)) == [(replaced,)]
+    peers.record(_frame(bound))
+    assert peers.frames("old", (gone,)) == [(gone,)]
+
+
 def test_node_without_frames_counts_as_old():
     """Guards against new messages to a node whose build is not known yet."""
     peers = revisions.PeerRevisions()
