--- a/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
@@ -39,7 +39,10 @@
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
-    """Answer to GET /status; newer nodes may add fields, which are ignored."""
+    """Answer to GET /status; newer nodes may add fields, which are ignored.
+
+    Builds before revision 6 state no `revision`, it is 0.
+    """
 
     node: str
     data_centre: str
@@ -53,6 +56,7 @@
     groups: list[GroupStatus] = []
     held: int = 0
     timeline_events: int = 0
+    revision: int = 0
 
 
 class NodeTimeline(msgspec.Struct, frozen=True):
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/status.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/status.py
@@ -55,6 +55,11 @@
             f"{status.node} {status.config_version}" for status in found
         )
         yield f"configuration versions differ: {listed}"
+    if len({status.revision for status in found}) > 1:
+        listed = ", ".join(
+            f"{status.node} {_revision_text(status)}" for status in found
+        )
+        yield f"revisions differ, an upgrade is under way: {listed}"
     owners = collections.defaultdict(list)
     for status in found:
         for group in status.groups:
@@ -75,11 +80,16 @@
                     )
 
 
+def _revision_text(status: nodes.NodeStatus) -> str:
+    return str(status.revision) if status.revision else "older"
+
+
 def _node_table(found: Iterable[nodes.NodeStatus]) -> str:
     heads = (
         "NODE",
         "DATA CENTRE",
         "STATE",
+        "REVISION",
         "READY",
         "CONFIG",
         "PRESET",
@@ -92,6 +102,7 @@
             status.node,
             status.data_centre,
             status.state,
+            _revision_text(status),
             "yes" if status.ready else "no",
             status.config_version,
             status.preset or "-",
--- a/packages/baobabmux-ctl/tests/nodes_test.py
+++ b/packages/baobabmux-ctl/tests/nodes_test.py
@@ -32,6 +32,7 @@
                     "state": "live",
                     "groups": groups,
                     "later_member": 1,
+                    **self.server.fields,
                 }
             )
             return
@@ -67,9 +68,10 @@
 def _start():
     servers = []
 
-    def start(node, events=(), groups=()):
+    def start(node, events=(), groups=(), **fields):
         server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), _Admin)
         server.node, server.events, server.groups = node, events, groups
+        server.fields = fields
         threading.Thread(target=server.serve_forever, daemon=True).start()
         servers.append(server)
         return f"127.0.0.1:{server.server_port}"
@@ -162,6 +164,17 @@
     assert _run("status", "--nodes", "127.0.0.1:1") == 5
 
 
+def test_status_shows_the_revisions_of_builds(start, capsys):
+    """Guards against an upgrade that was left halfway unnoticed."""
+    nodes = f"{start('a1', revision=6)},{start('a2')}"
+    assert _run("status", "--nodes", nodes) == 0
+    shown = capsys.readouterr().out
+    assert "REVISION" in shown
+    assert "revisions differ, an upgrade is under way: a1 6, a2 older" in shown
+    assert _run("status", "--nodes", start("a3", revision=6)) == 0
+    assert "differ" not in capsys.readouterr().out
+
+
 def test_timeline_page_is_self_contained(start, tmp_path, capsys):
     """Guards against pages that load resources or run a caller's script."""
     malicious = _event(
--- a/packages/baobabmux-node/src/baobabmux_node/admin.py
+++ b/packages/baobabmux-node/src/baobabmux_node/admin.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from baobabmux_core import catalogue, errors, ids
+from baobabmux_core import catalogue, errors, ids, revisions
 from baobabmux_node import clock, responses, server, status
 
 if TYPE_CHECKING:
@@ -86,6 +86,7 @@
             {
                 "node": host.settings.node,
                 "data_centre": host.settings.data_centre,
+                "revision": revisions.CURRENT,
                 "state": "leaving" if host.draining else "live",
                 "ready": host.ready(),
                 "config_version": host.config.version,
