Log the sender's revision with what is unknown of it

Event 903 named the peer but not its build, so that an operator had to look for event 702 of the same peer. A test of the log line and of its bound (20 lines a check) was missing; it failed before for the field.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -186,8 +186,8 @@
     FRAME_REJECTED = (902, "Frames were rejected: {count}.")
     UNKNOWN_RECEIVED = (
         903,
-        "Node {peer} sent what this build does not know: {unknown}, {count}"
-        " times.",
+        "Node {peer}, of revision {revision} at least, sent what this build"
+        " does not know: {unknown}, {count} times.",
     )
 
     @property
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -192,5 +192,9 @@
             found.items(), _MAX_UNKNOWN_LINES
         ):
             self._host.events.record(
-                Kind.UNKNOWN_RECEIVED, unknown=item, peer=peer, count=count
+                Kind.UNKNOWN_RECEIVED,
+                unknown=item,
+                peer=peer,
+                revision=self._host.peers.revisions.of(peer),
+                count=count,
             )
--- a/packages/baobabmux-node/tests/node_test.py
+++ b/packages/baobabmux-node/tests/node_test.py
@@ -82,3 +82,20 @@
     curio.run(new_node._receive, frame)
     sent = new_node.peers._outbox["n2"]
     assert messages.EndpointsLeaving(("draft-a1",)) in sent
+
+
+def test_unknown_messages_are_logged_once_and_bounded():
+    """Guards against a peer of another build that floods the log."""
+    new_node = _make_node()
+    unknown = tuple(f"message {tag}" for tag in range(100, 150))
+    new_node.peers.unknown.record("n2", unknown)
+    new_node._watch.check([])
+    new_node._watch.check([])
+    logged = [e for e in new_node.events.timeline.select() if e.kind == 903]
+    assert len(logged) == 20
+    assert logged[0].fields == {
+        "unknown": "message 100",
+        "peer": "n2",
+        "revision": 1,
+        "count": 1,
+    }
