--- a/packages/baobabmux-node/tests/unread_answers_test.py
+++ b/packages/baobabmux-node/tests/unread_answers_test.py
@@ -17,6 +17,7 @@
     unread_answers,
 )
 
+_WAIT_SECONDS = 5.0
 _ENDPOINT = ids.EndpointId("e0")
 _LIMIT = b"HTTP/1.1 200 OK\r\nbaobabmux-request-limit: 2.5\r\n\r\n"
 _REFUSAL = (
@@ -165,12 +166,13 @@
         tasks = [
             await curio.spawn(adapter.run, call, _Sink()) for _ in range(calls)
         ]
-        while endpoint.requests < calls:
-            await curio.sleep(0.01)
-        for task in tasks:
-            await task.cancel()
-        while host.outcomes.total() < calls:
-            await curio.sleep(0.01)
+        async with curio.timeout_after(_WAIT_SECONDS):
+            while endpoint.requests < calls:
+                await curio.sleep(0.01)
+            for task in tasks:
+                await task.cancel()
+            while host.outcomes.total() < calls:
+                await curio.sleep(0.01)
         assert not connector.unread.reading
         await curio.sleep(0.2)
         return host.outcomes
