Keep failures of a backup out of the caller's answer

What callers saw: a stream that had begun could end as complete with the body of another endpoint's 500 after its events, and a caller could get that 500 although the silent endpoint went on.

Cause: the relay passes a failure on as the answer if the attempt is the last one that the route allows. It did not ask whether the caller already had events, nor whether a silent endpoint could still answer. The first case existed before backups too, for a resumed stream on its last attempt.

Change: a call says whether a failure may be the caller's answer. Otherwise the attempt ends as failed: a backup is dropped, and a begun stream breaks off.

Evidence: packages/baobabmux-node/tests/callers_test.py drives the request handler, the real scheduler and the driver through 200 seeded orders of events.

--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -137,6 +137,8 @@
             the call.
         report_progress: Called when the answer goes on after a silence. It
             raises `SupersededError` if that is too late.
+        may_answer_failure: Returns whether a failure of the endpoint may be
+            the caller's answer.
         connector: Opens the connections of the call.
     """
 
@@ -156,6 +158,7 @@
     report_pause: Callable[[float], Awaitable[None]] = _ignore_pause
     report_silence: Callable[[float], Awaitable[None]] | None = None
     report_progress: Callable[[], Awaitable[None]] = _ignore_notice
+    may_answer_failure: Callable[[], bool] = lambda: True
     connector: Connector = DirectConnector()
 
 
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -307,6 +307,7 @@
                 attempt, seconds
             ),
             report_progress=lambda: self._record_progress(attempt),
+            may_answer_failure=lambda: self._may_answer_failure(attempt),
             connector=self.host.connector,
         )
         adapter = self.host.protocol.adapter(kind)
@@ -330,6 +331,11 @@
         request.dispatched = self.host.begin_dispatch(request)
         return request.dispatched
 
+    def _may_answer_failure(self, attempt: _Attempt) -> bool:
+        # A silent endpoint may still succeed, and a failure must not follow
+        # events that the caller has.
+        return attempt is self._attempt and not self._sink.started
+
     async def _begin_answer(self, attempt: _Attempt) -> None:
         """Makes the first attempt that goes on the one that answers.
 
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -326,7 +326,9 @@
                 states.Outcome.REJECTED,
                 f"the endpoint did not run the request: status {head.status}",
             )
-        if verdict is Verdict.FAILED and call.repeatable:
+        if verdict is Verdict.FAILED and (
+            call.repeatable or not call.may_answer_failure()
+        ):
             await self._discard_body(call, connection, head)
             return adapters.Result(
                 states.Outcome.FAILED,
--- /dev/null
+++ b/packages/baobabmux-node/tests/callers_test.py
@@ -0,0 +1,419 @@
+"""Tests of request handlers in seeded orders of events, without sockets."""
+
+import random
+import re
+import types
+from unittest import mock
+
+import curio
+import pytest
+
+from baobabmux_core import declarations, effects, errors, scheduler, states
+from baobabmux_node import (
+    adapters,
+    callers,
+    clock,
+    driver,
+    held,
+    server,
+    serving,
+)
+
+_NODE = "n1"
+_CENTRE = "col-a"
+_EVENTS = 4
+_MAX_STEPS = 400
+_SEEDS = range(200)
+_EVENT_ID = re.compile(rb"id: (\d+)\n")
+
+
+class _Members:
+    """Membership of one node, which owns all groups."""
+
+    def live(self, data_centre):
+        return [_NODE]
+
+    def reachable(self):
+        return [_NODE]
+
+    def node_count(self):
+        return 1
+
+    def owner(self, group):
+        return _NODE
+
+    def endpoint_vm_state(self, vm):
+        return states.EndpointState.LIVE
+
+
+class _Exchange:
+    """Caller's connection that checks the order of what is sent."""
+
+    def __init__(self, generator):
+        self.status = None
+        self.body = b""
+        self.complete = False
+        self.aborted = False
+        self.closed = curio.Event()
+        self._generator = generator
+
+    async def wait_for_close(self):
+        await self.closed.wait()
+
+    async def respond(self, status, headers, body):
+        await self.start(status, headers)
+        await self.send(body)
+        await self.finish()
+
+    async def start(self, status, headers):
+        await self._check()
+        assert self.status is None, "a second answer"
+        self.status = status
+
+    async def send(self, data):
+        await self._check()
+        assert self.status is not None, "data before the status"
+        assert not self.complete, "data after the end"
+        self.body += data
+
+    async def finish(self):
+        await self._check()
+        assert not self.complete, "a second end"
+        self.complete = True
+
+    def abort(self):
+        self.aborted = True
+        raise server.PeerGoneError
+
+    async def _check(self):
+        await _yield_often(self._generator)
+        if self.closed.is_set():
+            raise server.PeerGoneError
+
+
+def _events(first, last):
+    return b"".join(b"id: %d\n" % n for n in range(first, last + 1))
+
+
+async def _yield_often(generator):
+    """Lets other tasks run a random number of times."""
+    for _ in range(generator.randrange(3)):
+        await curio.sleep(0)
+
+
+class _Run:
+    """One call at an endpoint; the test decides what the endpoint does."""
+
+    def __init__(self, call, sink):
+        self.call = call
+        self.sink = sink
+        self.permitted = False
+        self.silent = False
+        self.ended = False
+        self.answers = False  # Whether a part of the answer was chosen.
+        self.next_event = 1
+        self.steps = curio.Queue()
+
+
+class _Adapter(adapters.EndpointAdapter):
+    """Carries out the steps that a test chooses, like the relay does."""
+
+    def __init__(self, generator):
+        self.runs = []
+        self._generator = generator
+
+    async def run(self, call, sink):
+        current = _Run(call, sink)
+        self.runs.append(current)
+        try:
+            return await self._run(current)
+        finally:
+            current.ended = True
+
+    async def _run(self, run):
+        if await run.steps.get() == "unsent":
+            return adapters.Result(states.Outcome.UNREACHED)
+        if not run.call.permit():
+            return adapters.Result(states.Outcome.NOT_SENT)
+        run.permitted = True
+        run.next_event = (run.sink.last_event or 0) + 1
+        while True:
+            step = await run.steps.get()
+            if isinstance(step, states.Outcome):
+                if step is states.Outcome.FAILED and not (
+                    run.call.repeatable or not run.call.may_answer_failure()
+                ):
+                    return await self._pass_failure_on(run)
+                return adapters.Result(step, output_tokens=run.sink.tokens)
+            if step == "silent":
+                run.silent = True
+                await run.call.report_silence(1.6)
+                continue
+            await self._progress(run)
+            if not run.call.parsed.streaming:
+                await run.sink.head(200, {})
+                await run.sink.data(_events(1, _EVENTS))
+                return adapters.Result(states.Outcome.COMPLETED, status=200)
+            if run.next_event > _EVENTS:
+                await run.sink.head(200, {})
+                return adapters.Result(states.Outcome.COMPLETED, status=200)
+            number = run.next_event
+            run.next_event += 1
+            run.sink.last_event = number
+            await run.sink.head(200, {})
+            await _yield_often(self._generator)
+            await run.sink.data(_events(number, number))
+            run.sink.progress(number)
+
+    async def _progress(self, run):
+        if run.silent:
+            run.silent = False
+            await run.call.report_progress()
+        await _yield_often(self._generator)
+
+    async def _pass_failure_on(self, run):
+        await self._progress(run)
+        await run.sink.head(500, {})
+        await run.sink.data(b"failed")
+        return adapters.Result(states.Outcome.COMPLETED, status=500)
+
+
+class _Protocol:
+    """Protocol without headers whose streams cannot report a failure."""
+
+    def __init__(self, adapter):
+        self._adapter = adapter
+
+    def adapter(self, kind):
+        return self._adapter
+
+    def refusal(self, kind, public_id, detail, retry_after):
+        return errors.ANSWERS[kind].status, {}, b""
+
+    def status_headers(self, public_id, status):
+        return {}
+
+    def stream_failure(self, kind, public_id, detail):
+        return None
+
+
+def _route(streaming, max_attempts):
+    return declarations.Route(
+        "/w",
+        "drafting",
+        "t0",
+        timeout_seconds=60.0,
+        streaming=streaming,
+        resumable=streaming,
+        max_attempts=max_attempts,
+        gap_seconds=5.0 if streaming else None,
+    )
+
+
+def _configuration(route, endpoints):
+    return declarations.Configuration(
+        tiers={"t0": declarations.Tier(0)},
+        services={"drafting": declarations.Service("plain")},
+        endpoints={
+            f"e{number}": declarations.Endpoint(
+                "drafting", _CENTRE, f"vm{number}", "127.0.0.1:1",
+                max_requests=2, max_tokens=4000,
+                prefill_tokens_per_second=1000.0,
+                decode_tokens_per_second=100.0,
+            )
+            for number in range(endpoints)
+        },
+        routes={"wording": route},
+        presets={"p": declarations.Preset(short_share=0, high_tier_share=0)},
+        active="p",
+    )  # fmt: skip
+
+
+def _parsed(route, now, last_event):
+    work = effects.Work(
+        "r", "wording", "drafting", 0, "w", now + 50.0, 10, 10,
+        resumable=route.resumable, max_attempts=route.max_attempts,
+        gap_seconds=route.gap_seconds,
+    )  # fmt: skip
+    return held.ParsedRequest(
+        "r", "public", "wording", route, "w", "POST", "/w", {}, b"",
+        route.streaming, None, 0, work, now, last_event=last_event,
+    )  # fmt: skip
+
+
+class _Trial:
+    """One request at a node whose endpoints act in a seeded order."""
+
+    def __init__(self, seed, monkeypatch):
+        self.generator = random.Random(seed)
+        self.now = 100.0
+        monkeypatch.setattr(clock, "now", lambda: self.now)
+        self.streaming = self.generator.random() < 0.7
+        self.last_event = None
+        if self.streaming and self.generator.random() < 0.2:
+            self.last_event = 1
+        self.route = _route(self.streaming, self.generator.choice([2, 3]))
+        self.adapter = _Adapter(self.generator)
+        self.exchange = _Exchange(self.generator)
+        self.scheduler = scheduler.NodeScheduler(_NODE, _CENTRE, _Members(), 1)
+        self.service = self._make_service()
+
+    def _make_service(self):
+        configuration = _configuration(
+            self.route, self.generator.choice([1, 2, 4])
+        )
+        host = mock.MagicMock()
+        host.settings = types.SimpleNamespace(node=_NODE)
+        host.scheduler = self.scheduler
+        host.configuration = configuration
+        host.ports.protocol = _Protocol(self.adapter)
+        host.peers.notify = mock.AsyncMock()
+        host.endpoint_ends.attempt_ended = mock.AsyncMock()
+        for name in ("register", "store_outcome", "release_key"):
+            setattr(host.answers, name, mock.AsyncMock(return_value=None))
+        host.driver = driver.SchedulerDriver(host)
+        host.callers = serving.CallerService(host)
+        self.driver = host.driver
+        self.configuration = configuration
+        return host.callers
+
+    async def run(self, choose):
+        """Serves the request; `choose` returns the next step of a run."""
+        await self.driver.apply(
+            self.scheduler.configure(self.configuration, self.now)
+        )
+        parsed = _parsed(self.route, self.now, self.last_event)
+        request = held.HeldRequest(parsed)
+        self.service.held[parsed.request] = request
+        self.handler = callers.RequestHandler(
+            self.service, self.exchange, request
+        )
+        serving_task = await curio.spawn(self._serve, request)
+        for _ in range(_MAX_STEPS):
+            if serving_task.terminated:
+                break
+            await self._step(choose, request)
+        assert serving_task.terminated, "the request has not ended"
+        await serving_task.join()
+        for _ in range(5):
+            await curio.sleep(0)
+        await self._tick(0.1)
+        self.check_nothing_is_left()
+
+    async def _serve(self, request):
+        try:
+            await self.handler.run()
+        except server.PeerGoneError:
+            assert self.exchange.aborted
+        finally:
+            for name in ("r", *request.backups):
+                self.service.held.pop(name, None)
+
+    async def _step(self, choose, request):
+        await _yield_often(self.generator)
+        running = [run for run in self.adapter.runs if not run.ended]
+        if not running or self.generator.random() < 0.2:
+            await self._tick(0.02)
+            return
+        run = self.generator.choice(running)
+        step = choose(self, run)
+        if step == "gone":
+            await self.exchange.closed.set()
+        elif step == "timeout":
+            await request.decide(held.TimedOut())
+        else:
+            await run.steps.put(step)
+
+    async def _tick(self, seconds):
+        self.now += seconds
+        await self.driver.apply(self.scheduler.tick(self.now))
+
+    def check_nothing_is_left(self):
+        assert self.scheduler.held_requests() == 0
+        assert not self.service.held
+        assert all(run.ended for run in self.adapter.runs)
+        owner = self.scheduler._owned[f"drafting@{_CENTRE}"]
+        assert not list(owner._runs())
+        assert not owner._queue.entries
+
+    def events(self):
+        return [int(n) for n in _EVENT_ID.findall(self.exchange.body)]
+
+    def is_whole(self):
+        first = 1 if self.last_event is None else self.last_event + 1
+        return (
+            self.exchange.status == 200
+            and self.exchange.complete
+            and self.events() == list(range(first, _EVENTS + 1))
+        )
+
+    def check_order(self):
+        first = 1 if self.last_event is None else self.last_event + 1
+        events = self.events()
+        assert events == list(range(first, first + len(events)))
+        if self.exchange.complete and self.exchange.status == 200:
+            assert self.is_whole()
+
+
+def _any_step(trial, run):
+    """Returns a step of an endpoint or of the caller, sound or not."""
+    draw = trial.generator.random()
+    if draw < 0.03:
+        return trial.generator.choice(["gone", "timeout"])
+    if not run.permitted:
+        return "unsent" if draw < 0.2 else "connected"
+    if draw < 0.12:
+        return trial.generator.choice(
+            [
+                states.Outcome.BROKEN,
+                states.Outcome.FAILED,
+                states.Outcome.REJECTED,
+                states.Outcome.GARBAGE,
+            ]
+        )
+    return "silent" if draw < 0.5 and run.call.repeatable else "event"
+
+
+def _sound_step(trial, run):
+    """Returns a step of a sound endpoint, or a failure of a backup.
+
+    The first endpoint is only silent. While it is, others may fail before
+    they answer.
+    """
+    draw = trial.generator.random()
+    first = trial.adapter.runs[0]
+    if not run.permitted:
+        return "unsent" if draw < 0.2 and run is not first else "connected"
+    if draw < 0.3 and not (run is first or first.ended or run.answers):
+        return trial.generator.choice(
+            [states.Outcome.BROKEN, states.Outcome.FAILED]
+        )
+    if draw < 0.6 and run.call.repeatable:
+        return "silent"
+    run.answers = True
+    return "event"
+
+
+@pytest.mark.parametrize("seed", _SEEDS)
+def test_request_has_one_end_in_any_order_of_events(seed, monkeypatch):
+    """Guards against a repeated event, a slot or a run that is left over."""
+    trial = _Trial(seed, monkeypatch)
+    curio.run(trial.run, _any_step)
+    trial.check_order()
+    ends = [
+        trial.exchange.complete,
+        trial.exchange.aborted,
+        trial.exchange.closed.is_set(),
+    ]
+    assert any(ends)
+
+
+@pytest.mark.parametrize("seed", _SEEDS)
+def test_failing_backup_does_not_end_the_answer_it_stands_by_for(
+    seed, monkeypatch
+):
+    """Guards against a silent answer that a failure of another one ends."""
+    trial = _Trial(seed, monkeypatch)
+    curio.run(trial.run, _sound_step)
+    trial.check_order()
+    assert trial.is_whole()
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -507,6 +507,22 @@
     assert result.detail == "the endpoint sent no data in time"
 
 
+@pytest.mark.parametrize("may_answer", [True, False])
+def test_failure_is_passed_on_only_if_it_may_be_the_answer(may_answer):
+    """Guards against a failure that ends a stream as if it were complete."""
+    failure = b"HTTP/1.1 500 Oops\r\nrequest: r\r\ncontent-length: 3\r\n\r\nbad"
+    (result,), sink = _run(
+        _Endpoint([failure]),
+        "r",
+        repeatable=False,
+        may_answer_failure=lambda: may_answer,
+    )
+    expected = (
+        ("completed", 500, b"bad") if may_answer else ("failed", None, b"")
+    )
+    assert (result.outcome.value, sink.status, sink.body) == expected
+
+
 def test_refused_connection_counts_as_not_sent():
     """Guards against an unknown outcome although nothing was sent."""
 
