Count a dispatched backup as an attempt of its request

What callers saw: nothing; endpoints got one request more often than its route allows. An answer that was silent again and again got a new backup each time, at an endpoint of its own, beyond maxAttempts.

Cause: the number of attempts of a backup is that of its request plus one, but the request kept its own number when the backup ended without taking over: it failed, fell silent itself, or the first answer went on. The next backup, and the repeat after a broken connection, counted from the old number.

Change: the dispatch of a backup raises the number of attempts of its request. A backup that is refused or cancelled before its dispatch is no attempt.

Evidence: tests of attempts_test.py and the bound in callers_test.py.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -143,6 +143,7 @@
         version: Version of endpoints at which its stream may go on, or None
             before its first event.
         dispatched_version: Version of the endpoint of the latest dispatch.
+        backs_up: Request that it is a backup of, or None.
     """
 
     __slots__ = (
@@ -151,6 +152,7 @@
         "asked_at",
         "attempt",
         "avoided",
+        "backs_up",
         "broke_at",
         "charged",
         "claimed",
@@ -213,6 +215,7 @@
         self.broke_at: float | None = None
         self.version = work.version
         self.dispatched_version = ""
+        self.backs_up: Held | None = None
 
     def backup(self, request: ids.RequestId, now: float) -> "Held":
         """Returns a request for another endpoint beside the current one."""
@@ -225,6 +228,7 @@
         backup.claimed = self.claimed
         backup.charged = self.charged
         backup.attempt = self.attempt + 1
+        backup.backs_up = self
         backup.avoided = (*self.avoided, self.endpoint)
         backup.version = self.version
         backup.broke_at = max(self.dispatched_at, self.progressed_at)
@@ -410,6 +414,9 @@
         held.state = states.RequestState.DISPATCHED
         held.dispatched_at = now
         held.dispatched_version = version
+        if held.backs_up is not None:
+            # The route limits the endpoints of both together.
+            held.backs_up.attempt = held.attempt
         return True
 
     def first_token(
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -359,6 +359,30 @@
     assert not holder.may_repeat("r+1", outcome)
 
 
+def test_ended_backup_counts_as_an_attempt(holder):
+    """Guards against more endpoints than the route allows.
+
+    An answer that is silent again and again must not get a new backup each
+    time, nor be repeated after its last one.
+    """
+    _run_at_silent_endpoint(holder)
+    holder.ask_backup("r", "r+1", 101.8)
+    holder.granted(messages.Grant("r+1", "e2", 3000), "n2", 101.8)
+    assert holder.start_dispatch("r+1", 101.8)
+    holder.finished("r+1", states.Outcome.CANCELLED, 102.0, -1, 0)
+    assert holder.ask_backup("r", "r+2", 104.0) == []
+    assert not holder.may_repeat("r", states.Outcome.BROKEN)
+
+
+def test_backup_that_was_not_dispatched_is_no_attempt(holder):
+    """Guards against an attempt that is used up by a refused backup."""
+    _run_at_silent_endpoint(holder)
+    holder.ask_backup("r", "r+1", 101.8)
+    holder.cancel("r+1", 102.0)
+    (asked,) = holder.ask_backup("r", "r+2", 104.0)
+    assert asked.message.terms.attempt == 2
+
+
 def test_attempts_are_limited_by_the_route(holder):
     """Guards against more attempts than the route allows."""
     holder.submit(_work(max_attempts=1), _GROUP, 160.0, 100.0)
--- a/packages/baobabmux-node/tests/callers_test.py
+++ b/packages/baobabmux-node/tests/callers_test.py
@@ -354,6 +354,9 @@
         if self.exchange.complete and self.exchange.status == 200:
             assert self.is_whole()
 
+    def dispatches(self):
+        return sum(run.permitted for run in self.adapter.runs)
+
 
 def _any_step(trial, run):
     """Returns a step of an endpoint or of the caller, sound or not."""
@@ -400,6 +403,7 @@
     trial = _Trial(seed, monkeypatch)
     curio.run(trial.run, _any_step)
     trial.check_order()
+    assert trial.dispatches() <= trial.route.max_attempts
     ends = [
         trial.exchange.complete,
         trial.exchange.aborted,
@@ -416,4 +420,5 @@
     trial = _Trial(seed, monkeypatch)
     curio.run(trial.run, _sound_step)
     trial.check_order()
+    assert trial.dispatches() <= trial.route.max_attempts
     assert trial.is_whole()
