Let a backup before the first event wait for that event

What callers saw: a long prompt whose endpoint was silent got no other endpoint. The backup was refused as late at the next tick.

Cause: a backup was always treated as part of a stream that had begun. Its next event counted as useless seven gaps after the dispatch. The watch asks for it later than that if the prefill of the prompt takes its time. It also went before all tiers, whole answers too, although no caller had a part of the answer.

Change: only a backup of an answer that has made progress has these terms. Others keep the time limit of the first event and the tier of their request.

Evidence: attempts_test.py, a request in tier 2 that is silent for 4 s after its dispatch, gap 0.4 s, first event useful for 6 s more. Before: rank -1, no time left. Now: tier 2, 6 s.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -231,7 +231,9 @@
         backup.backs_up = self
         backup.avoided = (*self.avoided, self.endpoint)
         backup.version = self.version
-        backup.broke_at = max(self.dispatched_at, self.progressed_at)
+        backup.broke_at = self.broke_at
+        if self.first_token_at is not None:
+            backup.broke_at = self.progressed_at
         return backup
 
     def target_by(self) -> float | None:
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -383,6 +383,26 @@
     assert asked.message.terms.attempt == 2
 
 
+@pytest.mark.parametrize(
+    "fields", [{"first_by": 110.0, "gap_seconds": 0.4}, {"first_by": None}]
+)
+def test_backup_before_the_first_event_has_no_precedence(holder, fields):
+    """Guards against a backup that is refused as late, or outranks a tier.
+
+    The caller has no event yet, so it waits for the first one, not for the
+    next one.
+    """
+    holder.submit(_work(tier=2, **fields), _GROUP, 160.0, 100.0)
+    holder.granted(messages.Grant("r", "e1", 3000), "n2", 100.0)
+    holder.start_dispatch("r", 100.0)
+    (asked,) = holder.ask_backup("r", "r+1", 104.0)
+    first_by = fields["first_by"]
+    expected = -1 if first_by is None else round((first_by - 104.0) * 1000)
+    assert (asked.message.tier, asked.message.terms.first_ms) == (2, expected)
+    emitted = _tick(holder, 104.1)
+    assert not any(isinstance(item, effects.Refuse) for item in emitted)
+
+
 def test_attempts_are_limited_by_the_route(holder):
     """Guards against more attempts than the route allows."""
     holder.submit(_work(max_attempts=1), _GROUP, 160.0, 100.0)
