--- a/packages/baobabmux-node/tests/callers_test.py
+++ b/packages/baobabmux-node/tests/callers_test.py
@@ -3,7 +3,6 @@
 import random
 import re
 import types
-from unittest import mock
 
 import curio
 import pytest
@@ -97,7 +96,7 @@
 
 async def _yield_often(generator):
     """Lets other tasks run a random number of times."""
-    for _ in range(generator.randrange(3)):
+    for _ in range(generator.randrange(generator.choice([1, 3]))):
         await curio.sleep(0)
 
 
@@ -110,7 +109,10 @@
         self.permitted = False
         self.silent = False
         self.ended = False
-        self.answers = False  # Whether a part of the answer was chosen.
+        # What the test has chosen; the run may not have come to it yet.
+        self.connects = False
+        self.is_silent = False
+        self.answers = False
         self.next_event = 1
         self.steps = curio.Queue()
 
@@ -178,6 +180,20 @@
         return adapters.Result(states.Outcome.COMPLETED, status=500)
 
 
+class _Ignored:
+    """Metrics and log events."""
+
+    def __getattr__(self, name):
+        return self
+
+    def __call__(self, *args, **fields):
+        return self
+
+
+async def _do_nothing(*args):
+    del args
+
+
 class _Protocol:
     """Protocol without headers whose streams cannot report a failure."""
 
@@ -262,15 +278,27 @@
         configuration = _configuration(
             self.route, self.generator.choice([1, 2, 4])
         )
-        host = mock.MagicMock()
-        host.settings = types.SimpleNamespace(node=_NODE)
-        host.scheduler = self.scheduler
-        host.configuration = configuration
-        host.ports.protocol = _Protocol(self.adapter)
-        host.peers.notify = mock.AsyncMock()
-        host.endpoint_ends.attempt_ended = mock.AsyncMock()
-        for name in ("register", "store_outcome", "release_key"):
-            setattr(host.answers, name, mock.AsyncMock(return_value=None))
+        host = types.SimpleNamespace(
+            settings=types.SimpleNamespace(node=_NODE),
+            scheduler=self.scheduler,
+            configuration=configuration,
+            ports=types.SimpleNamespace(
+                protocol=_Protocol(self.adapter),
+                endpoints_version=lambda: 1,
+                endpoints_age_ms=lambda now: 0,
+            ),
+            config=types.SimpleNamespace(version=1),
+            paths=None,
+            metrics=_Ignored(),
+            events=_Ignored(),
+            peers=types.SimpleNamespace(notify=_do_nothing),
+            endpoint_ends=types.SimpleNamespace(attempt_ended=_do_nothing),
+            answers=types.SimpleNamespace(
+                register=_do_nothing,
+                store_outcome=_do_nothing,
+                release_key=_do_nothing,
+            ),
+        )
         host.driver = driver.SchedulerDriver(host)
         host.callers = serving.CallerService(host)
         self.driver = host.driver
@@ -295,8 +323,7 @@
             await self._step(choose, request)
         assert serving_task.terminated, "the request has not ended"
         await serving_task.join()
-        for _ in range(5):
-            await curio.sleep(0)
+        await self._settle()
         await self._tick(0.1)
         self.check_nothing_is_left()
 
@@ -311,12 +338,25 @@
 
     async def _step(self, choose, request):
         await _yield_often(self.generator)
+        if self.generator.random() < 0.3:
+            await self._settle()
+            self.check_other_runs_have_ended()
         running = [run for run in self.adapter.runs if not run.ended]
         if not running or self.generator.random() < 0.2:
             await self._tick(0.02)
             return
-        run = self.generator.choice(running)
-        step = choose(self, run)
+        for _ in range(self.generator.choice([1, 1, 2, 3])):
+            await self._act(choose, request, running)
+
+    async def _act(self, choose, request, running):
+        # Mostly the endpoints that are not silent act.
+        weights = [1 if run.is_silent else 3 for run in running]
+        (run,) = self.generator.choices(running, weights)
+        if run.connects:
+            step = choose(self, run)
+        else:
+            step = self._choose_connection(run)
+        run.is_silent = step == "silent"
         if step == "gone":
             await self.exchange.closed.set()
         elif step == "timeout":
@@ -324,6 +364,23 @@
         else:
             await run.steps.put(step)
 
+    def _choose_connection(self, run):
+        run.connects = True
+        is_first = run is self.adapter.runs[0]
+        if self.generator.random() < 0.1 and not is_first:
+            return "unsent"
+        return "connected"
+
+    async def _settle(self):
+        """Waits until all tasks wait for the test."""
+        for _ in range(30):
+            await curio.sleep(0)
+
+    def check_other_runs_have_ended(self):
+        """Checks that only a silent endpoint has another run beside it."""
+        running = sum(not run.ended for run in self.adapter.runs)
+        assert running <= (2 if self.handler._is_silent() else 1)
+
     async def _tick(self, seconds):
         self.now += seconds
         await self.driver.apply(self.scheduler.tick(self.now))
@@ -363,8 +420,6 @@
     draw = trial.generator.random()
     if draw < 0.03:
         return trial.generator.choice(["gone", "timeout"])
-    if not run.permitted:
-        return "unsent" if draw < 0.2 else "connected"
     if draw < 0.12:
         return trial.generator.choice(
             [
@@ -385,8 +440,6 @@
     """
     draw = trial.generator.random()
     first = trial.adapter.runs[0]
-    if not run.permitted:
-        return "unsent" if draw < 0.2 and run is not first else "connected"
     if draw < 0.3 and not (run is first or first.ended or run.answers):
         return trial.generator.choice(
             [states.Outcome.BROKEN, states.Outcome.FAILED]
