End a silent stream soon after its rest was sent elsewhere

What callers saw: nothing. A begun stream that was silent could be at two endpoints for as long as the other one needed for its first event; the platform allows 400 ms after the rest was sent elsewhere.

Change: 0.3 s after the rest was sent, the silent attempt is ended in favour of the other one. A refusal of the other endpoint comes sooner than that and still leaves the silent attempt as it is. Streams without an event, and whole answers, may run side by side. A backup that falls silent itself is kept.

--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -35,7 +35,12 @@
     held.AttemptEnded,
     held.AnswerSilent,
     held.AnswerResumed,
+    held.OverlapEnded,
 )
+# An endpoint that has begun a stream must have ended it within 400 ms after
+# another one was sent its rest.
+_OVERLAP_SECONDS = 0.3
+_DISPATCH_CHECK_SECONDS = 0.02
 
 
 class Host(abc.ABC):
@@ -371,10 +376,7 @@
             return
         if attempt.superseded or not self._is_silent():
             raise adapters.SupersededError
-        silent = self._attempt
-        self._take_over(states.Outcome.BROKEN)
-        await silent.task.cancel()
-        await self.host.superseded_ended(silent.request)
+        await self._replace_silent()
 
     # Silent endpoints.
 
@@ -402,9 +404,7 @@
         if await self.host.ask_backup(self.request, backup, seconds):
             self._backup = backup
 
-    async def _handle_backup_decision(
-        self, decision: effects.Dispatch | effects.Refuse | held.AttemptEnded
-    ) -> None:
+    async def _handle_backup_decision(self, decision: held.Decision) -> None:
         match decision:
             case effects.Refuse():
                 self._backup = self._backup_attempt = None
@@ -412,11 +412,40 @@
                 if self._backup_attempt is None:
                     self._backup_attempt = _Attempt(self._backup)
                     await self._start_attempt(self._backup_attempt, decision)
+                    if self._sink.last_event is not None:
+                        await curio.spawn(
+                            self._limit_overlap,
+                            self._backup_attempt,
+                            daemon=True,
+                        )
+            case held.AnswerSilent() | held.AnswerResumed():
+                # It goes on until one of both endpoints answers.
+                return
+            case held.OverlapEnded():
+                if self._is_silent() and self._is_backup_running():
+                    await self._replace_silent()
             case held.AttemptEnded() if self._is_silent():
                 await self._handle_backup_end(decision.result)
             case _:
                 await self._cancel_backup()
 
+    async def _limit_overlap(self, attempt: _Attempt) -> None:
+        """Bounds the time in which a stream is at two endpoints."""
+        while not attempt.request.dispatched:
+            if attempt is not self._backup_attempt:
+                return
+            await curio.sleep(_DISPATCH_CHECK_SECONDS)
+        await curio.sleep(_OVERLAP_SECONDS)
+        name = attempt.request.parsed.request
+        await attempt.request.decide(held.OverlapEnded(name))
+
+    async def _replace_silent(self) -> None:
+        """Ends the silent attempt in favour of the one beside it."""
+        silent = self._attempt
+        self._take_over(states.Outcome.BROKEN)
+        await silent.task.cancel()
+        await self.host.superseded_ended(silent.request)
+
     async def _handle_backup_end(self, result: adapters.Result) -> None:
         """Ends an attempt at another endpoint that brought no answer."""
         backup = self._backup
--- a/packages/baobabmux-node/src/baobabmux_node/held.py
+++ b/packages/baobabmux-node/src/baobabmux_node/held.py
@@ -110,6 +110,16 @@
     request: ids.RequestId
 
 
+class OverlapEnded(effects.Effect, frozen=True):
+    """A stream has been at two endpoints for as long as it may.
+
+    Attributes:
+        request: Identifier of the attempt at the other endpoint.
+    """
+
+    request: ids.RequestId
+
+
 Decision = (
     effects.Dispatch
     | effects.Refuse
@@ -118,6 +128,7 @@
     | AttemptEnded
     | AnswerSilent
     | AnswerResumed
+    | OverlapEnded
     | Repeat
 )
 
--- a/packages/baobabmux-node/tests/caller_orders_test.py
+++ b/packages/baobabmux-node/tests/caller_orders_test.py
@@ -475,3 +475,28 @@
     trial.check_order()
     assert trial.dispatches() <= trial.route.max_attempts
     assert trial.is_whole()
+
+
+def test_silent_stream_ends_once_its_rest_was_sent_elsewhere(monkeypatch):
+    """Guards against a stream that two endpoints work on.
+
+    The other endpoint answers only after the silent attempt has ended.
+    """
+    monkeypatch.setattr(callers, "_OVERLAP_SECONDS", 0.0)
+    monkeypatch.setattr(callers, "_DISPATCH_CHECK_SECONDS", 0.0)
+
+    def choose(trial, run):
+        first = trial.adapter.runs[0]
+        if run is first and run.next_event == 1:
+            return "event"
+        return "event" if first.ended else "silent"
+
+    trials = (_Trial(seed, monkeypatch) for seed in _SEEDS)
+    checked = 0
+    for trial in trials:
+        if not trial.streaming or len(trial.configuration.endpoints) < 2:
+            continue
+        curio.run(trial.run, choose)
+        assert trial.is_whole()
+        checked += trial.dispatches() == 2
+    assert checked >= 50
