Do not end whole answers that are arriving slowly

What callers saw: a whole answer whose body took longer than the limit of silence to arrive was ended, although data came all the time and its length was known.

Cause: only the end of the body counted as progress, and data without progress ends an attempt, since it may have no end.

Change: that does not hold for answers of a known length. The data of an event that was progress no longer counts as data without progress either.

Evidence: relay_test.py, 20 bytes, one each 0.1 s, limit 0.3 s: broken before, whole now.

--- a/packages/baobabmux-node/src/baobabmux_node/silence.py
+++ b/packages/baobabmux-node/src/baobabmux_node/silence.py
@@ -23,6 +23,7 @@
 
     Attributes:
         expired: Whether the connection was interrupted.
+        is_bounded: Whether a known length bounds what arrives without progress.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
                 interrupted too.
         """
         self.expired = False
+        self.is_bounded = False
         self._connection = connection
         self._limit_seconds = limit_seconds
         self._report = report
@@ -64,6 +66,7 @@
         self._since = None
         self._reports = 0
         self._busy_checks = 0
+        self._received_at = self._connection.received_at
         return was_silent
 
     def resume(self, limit_seconds: float, now: float) -> None:
@@ -85,7 +88,10 @@
                 await curio.sleep(min(left, _CHECK_SECONDS))
                 self._count_check()
                 continue
-            if self._report is None or self._busy_checks >= _BUSY_CHECKS:
+            is_endless = (
+                self._busy_checks >= _BUSY_CHECKS and not self.is_bounded
+            )
+            if self._report is None or is_endless:
                 self.expired = True
                 self._connection.interrupt()
                 return
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -498,6 +498,15 @@
     assert (sink.last_event, reports) == (2, [])
 
 
+def test_whole_answer_that_arrives_slowly_is_not_ended():
+    """Guards against ending an answer of known length that is arriving."""
+    body = [part for _ in range(20) for part in (b"x", 0.1)]
+    endpoint = _Endpoint([_HEAD % b"r" + b"content-length: 20\r\n\r\n", *body])
+    result, sink, _ = _run_watched(endpoint)
+    assert result.outcome is states.Outcome.COMPLETED
+    assert sink.body == b"x" * 20
+
+
 def test_bytes_without_events_end_the_attempt():
     """Guards against an endpoint that sends a line now and then for ever."""
     lines = [part for _ in range(60) for part in (_chunk(b": x\n"), 0.1)]
