Share the default for unknown run statuses

ClaimAnswer and AnswerPart had the same two methods. Behaviour and bytes on the wire are unchanged: messages, recorded messages and revisions tests pass.

--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -69,6 +69,21 @@
         return self
 
 
+class _RunStatusMessage(Message, frozen=True):
+    """Base of the messages whose field `status` is a run status."""
+
+    def unknown_code(self) -> str | None:
+        """Returns an unknown status; see the base class."""
+        if self.status in _RUN_STATUSES:
+            return None
+        return f"status {self.status[:_MAX_SHOWN_CODE_LENGTH]}"
+
+    def with_known_code(self) -> "_RunStatusMessage":
+        """Replaces the status by `UNKNOWN`, so that nothing runs again."""
+        status = states.RunStatus.UNKNOWN.value
+        return msgspec.structs.replace(self, status=status)
+
+
 class PrefixPart(msgspec.Struct, frozen=True, array_like=True):
     """One prefix of a prompt.
 
@@ -412,7 +427,7 @@
     entry: ClaimEntry
 
 
-class ClaimAnswer(Message, frozen=True, tag=12):
+class ClaimAnswer(_RunStatusMessage, frozen=True, tag=12):
     """Answers a `ClaimAsk` with the decision on the claim.
 
     Attributes:
@@ -431,17 +446,6 @@
     status: str
     body: ids.ContentDigest
 
-    def unknown_code(self) -> str | None:
-        """Returns an unknown status; see the base class."""
-        if self.status in _RUN_STATUSES:
-            return None
-        return f"status {self.status[:_MAX_SHOWN_CODE_LENGTH]}"
-
-    def with_known_code(self) -> "ClaimAnswer":
-        """Replaces the status by `UNKNOWN`, so that nothing runs again."""
-        status = states.RunStatus.UNKNOWN.value
-        return msgspec.structs.replace(self, status=status)
-
 
 class KeyAsk(Message, frozen=True, tag=13):
     """Registers a key of an idempotent route at the key's home node."""
@@ -469,7 +473,7 @@
     part: int
 
 
-class AnswerPart(Message, frozen=True, tag=16):
+class AnswerPart(_RunStatusMessage, frozen=True, tag=16):
     """One part of a kept answer.
 
     Attributes:
@@ -492,17 +496,6 @@
     content_type: str
     data: bytes
 
-    def unknown_code(self) -> str | None:
-        """Returns an unknown status; see the base class."""
-        if self.status in _RUN_STATUSES:
-            return None
-        return f"status {self.status[:_MAX_SHOWN_CODE_LENGTH]}"
-
-    def with_known_code(self) -> "AnswerPart":
-        """Replaces the status by `UNKNOWN`, so that nothing runs again."""
-        status = states.RunStatus.UNKNOWN.value
-        return msgspec.structs.replace(self, status=status)
-
 
 class ConfigAsk(Message, frozen=True, tag=17):
     """Asks a peer for its configuration if it is newer than `through`."""
