--- a/packages/baobabmux-node/src/baobabmux_node/held.py
+++ b/packages/baobabmux-node/src/baobabmux_node/held.py
@@ -147,7 +147,9 @@
             one was silent.
     """
 
-    def __init__(self, parsed: ParsedRequest):
+    def __init__(
+        self, parsed: ParsedRequest, decisions: curio.Queue | None = None
+    ):
         self.parsed = parsed
         self.dispatched = False
         self.finished = False
@@ -155,7 +157,7 @@
         self.first_token_seen = False
         self.may_have_run = False
         self.backups: list[ids.RequestId] = []
-        self._decisions = curio.Queue()
+        self._decisions = curio.Queue() if decisions is None else decisions
 
     def backup(self) -> "HeldRequest":
         """Returns the same request under another identifier.
@@ -168,12 +170,12 @@
         self.backups.append(name)
         work = msgspec.structs.replace(parsed.work, request=name)
         backup = HeldRequest(
-            msgspec.structs.replace(parsed, request=name, work=work)
+            msgspec.structs.replace(parsed, request=name, work=work),
+            self._decisions,
         )
         backup.first_token_seen = self.first_token_seen
         backup.may_have_run = True
         backup.backups = self.backups
-        backup._decisions = self._decisions
         return backup
 
     async def decide(self, decision: Decision) -> None:
