Check in one place whether an attempt was superseded

The sink of an attempt asks before each part whether it answers, so the report of progress after a silence need not.

--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -152,8 +152,7 @@
         report_silence: Called with the seconds for which the endpoint has sent
             nothing, again while that lasts. If None, a silent endpoint ends
             the call.
-        report_progress: Called when the answer goes on after a silence. It
-            raises `SupersededError` if that is too late.
+        report_progress: Called when the answer goes on after a silence.
         may_answer_failure: Returns whether a failure of the endpoint may be
             the caller's answer.
         connector: Opens the connections of the call.
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -26,8 +26,6 @@
     states.Outcome.GARBAGE: errors.ErrorKind.ENDPOINT_GARBAGE,
     states.Outcome.REJECTED: errors.ErrorKind.OVERLOADED,
 }
-
-
 # Decisions about one grant of a request.
 _ATTEMPT_DECISIONS = (
     effects.Dispatch,
@@ -386,13 +384,7 @@
         await attempt.request.decide(held.AnswerSilent(name, seconds))
 
     async def _record_progress(self, attempt: _Attempt) -> None:
-        """Records that a silent endpoint goes on.
-
-        Raises:
-            SupersededError: Another endpoint has taken over.
-        """
-        if attempt.superseded:
-            raise adapters.SupersededError
+        """Records that a silent endpoint goes on."""
         attempt.silent = False
         name = attempt.request.parsed.request
         await attempt.request.decide(held.AnswerResumed(name))
