Bound the endpoints that one decision of an owner examines

Cause: at 59 engines each decision went over all of them several times, and with slots short each message examined up to 16 requests a tier against all engines again.

Change: in a group of more than 16 endpoints a decision examines 16, those with a free slot first, in turn (shortlists); waits are scaled to the group; summed load is kept for 0.1 s; a request that passed over a free slot is not examined again for 5 ms.

--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -40,6 +40,8 @@
         seconds: Estimated time for which it occupies a slot.
         latest_start: Latest time of a start that can still meet the deadline
             and `first_by`.
+        on_time_start: Latest time of a start with which the first event is on
+            time.
         queued: Whether it is in the queue.
         queued_at: Time at which this owner received its ask.
         predicted_wait: Wait that was predicted at that time, in seconds.
@@ -55,6 +57,7 @@
             holder, by endpoint.
         passed_over_at: Time at which it first passed over a free slot to wait
             for a busy endpoint that suits it better, or None.
+        examine_at: Time before which it is not examined for a grant.
         key: Sort key inside its workspace.
     """
 
@@ -62,11 +65,13 @@
         "arrival",
         "ask",
         "deadline",
+        "examine_at",
         "first_by",
         "holder",
         "key",
         "late",
         "latest_start",
+        "on_time_start",
         "passed_over_at",
         "paused_until",
         "predicted_wait",
@@ -103,6 +108,7 @@
         self.short = self.tokens < short_tokens
         self.seconds = 0.0
         self.latest_start = math.inf
+        self.on_time_start = math.inf
         self.paused_until = {
             pause.endpoint: now + pause.left_ms / 1000
             for pause in (() if ask.terms is None else ask.terms.pauses)
@@ -113,6 +119,7 @@
         self.suspect = False
         self.version = ask.terms.version if ask.terms is not None else None
         self.passed_over_at: float | None = None
+        self.examine_at = now
         self.key = (self.deadline, self.arrival, order)
 
     def pause_left(self, endpoint: ids.EndpointId, now: float) -> float:
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -28,6 +28,7 @@
     quotas,
     request_limits,
     retries,
+    shortlists,
     states,
     waits,
 )
@@ -69,6 +70,11 @@
 # Workspaces whose last requests are checked at a time; the cost of one check
 # is proportional to the number of waiting workspaces.
 _CHECKED_WORKSPACES = 8
+# A request that passed over a free slot of a large group is not examined again
+# for this time.
+_REEXAMINE_SECONDS = 0.005
+# Age up to which the summed load of a large group is used again.
+_LOAD_AGE_SECONDS = 0.1
 # Time to the first event in addition to the prefill: the dispatch, one decode
 # step of a full batch and the return to the holder.
 _FIRST_EVENT_OVERHEAD_SECONDS = 0.1
@@ -118,6 +124,8 @@
         self._preset: declarations.Preset | None = None
         self._refused_ranks: frozenset[int] = frozenset()
         self._queue = queues.GroupQueue()
+        self._shortlist = shortlists.Shortlist()
+        self._load: waits.GroupLoad | None = None
         self._last_ask: messages.Ask | None = None
         # Queued requests that may go on only at one version of endpoints.
         self._version_bound: set[ids.RequestId] = set()
@@ -295,18 +303,30 @@
         self, request: ids.RequestId, now: float
     ) -> dict[str, int | str]:
         """Returns the inputs of a decision about a request, for the log."""
-        usable = waits.usable(self._members.values(), now)
+        load = self._current_load(now)
         return {
             **self._quota_inputs(request),
             "queue": self.queue_length(),
-            "occupied": sum(member.model.used(now) for member in usable),
-            "places": sum(member.model.limit() for member in usable),
-            "endpoints": len(usable),
+            "occupied": load.occupied,
+            "places": load.places,
+            "endpoints": load.endpoints,
             **self._version_input(request),
-            "limited": sum(not member.admits(now) for member in usable),
-            "wait_ms": round(self.wait(now) * 1000),
+            "limited": load.limited,
+            "wait_ms": round(load.wait * 1000),
         }
 
+    def _current_load(self, now: float) -> waits.GroupLoad:
+        """Returns the load of the group, a moment old in a large one."""
+        load = self._load
+        if (
+            load is None
+            or len(self._members) <= shortlists.MAX_EXAMINED
+            or now - load.as_of >= _LOAD_AGE_SECONDS
+        ):
+            load = waits.group_load(self._members.values(), self._queue, now)
+            self._load = load
+        return load
+
     def _version_input(self, request: ids.RequestId) -> dict[str, str]:
         ask = self._last_ask
         if ask is None or ask.request != request or ask.terms is None:
@@ -330,7 +350,7 @@
 
     def wait(self, now: float) -> float:
         """Predicts the wait of a request behind the whole queue, in seconds."""
-        return waits.group_wait(self._members.values(), self._queue, now)
+        return self._current_load(now).wait
 
     # Messages.
 
@@ -365,7 +385,7 @@
         if (refused := self._check_deadline(entry, now)) is not None:
             self._refund(ask)
             return [refused]
-        self._queue.add(entry, self._on_time_start(entry))
+        self._queue.add(entry, entry.on_time_start)
         if entry.version is not None:
             self._version_bound.add(ask.request)
         emitted = self._grant_queued(now) + self._shed(now)
@@ -597,6 +617,13 @@
     ) -> list[placement.GroupMember]:
         return list(placement.of_version(self._members, entry.version).values())
 
+    def _examined_for(
+        self, entry: fairness.QueueEntry, now: float
+    ) -> shortlists.Members:
+        """Returns the endpoints to examine for a decision about a request."""
+        members = placement.of_version(self._members, entry.version)
+        return self._shortlist.choose(members, entry.ask.prefixes, now)
+
     def _charge(
         self, ask: messages.Ask, holder: ids.NodeId, now: float
     ) -> effects.Effect | None:
@@ -637,9 +664,9 @@
             A refusal if the deadline or the target of the first event cannot
             be met, else None.
         """
-        members = self._members_for(entry)
-        usable = waits.usable(members, now) or [
-            member for member in members if member.open
+        members = self._examined_for(entry, now)
+        usable = waits.usable(members.values(), now) or [
+            member for member in members.values() if member.open
         ]
         ask = entry.ask
         seconds = [
@@ -650,8 +677,10 @@
             for member in usable
         ]
         entry.seconds = statistics.fmean(seconds)
-        entry.late = self._on_time_start(entry) < now
-        entry.predicted_wait = self._wait_of(entry, now)
+        on_time_start = self._on_time_start(entry, usable)
+        entry.on_time_start = on_time_start
+        entry.late = on_time_start < now
+        entry.predicted_wait = self._wait_of(entry, now, members)
         wait = entry.predicted_wait * self._scaled_margin(self._wait_margin)
         wait = max(wait, self._pause_of(entry, now))
         # Without a wait, the attempt takes no slot from another request.
@@ -672,7 +701,6 @@
                 entry.latest_start, entry.first_by - fastest
             )
             is_first_attempt = ask.terms is not None and ask.terms.attempt == 1
-            on_time_start = self._on_time_start(entry)
             if (
                 is_first_attempt
                 and now + wait > on_time_start
@@ -703,15 +731,19 @@
             default=0.0,
         )
 
-    def _on_time_start(self, entry: fairness.QueueEntry) -> float:
+    def _on_time_start(
+        self,
+        entry: fairness.QueueEntry,
+        members: list[placement.GroupMember],
+    ) -> float:
         """Returns the latest start with which the first event is on time."""
         if entry.target_by == math.inf:
             return math.inf
-        usable = [m for m in self._members_for(entry) if m.open]
         fastest = min(
             (
                 member.model.prefill_seconds(entry.ask.prompt_tokens)
-                for member in usable
+                for member in members
+                if member.open
             ),
             default=0.0,
         )
@@ -729,15 +761,23 @@
             1.0, self._refusal_share / _FULL_MARGIN_REFUSAL_SHARE
         )
 
-    def _wait_of(self, entry: fairness.QueueEntry, now: float) -> float:
+    def _wait_of(
+        self,
+        entry: fairness.QueueEntry,
+        now: float,
+        examined: shortlists.Members | None = None,
+    ) -> float:
         """Predicts the remaining wait of a request, queued or not."""
+        if examined is None:
+            examined = self._examined_for(entry, now)
         return waits.request_wait(
             entry,
-            self._members_for(entry),
+            examined.values(),
             self._queue,
             self._reserved_share(entry, now),
             self._preset.short_share if self._preset else 0.0,
             now,
+            group_size=max(len(examined), len(self._members)),
         )
 
     def _unreachable(
@@ -915,9 +955,8 @@
         The endpoint is None for a request that no endpoint can serve in time.
         """
         if not any(
-            member.has_slot(now)
+            member.has_slot(now) and member.takes_requests(now)
             for member in self._members.values()
-            if member.reserved_for is None
         ):
             blocked.long = blocked.short = True
             return None
@@ -926,9 +965,11 @@
         ):
             if blocked.long and not entry.short:
                 continue
+            if now < entry.examine_at:
+                continue
             choice = placement.choose(
                 entry,
-                self._members,
+                self._examined_for(entry, now),
                 self._reserved_share(entry, now),
                 self._scaled_margin(self._service_margin),
                 self._preset,
@@ -938,6 +979,13 @@
                 return entry, choice
             if choice is placement.NoPlacement.LATE:
                 return entry, None
+            if (
+                choice is placement.NoPlacement.AFFINITY
+                and len(self._members) > shortlists.MAX_EXAMINED
+            ):
+                # In a large group slots are freed more often than a request's
+                # reasons to wait change.
+                entry.examine_at = now + _REEXAMINE_SECONDS
             if entry.version is not None or entry.paused_until:
                 # Others may use the slots that this one may not.
                 continue
--- a/packages/baobabmux-core/src/baobabmux_core/placement.py
+++ b/packages/baobabmux-core/src/baobabmux_core/placement.py
@@ -95,6 +95,12 @@
         """Returns whether its limit lets a request start now."""
         return self.allowance is None or self.allowance.admits(now)
 
+    def takes_requests(self, now: float) -> bool:
+        """Returns whether it is open, sound and not reserved for a suspect."""
+        return (
+            self.open and self.reserved_for is None and self.breaker.admits(now)
+        )
+
     def has_slot(self, now: float) -> bool:
         """Returns whether a slot is free and the limit lets it be used."""
         return self.model.used(now) < self.model.limit() and self.admits(now)
@@ -162,10 +168,8 @@
     for name, member in members.items():
         model = member.model
         if (
-            not member.open
-            or name in avoided
-            or member.reserved_for is not None
-            or not member.breaker.admits(now)
+            name in avoided
+            or not member.takes_requests(now)
             or (entry.version and now < member.version_doubted_until)
             or entry.pause_left(name, now) > 0.0
         ):
--- a/packages/baobabmux-core/src/baobabmux_core/waits.py
+++ b/packages/baobabmux-core/src/baobabmux_core/waits.py
@@ -3,12 +3,51 @@
 import math
 from collections.abc import Iterable
 
+import msgspec
+
 from baobabmux_core import deadlines, fairness, placement, queues
 
 # Predicted wait while no endpoint accepts requests.
 _NO_ENDPOINT_WAIT_SECONDS = 2.0
 
 
+class GroupLoad(msgspec.Struct, frozen=True):
+    """Load of the usable endpoints of a group.
+
+    Attributes:
+        as_of: Time that it describes, in seconds.
+        endpoints: Usable endpoints.
+        occupied: Their occupied slots.
+        places: Their slots.
+        limited: Those whose limit lets no request start.
+        wait: Predicted wait behind the whole queue in seconds.
+    """
+
+    as_of: float
+    endpoints: int
+    occupied: int
+    places: int
+    limited: int
+    wait: float
+
+
+def group_load(
+    members: Iterable[placement.GroupMember],
+    queue: queues.GroupQueue,
+    now: float,
+) -> GroupLoad:
+    """Sums up the load of the endpoints of a group."""
+    usable_members = usable(members, now)
+    return GroupLoad(
+        as_of=now,
+        endpoints=len(usable_members),
+        occupied=sum(member.model.used(now) for member in usable_members),
+        places=sum(member.model.limit() for member in usable_members),
+        limited=sum(not member.admits(now) for member in usable_members),
+        wait=_group_wait(usable_members, queue, now),
+    )
+
+
 def usable(
     members: Iterable[placement.GroupMember], now: float
 ) -> list[placement.GroupMember]:
@@ -20,13 +59,12 @@
     ]
 
 
-def group_wait(
-    members: Iterable[placement.GroupMember],
+def _group_wait(
+    usable_members: list[placement.GroupMember],
     queue: queues.GroupQueue,
     now: float,
 ) -> float:
     """Predicts the wait of a request behind the whole queue, in seconds."""
-    usable_members = usable(members, now)
     if not usable_members:
         return _NO_ENDPOINT_WAIT_SECONDS
     queued = sum(tier.seconds for tier in queue.tiers.values())
@@ -43,24 +81,29 @@
     reserved_share: float,
     short_share: float,
     now: float,
+    group_size: int,
 ) -> float:
     """Predicts the remaining wait of a request.
 
     Args:
         entry: The request, queued or not.
-        members: Endpoints of the group.
+        members: Endpoints of the group, or some that stand for all.
         queue: Queue of the group.
         reserved_share: Share of the slots that the request must leave free.
         short_share: Share of the slots that long requests must leave free.
         now: Current time in seconds.
+        group_size: Number of endpoints for which `members` stand.
 
     Returns:
         Seconds; 0 while no endpoint is usable, as a breaker may close at any
         time.
     """
+    members = list(members)
     usable_members = usable(members, now)
     if not usable_members:
         return 0.0
+    # The examined endpoints serve their part of the queue.
+    part = len(members) / group_size
     above = [q for r, q in queue.tiers.items() if r < entry.ask.tier]
     own = queue.tiers.get(entry.ask.tier)
     ahead = sum(tier.seconds for tier in above)
@@ -68,6 +111,8 @@
     if own is not None:
         ahead += own.ahead_seconds(entry)
         waiting += len(own)
+    ahead *= part
+    waiting = math.ceil(waiting * part)
     if 0 < waiting < _free_slots(usable_members, now):
         # Grants are withheld for a moment; each waiting request has a slot.
         return 0.0
@@ -78,7 +123,7 @@
         return wait
     # Short requests may also use the slots that long ones must leave free.
     above.append(own or fairness.TierQueue())
-    ahead = sum(tier.short_seconds for tier in above)
+    ahead = part * sum(tier.short_seconds for tier in above)
     if ahead <= 0.0 and any(member.has_slot(now) for member in usable_members):
         return 0.0
     slots = sum(
