Share the endpoints' slots among hundreds of nodes, and register own shares

Cause: while an owner did not answer, every node could start one request at every endpoint: 195 nodes at 354 slots. The owner learned of these requests with the regular registers, up to 12 s later, and granted their slots once more.

Change: a node has shares of as many endpoints as twice the slots divided by the nodes; it registers requests of its share with the owner at the next tick.

With few nodes nothing changes.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -332,6 +332,8 @@
         # Bounded by the number of groups.
         self._asked_groups: set[ids.GroupId] = set()
         self._register_repeats: dict[ids.GroupId, int] = {}
+        # Groups with grants from the own share that their owners do not know.
+        self._unregistered_groups: set[ids.GroupId] = set()
         self._next_register_at = 0.0
         self._next_report_at = 0.0
         self._last_tick: float | None = None
@@ -633,6 +635,7 @@
         held.own_share = True
         # A grant may be on its way, and the message with it may be lost.
         self._register_repeats[held.group] = _EMPTY_REGISTER_COUNT
+        self._unregistered_groups.add(held.group)
         return self._claim_or_dispatch(held, now)
 
     def granted(
@@ -802,6 +805,7 @@
         )
         self._last_tick = now
         emitted = []
+        emitted += self._register_own_shares(now)
         for held in list(self.held.values()):
             emitted += self._check_held(held, paused, now)
             if self._may_move(held, now) and (group := move_target(held)):
@@ -818,6 +822,24 @@
                 emitted += self._register_all(now)
         return emitted
 
+    def _register_own_shares(self, now: float) -> list[effects.Effect]:
+        """Registers new requests that run from the own share.
+
+        An owner that is only slow would grant their slots once more.
+        """
+        groups = {
+            held.group
+            for held in self.held.values()
+            if held.own_share and held.state in _SLOT_STATES
+        }
+        unregistered = sorted(groups & self._unregistered_groups)
+        self._unregistered_groups.clear()
+        return [
+            effect
+            for group in unregistered
+            for effect in self.register(group, now)
+        ]
+
     def _check_held(
         self, held: Held, paused: bool, now: float
     ) -> list[effects.Effect]:
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -53,6 +53,9 @@
 _DRAIN_REPEAT_SECONDS = 1.0
 _SHUTDOWN_RETRY_SECONDS = 1.0
 _UNKNOWN_STREAM_RETRY_SECONDS = 0.5
+# Nodes that have a share of the same slot. Few use their whole share at once,
+# and endpoints queue a few requests.
+_SHARES_PER_SLOT = 2
 # Part of a service's budget of repeated attempts that all nodes together may
 # use from their own shares. Owners, which may have used theirs in the same
 # window, keep within the limit with it.
@@ -1365,7 +1368,7 @@
         """Returns an endpoint with a free slot in this node's share.
 
         While the owner is unresponsive, every node may use an equal part of
-        each endpoint's slots, so that together they do not overload it.
+        the endpoints' slots, so that together they do not overload them.
         """
         if self._needs_owner(held, now):
             return None
@@ -1378,8 +1381,9 @@
             if endpoint.service == held.work.service
         }
         known = [endpoint.version for endpoint in members.values()]
-        for name, endpoint in members.items():
-            if not self._is_open(name) or name in held.avoided:
+        for name in self._own_endpoints(members, nodes):
+            endpoint = members[name]
+            if name in held.avoided:
                 continue
             if not versions.may_go_on(held.version, endpoint.version, known):
                 continue
@@ -1409,6 +1413,27 @@
         wait = self._fallback_quotas.take(workspace, held.work.cost, now)
         return best[-1] if wait is None else None
 
+    def _own_endpoints(
+        self,
+        members: dict[ids.EndpointId, declarations.Endpoint],
+        nodes: int,
+    ) -> list[ids.EndpointId]:
+        """Returns the open endpoints of which this node has a share.
+
+        With more nodes than slots of an endpoint, each node has a share of
+        some endpoints only.
+
+        Args:
+            members: Endpoints of the service.
+            nodes: Number of nodes that may use shares.
+        """
+        usable = [name for name in members if self._is_open(name)]
+        slots = sum(members[name].max_requests for name in usable)
+        count = math.ceil(_SHARES_PER_SLOT * slots / nodes)
+        if count >= len(usable):
+            return usable
+        return rendezvous.rank(self.node, usable)[:count]
+
     def _needs_owner(self, held: holders.Held, now: float) -> bool:
         """Returns whether only the owner may grant a request.
 
