Notice silent owners and cut data centres within seconds at any size

Cause: nodes of a cell send 20 heartbeats a second each, so that the interval to one peer is 3.9 s at 78 nodes and 9.7 s at 195; silence counted after three of them.

Change: the first three nodes of each group's ranking send every 0.8 s; each heartbeat states the time to the next, and peers judge by that. A data centre of a cell whose nodes all fall silent is suspected as a whole. Turns of large cells are spread by hash. Missing frames are checked every 0.3 s above 32 members. Heartbeat has two appended fields; revision 6 is recorded.

Heartbeats of all but three nodes stay at 20 a second.

--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -19,10 +19,24 @@
 _HEARTBEATS_PER_SECOND = 20.0
 _MISSED_INTERVALS = 3
 
+# The first nodes of each group's ranking may soon own it, so that their silence
+# must be noticed within seconds, whatever the number of nodes.
+_CANDIDATES = 3
+_CANDIDATE_INTERVAL_SECONDS = 0.8
+
+# A data centre of a cell is cut off if none of its nodes sends a frame in the
+# time in which this many heartbeats were expected from them together.
+_EXPECTED_OF_CENTRE = 15
+
 # The driver ticks several times a second. A longer gap means that this process
 # was paused, so missing frames do not show that a peer has failed.
 _PAUSE_SECONDS = 1.0
 
+# Members up to which each tick checks for missing frames. With hundreds, the
+# checks would take a percent of a core.
+_MAX_EVALUATED_EACH_TICK = 32
+_EVALUATION_SECONDS = 0.3
+
 # The VM list shows changes late. A node that sends frames but is not listed
 # counts as a member until a list that arrives this much later still lacks it.
 _LIST_LAG_SECONDS = 30.0
@@ -56,6 +70,7 @@
         data_centre: Data centre of the VM.
         state: "live" or "leaving".
         peer_address: IP number and port for frames, nodes only.
+        location: Data centre of a node if `data_centre` is a cell, or empty.
         admin_address: IP number and port of the admin API, nodes only.
     """
 
@@ -65,6 +80,7 @@
     state: str = "live"
     peer_address: str = ""
     admin_address: str = ""
+    location: ids.DataCentre = ids.DataCentre("")
 
 
 class MemberChange(msgspec.Struct, frozen=True):
@@ -105,6 +121,9 @@
         incarnation: Its latest incarnation, or -1.
         leaving: Whether it announced that it is leaving.
         presumed_live: Whether it counts as live before its first frame.
+        location: Its data centre if `data_centre` is a cell, or empty.
+        stated_interval: Longest time until its next heartbeat that it has
+            stated, in seconds, or None.
         overdue: Whether a delegate of another data centre stopped sending
             frames to this node. Other members there send none to this node.
     """
@@ -122,6 +141,8 @@
     incarnation: int = -1
     leaving: bool = False
     presumed_live: bool = False
+    location: ids.DataCentre = ids.DataCentre("")
+    stated_interval: float | None = None
     overdue: bool = False
 
     def silent_seconds(self, now: float) -> float:
@@ -155,6 +176,8 @@
         leaving: Whether this node is shutting down.
         min_interval_seconds: Shortest time between two heartbeats to a node;
             must be the same on all nodes.
+        interval_seconds: Time until the next heartbeat to each peer, which
+            heartbeats state.
     """
 
     def __init__(
@@ -183,6 +206,14 @@
         self._due_targets: list[ids.NodeId] = []
         self._targets: list[ids.NodeId] = []
         self._targets_until = now
+        self.interval_seconds = min_interval_seconds
+        self._evaluate_at = now
+        # Groups whose first nodes send heartbeats more often.
+        self._groups: frozenset[ids.GroupId] = frozenset()
+        # Time of the latest frame from each data centre of the cell, and the
+        # longest time between two of them that is not a cut.
+        self._location_frame_at: dict[ids.DataCentre, float] = {}
+        self._location_limits: dict[ids.DataCentre, float] = {}
         self._centre_last_frame_at: dict[ids.DataCentre, float] = {}
         self._reachable_centres: frozenset[ids.DataCentre] = frozenset()
         # Nodes that a peer suspects, with the time of its report.
@@ -191,6 +222,7 @@
         self._live = functools.cache(self._find_live)
         self._owner = functools.cache(self._find_owner)
         self._delegates = functools.cache(self._find_delegates)
+        self._is_candidate = functools.cache(self._find_candidacy)
         self._member_counts: dict[ids.DataCentre, int] = {data_centre: 1}
 
     def apply_vm_list(
@@ -228,6 +260,8 @@
         now: float,
         data_centre: ids.DataCentre | None = None,
         address: str = "",
+        location: ids.DataCentre | None = None,
+        interval_ms: int = 0,
     ) -> None:
         """Records a frame from a peer; any frame counts as a heartbeat.
 
@@ -243,6 +277,10 @@
             address: Address for frames to the sender, if the frame contains
                 it. A sender that was never listed counts as a member only if
                 both are known, because it cannot be answered otherwise.
+            location: Data centre of the sender in a cell, if the frame
+                contains it.
+            interval_ms: Milliseconds until the sender's next heartbeat, 0 if
+                the frame does not state them.
         """
         if node == self.node:
             return
@@ -261,6 +299,11 @@
         if member.data_centre is None:
             member.data_centre = data_centre
         member.address = address or member.address
+        member.location = location or member.location
+        if interval_ms > 0:
+            member.stated_interval = interval_ms / 1000
+        if member.location:
+            self._location_frame_at[member.location] = now
         if member.data_centre is not None:
             self._centre_last_frame_at[member.data_centre] = now
         self._evaluate(member, now, restarted)
@@ -315,11 +358,20 @@
             self._reset_silence(now)
         self._ticked_at = now
         self._update_delegation(now)
-        self._evaluate_monitored(now)
+        if now >= self._evaluate_at:
+            self._evaluate_at = now + self._evaluation_interval()
+            self._location_limits = self._find_location_limits()
+            self._evaluate_monitored(now)
         self._schedule_heartbeats(now)
         changes, self._changes = self._changes, []
         return changes
 
+    def watch_groups(self, groups: frozenset[ids.GroupId]) -> None:
+        """Sets the groups whose first nodes send heartbeats more often."""
+        if groups != self._groups:
+            self._groups = groups
+            self._is_candidate.cache_clear()
+
     def suspects_for(self, peer: ids.NodeId) -> tuple[str, ...]:
         """Returns the suspects to name in a heartbeat to a peer.
 
@@ -487,6 +539,7 @@
             self._centre_last_frame_at.setdefault(entry.data_centre, now)
         member.entry = entry
         member.data_centre = entry.data_centre
+        member.location = entry.location or member.location
         member.listed = True
         member.absence_confirmed = False
 
@@ -513,6 +566,7 @@
         self._centre_last_frame_at = dict.fromkeys(
             self._centre_last_frame_at, now
         )
+        self._location_frame_at = dict.fromkeys(self._location_frame_at, now)
 
     def _update_delegation(self, now: float) -> None:
         delegate = self.node in self._delegates(self.data_centre)
@@ -603,8 +657,10 @@
         if not member.listed and not timely:
             return states.MemberState.GONE
         if in_own_centre:
-            alive = timely and (
-                member.presumed_live or member.last_frame_at is not None
+            alive = (
+                timely
+                and not self._is_location_silent(member.location, now)
+                and (member.presumed_live or member.last_frame_at is not None)
             )
         else:
             self._update_overdue(member, timely, expected)
@@ -710,8 +766,51 @@
         if delegate:
             return self.detection_seconds(member.data_centre)
         interval = self.heartbeat_interval(member.data_centre)
+        if member.stated_interval is not None:
+            interval = min(
+                interval,
+                max(member.stated_interval, self.min_interval_seconds),
+            )
         return _MISSED_INTERVALS * interval
 
+    def _evaluation_interval(self) -> float:
+        """Returns the time between two checks for missing frames."""
+        if len(self._members) <= _MAX_EVALUATED_EACH_TICK:
+            return 0.0
+        return _EVALUATION_SECONDS
+
+    def _find_location_limits(self) -> dict[ids.DataCentre, float]:
+        """Returns the longest ordinary silence of each data centre of a cell.
+
+        Only members that have stated their interval count, so that a data
+        centre of older builds has no limit.
+        """
+        rates: dict[ids.DataCentre, float] = {}
+        for member in self._members.values():
+            if (
+                not member.location
+                or member.stated_interval is None
+                or member.state is states.MemberState.GONE
+            ):
+                continue
+            rate = 1 / max(member.stated_interval, self.min_interval_seconds)
+            rates[member.location] = rates.get(member.location, 0.0) + rate
+        shortest = _MISSED_INTERVALS * self.min_interval_seconds
+        return {
+            location: max(shortest, _EXPECTED_OF_CENTRE / rate)
+            for location, rate in rates.items()
+        }
+
+    def _is_location_silent(self, location: ids.DataCentre, now: float) -> bool:
+        """Returns whether a data centre of the cell seems to be cut off."""
+        limit = self._location_limits.get(location)
+        frame_at = self._location_frame_at.get(location)
+        return (
+            limit is not None
+            and frame_at is not None
+            and now - frame_at > limit
+        )
+
     def _delegate_interval(self, data_centre: ids.DataCentre) -> float:
         others = sum(
             min(size, DELEGATES)
@@ -748,15 +847,25 @@
             self._targets_until = now + _TARGETS_REFRESH_SECONDS
         targets = self._targets
         interval = self._interval(len(targets))
+        if self._is_candidate():
+            interval = min(interval, self._candidate_interval())
+        if interval < self.interval_seconds:
+            # Peers expect the next heartbeat within the interval that the
+            # latest one states.
+            self._next_heartbeat_at = {
+                node: min(due, now + interval * self._phase(node, targets))
+                for node, due in self._next_heartbeat_at.items()
+            }
+        self.interval_seconds = interval
         send_at = {}
         self._due_targets = []
-        for index, node in enumerate(targets):
+        for node in targets:
             due = self._next_heartbeat_at.get(node)
             if due is None:
                 # The second heartbeats are spread over one interval, to avoid
-                # a burst of writes to all peers.
+                # a burst of writes to all peers, and of reads at a peer.
                 self._due_targets.append(node)
-                due = now + interval * (index + 1) / len(targets)
+                due = now + interval * self._phase(node, targets)
             elif due <= now:
                 self._due_targets.append(node)
                 missed = due + interval <= now
@@ -764,6 +873,24 @@
             send_at[node] = due
         self._next_heartbeat_at = send_at
 
+    def _phase(self, target: ids.NodeId, targets: list[ids.NodeId]) -> float:
+        """Returns the part of an interval after which a target's turn is."""
+        if len(targets) <= _HEARTBEATS_PER_SECOND * self.min_interval_seconds:
+            return (targets.index(target) + 1) / len(targets)
+        # Nodes that started together must not all send to one at a time.
+        return rendezvous.fraction(self.node, target)
+
+    def _candidate_interval(self) -> float:
+        return max(self.min_interval_seconds, _CANDIDATE_INTERVAL_SECONDS)
+
+    def _find_candidacy(self) -> bool:
+        """Returns whether this node may soon own a group."""
+        live = self._live(self.data_centre)
+        return any(
+            self.node in rendezvous.rank(group, live)[:_CANDIDATES]
+            for group in self._groups
+        )
+
     def _all_targets(self, now: float) -> list[ids.NodeId]:
         targets = [
             member.node
@@ -851,6 +978,7 @@
         self._live.cache_clear()
         self._owner.cache_clear()
         self._delegates.cache_clear()
+        self._is_candidate.cache_clear()
         self._targets_until = self._ticked_at
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -364,6 +364,9 @@
         tunnel_port: Port at which the sender accepts requests for tunnels to
             endpoints, 0 without one.
         revision: Revision of the sender, 0 from builds that state none.
+        location: Data centre of the sender if `data_centre` is a cell.
+        interval_ms: Longest time until the sender's next heartbeat in
+            milliseconds, 0 from builds that state none.
     """
 
     leaving: bool
@@ -375,6 +378,8 @@
     link: LinkState | None = None
     tunnel_port: int = 0
     revision: int = 0
+    location: ids.DataCentre = ids.DataCentre("")
+    interval_ms: int = 0
 
     def proven_revision(self) -> int:
         """Returns the revision as stated, or shown by the tunnel port."""
--- a/packages/baobabmux-core/src/baobabmux_core/rendezvous.py
+++ b/packages/baobabmux-core/src/baobabmux_core/rendezvous.py
@@ -30,6 +30,11 @@
     )
 
 
+def fraction(key: str, member: str) -> float:
+    """Returns a number above 0 and at most 1 for a key and a member."""
+    return (_hash(key, member) + 1) / 2**64
+
+
 def weighted_owner(key: str, weights: dict[str, float]) -> str | None:
     """Returns the owner of a key, or None without members.
 
@@ -47,8 +52,7 @@
 ) -> float:
     # Each member gets an exponential variate whose rate is its weight. The
     # probability of having the smallest one is in proportion to the weight.
-    uniform = (_hash(key, member) + 1) / 2**64
-    return -math.log(uniform) / weights[member]
+    return -math.log(fraction(key, member)) / weights[member]
 
 
 def _hash(key: str, member: str) -> int:
--- a/packages/baobabmux-core/src/baobabmux_core/revisions.py
+++ b/packages/baobabmux-core/src/baobabmux_core/revisions.py
@@ -18,6 +18,7 @@
     3: "bd5c0cb",
     4: "bf1d953",
     5: "ed2b6de",
+    6: "00d2576",
 }
 """Last commit of each landed revision."""
 
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -883,6 +883,16 @@
         held = self._holder.held.get(request)
         return held.state if held else None
 
+    def local_groups(self) -> frozenset[ids.GroupId]:
+        """Returns the groups of endpoints in this node's data centre."""
+        if self._configuration is None:
+            return frozenset()
+        return frozenset(
+            ids.group_id(endpoint.service, endpoint.data_centre)
+            for endpoint in self._configuration.endpoints.values()
+            if endpoint.data_centre == self.data_centre
+        )
+
     def owned_groups(self) -> list[ids.GroupId]:
         """Returns the groups that this node owns."""
         return list(self._owned)
@@ -1339,11 +1349,7 @@
     def _update_owners(self, now: float) -> list[effects.Effect]:
         if self._configuration is None:
             return []
-        groups = {
-            ids.group_id(endpoint.service, endpoint.data_centre)
-            for endpoint in self._configuration.endpoints.values()
-            if endpoint.data_centre == self.data_centre
-        }
+        groups = self.local_groups()
         for group in self._owned.keys() - groups:
             del self._owned[group]
         emitted = []
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -5,6 +5,7 @@
 to the decision logic in `baobabmux_core` and carries out the resulting effects.
 """
 
+import math
 import signal
 import zlib
 from collections.abc import Callable
@@ -186,6 +187,8 @@
                     now,
                     message.data_centre or None,
                     message.address,
+                    message.location,
+                    message.interval_ms,
                 )
                 self.membership.record_suspects(
                     frame.sender, message.suspects, now
@@ -288,6 +291,7 @@
         await self.driver.apply(
             self.scheduler.configure(self.configuration, clock.now())
         )
+        self.membership.watch_groups(self.scheduler.local_groups())
 
     def _caller_limits(
         self, declared: declarations.CallerLimits
@@ -333,6 +337,8 @@
                 self.ports.link_state(*self.peers.newest_frame_from(target)),
                 0 if self._tunnel_server is None else self._tunnel_server.port,
                 revisions.CURRENT,
+                self.settings.data_centre if self.settings.cell else "",
+                math.ceil(1000 * self.membership.interval_seconds),
             )
             self.peers.enqueue(target, heartbeat)
 
