Prefer endpoints of the holder's data centre within a cell

Cause: an owner of a cell chose the endpoint that ends first, in whatever data centre, so that two of three answers crossed.

The owner learns a holder's data centre from its heartbeats.

--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -211,12 +211,16 @@
         high_tier_share: Share of an endpoint's slots reserved for higher
             tiers.
         refused_tiers: Tiers that are not admitted.
+        other_centre_seconds: Time by which a request must end sooner at an
+            endpoint of another data centre than at one of its holder's to be
+            sent there, within a cell of several.
     """
 
     affinity_wait_seconds: float = 0.0
     short_share: float = 0.125
     high_tier_share: float = 0.125
     refused_tiers: tuple[ids.TierName, ...] = ()
+    other_centre_seconds: float = 0.0
 
 
 class KeyLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -394,6 +398,7 @@
     "output_tokens": (0, 10_000_000),
     "max_body_bytes": (0, 1_000_000_000),
     "affinity_wait_seconds": (0, 3600),
+    "other_centre_seconds": (0, 3600),
     "short_share": (0, 1),
     "high_tier_share": (0, 1),
     "window_seconds": (1, 31_536_000),
--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -57,6 +57,7 @@
             holder, by endpoint.
         passed_over_at: Time at which it first passed over a free slot to wait
             for a busy endpoint that suits it better, or None.
+        location: Data centre of the holder in a cell, or empty.
         examine_at: Time before which it is not examined for a grant.
         key: Sort key inside its workspace.
     """
@@ -71,6 +72,7 @@
         "key",
         "late",
         "latest_start",
+        "location",
         "on_time_start",
         "passed_over_at",
         "paused_until",
@@ -120,6 +122,7 @@
         self.version = ask.terms.version if ask.terms is not None else None
         self.passed_over_at: float | None = None
         self.examine_at = now
+        self.location = ids.DataCentre("")
         self.key = (self.deadline, self.arrival, order)
 
     def pause_left(self, endpoint: ids.EndpointId, now: float) -> float:
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -9,7 +9,7 @@
 import itertools
 import math
 import statistics
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from baobabmux_core import (
     breakers,
@@ -103,6 +103,8 @@
         notices: Messages for all nodes; the scheduler sends and removes them.
         quotas: Quotas of the workspaces.
         budget: Budget of repeated attempts of the service.
+        location_of: Returns the data centre of a holder in a cell, or an empty
+            name.
     """
 
     def __init__(
@@ -118,6 +120,7 @@
         self.notices: list[messages.AnyMessage] = []
         self.quotas = quotas.QuotaLedger()
         self.budget = retries.AttemptBudget()
+        self.location_of: Callable[[ids.NodeId], ids.DataCentre] = _nowhere
         self._quarantine = suspects
         self._members: dict[ids.EndpointId, placement.GroupMember] = {}
         self._service: declarations.Service | None = None
@@ -381,6 +384,7 @@
             ask, holder, now, self._short_tokens(), next(self._order)
         )
         entry.suspect = self._is_suspect(ask.content, now)
+        entry.location = self.location_of(holder)
         self._record_arrival(entry, now)
         if (refused := self._check_deadline(entry, now)) is not None:
             self._refund(ask)
@@ -1330,6 +1334,11 @@
         ]
 
 
+def _nowhere(holder: ids.NodeId) -> ids.DataCentre:
+    del holder
+    return ids.DataCentre("")
+
+
 def _shared_parts(ask: messages.Ask) -> tuple[ids.PartDigest, ...]:
     return () if ask.terms is None else ask.terms.parts
 
--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -504,6 +504,11 @@
         member = self._members.get(node)
         return member.entry if member else None
 
+    def location(self, node: ids.NodeId) -> ids.DataCentre:
+        """Returns the data centre of a member of this cell, or empty."""
+        member = self._members.get(node)
+        return member.location if member else ids.DataCentre("")
+
     def state(self, node: ids.NodeId) -> states.MemberState:
         """Returns the state of a node; an unknown one is gone."""
         if node == self.node:
--- a/packages/baobabmux-core/src/baobabmux_core/placement.py
+++ b/packages/baobabmux-core/src/baobabmux_core/placement.py
@@ -190,6 +190,7 @@
         recomputed = model.prefill_seconds(max(0, longest - cached[name]))
         cost = end + _RECOMPUTE_WEIGHT * recomputed
         cost += _FAILURE_COST_SECONDS * member.failure_share
+        cost += _crossing_cost(entry, model.declared, preset)
         ends_in_time = now + (end - now) * margin <= entry.deadline
         if not ends_in_time and entry.first_by == math.inf:
             continue
@@ -219,6 +220,19 @@
     )
 
 
+def _crossing_cost(
+    entry: fairness.QueueEntry,
+    endpoint: declarations.Endpoint,
+    preset: declarations.Preset | None,
+) -> float:
+    """Returns what it costs to leave the holder's data centre, in seconds."""
+    if preset is None or not entry.location or not endpoint.location:
+        return 0.0
+    if endpoint.location == entry.location:
+        return 0.0
+    return preset.other_centre_seconds
+
+
 def _avoided(
     ask: messages.Ask, members: Mapping[ids.EndpointId, GroupMember]
 ) -> frozenset[ids.EndpointId]:
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -1504,12 +1504,21 @@
         taken.set_limit_share(self._reachable_share(), now)
         if self._attempt_budget is not None:
             taken.budget = retries.AttemptBudget(*self._attempt_budget)
+        taken.location_of = self._location_of
         taken.quotas = quotas.QuotaLedger(self._quota_tolerance)
         taken.configure(self._configuration, now)
         taken.await_registers(self._local_nodes, now, self.registration_seconds)
         self._owned[group] = taken
         self._update_endpoints()
 
+    def _location_of(self, holder: ids.NodeId) -> ids.DataCentre:
+        """Returns the data centre of a node of this cell, or empty."""
+        if self.location == self.data_centre:
+            return ids.DataCentre("")
+        if holder == self.node:
+            return self.location
+        return self._membership.location(holder)
+
     def _update_ownership(
         self,
         group: ids.GroupId,
