Leave out paused and failed endpoints before the shortlist of a large group

Cause: the shortlist took 16 endpoints in turn and left out those that had paused for the holder or failed the request afterwards. With all 16 among them a request waited although others had room, or went to one it had to avoid. Change: they are left out first. Both tests of large_group_test fail before.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -626,7 +626,7 @@
     ) -> shortlists.Members:
         """Returns the endpoints to examine for a decision about a request."""
         members = placement.of_version(self._members, entry.version)
-        return self._shortlist.choose(members, entry.ask.prefixes, now)
+        return self._shortlist.choose(members, entry, now)
 
     def _charge(
         self, ask: messages.Ask, holder: ids.NodeId, now: float
--- a/packages/baobabmux-core/src/baobabmux_core/shortlists.py
+++ b/packages/baobabmux-core/src/baobabmux_core/shortlists.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Mapping
 
-from baobabmux_core import ids, messages, placement
+from baobabmux_core import fairness, ids, messages, placement
 
 MAX_EXAMINED = 16
 """Most endpoints that one decision examines, beside those that it must."""
@@ -30,18 +30,25 @@
     def choose(
         self,
         members: Members,
-        prefixes: tuple[messages.PrefixPart, ...],
+        entry: fairness.QueueEntry,
         now: float,
     ) -> Members:
         """Returns the endpoints to examine for one request.
 
         Args:
             members: Endpoints of the group, or those that may run the request.
-            prefixes: Prefixes of the request's prompt.
+            entry: The request.
             now: Current time in seconds.
         """
         if len(members) <= MAX_EXAMINED:
             return members
+        suitable = _suitable(members, entry, now)
+        if len(suitable) > MAX_EXAMINED:
+            suitable = self._take_turn(suitable, now)
+        return suitable | _cached(members, entry.ask.prefixes) or members
+
+    def _take_turn(self, members: Members, now: float) -> Members:
+        """Returns endpoints from where the last decision ended."""
         names = list(members)
         start = self._next % len(names)
         names = names[start:] + names[:start]
@@ -63,15 +70,30 @@
             self._next = start + MAX_EXAMINED
         for name in others[: MAX_EXAMINED - len(chosen)]:
             chosen[name] = members[name]
-        if prefixes:
-            chosen |= _cached(members, prefixes)
-        return chosen or members
+        return chosen
+
+
+def _suitable(
+    members: Members, entry: fairness.QueueEntry, now: float
+) -> dict[ids.EndpointId, placement.GroupMember]:
+    """Returns the endpoints that neither failed nor paused for a request."""
+    terms = entry.ask.terms
+    avoided = terms.avoided if terms is not None else ()
+    if not avoided and not entry.paused_until:
+        return dict(members)
+    return {
+        name: member
+        for name, member in members.items()
+        if name not in avoided and entry.pause_left(name, now) <= 0.0
+    }
 
 
 def _cached(
     members: Members, prefixes: tuple[messages.PrefixPart, ...]
 ) -> dict[ids.EndpointId, placement.GroupMember]:
     """Returns the endpoints with the longest cached prefixes."""
+    if not prefixes:
+        return {}
     tokens = {
         name: cached
         for name, member in members.items()
--- a/packages/baobabmux-core/tests/large_group_test.py
+++ b/packages/baobabmux-core/tests/large_group_test.py
@@ -229,3 +229,34 @@
         pool.play(2 * _USUAL_RATE)
         shares.append(pool.on_time(0))
     assert statistics.fmean(shares) >= 0.99
+
+
+def test_paused_endpoints_do_not_hide_the_others():
+    """Guards against a wait while most endpoints would take the request.
+
+    The endpoints that a decision examines were all paused for the holder.
+    """
+    pool = _Pool()
+    paused = tuple(messages.Pause(f"e{index}", 5000) for index in range(40))
+    ask = messages.Ask(
+        _GROUP, "r", 0, 1, 12_000, 1000, 100, (), 1,
+        terms=messages.AskTerms(first_ms=4000, target_ms=1000, pauses=paused),
+    )  # fmt: skip
+    (effect,) = pool.owner.ask(ask, "n1", pool.now)
+    assert isinstance(effect.message, messages.Grant)
+    assert int(effect.message.endpoint[1:]) >= 40
+
+
+def test_failed_endpoints_do_not_hide_the_others():
+    """A repeated request avoids the endpoints of its earlier attempts."""
+    pool = _Pool()
+    avoided = tuple(f"e{index}" for index in range(40))
+    ask = messages.Ask(
+        _GROUP, "r", 0, 1, 12_000, 1000, 100, (), 1,
+        terms=messages.AskTerms(
+            first_ms=4000, attempt=2, avoided=avoided, target_ms=1000
+        ),
+    )  # fmt: skip
+    (effect,) = pool.owner.ask(ask, "n1", pool.now)
+    assert isinstance(effect.message, messages.Grant)
+    assert effect.message.endpoint not in avoided
