Choose a node's own share among the endpoints that it can use

Cause: a node's share was the first few of its ranking of all open endpoints. If these were beyond a cut, paused or at another version, its requests waited for the owner although it reached others. Change: what the node cannot use is left out before the ranking. The new test of own_shares_test fails before.

--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -1386,20 +1386,8 @@
             for name, endpoint in self._configuration.endpoints.items()
             if endpoint.service == held.work.service
         }
-        known = [endpoint.version for endpoint in members.values()]
-        for name in self._own_endpoints(members, nodes):
+        for name in self._own_endpoints(held, members, nodes, now):
             endpoint = members[name]
-            if name in held.avoided:
-                continue
-            if not versions.may_go_on(held.version, endpoint.version, known):
-                continue
-            if self._holder.unreachable.get(name, 0.0) > now:
-                continue
-            if self._holder.pauses.seconds_left(name, now) > 0.0:
-                continue
-            if self._limits.rate(name) is not None:
-                # Only the owner knows what the other nodes have started.
-                continue
             share_slots = max(1, math.ceil(endpoint.max_requests / nodes))
             if (used := running.get(name, 0)) >= share_slots:
                 continue
@@ -1421,19 +1409,34 @@
 
     def _own_endpoints(
         self,
+        held: holders.Held,
         members: dict[ids.EndpointId, declarations.Endpoint],
         nodes: int,
+        now: float,
     ) -> list[ids.EndpointId]:
-        """Returns the open endpoints of which this node has a share.
+        """Returns the endpoints of this node's share that may run a request.
 
         With more nodes than slots of an endpoint, each node has a share of
-        some endpoints only.
+        some endpoints only, of those that it can use now.
 
         Args:
+            held: The request.
             members: Endpoints of the service.
             nodes: Number of nodes that may use shares.
+            now: Current time in seconds.
         """
-        usable = [name for name in members if self._is_open(name)]
+        known = [endpoint.version for endpoint in members.values()]
+        usable = [
+            name
+            for name, endpoint in members.items()
+            if self._is_open(name)
+            and name not in held.avoided
+            and versions.may_go_on(held.version, endpoint.version, known)
+            and self._holder.unreachable.get(name, 0.0) <= now
+            and self._holder.pauses.seconds_left(name, now) <= 0.0
+            # Only the owner knows what the other nodes have started there.
+            and self._limits.rate(name) is None
+        ]
         slots = sum(members[name].max_requests for name in usable)
         count = math.ceil(_SHARES_PER_SLOT * slots / nodes)
         if count >= len(usable):
--- a/packages/baobabmux-core/tests/own_shares_test.py
+++ b/packages/baobabmux-core/tests/own_shares_test.py
@@ -142,3 +142,31 @@
         for effect in core.tick(100.3)
         if isinstance(effect, effects.Send)
     )
+
+
+def test_node_uses_other_endpoints_if_those_of_its_share_are_unreachable():
+    """Guards against a cut data centre whose nodes wait for a new owner.
+
+    The endpoints of a node's share may all be beyond the cut.
+    """
+    names = [f"n{index}" for index in range(195)]
+    core = _node("n1", names, 59)
+    reached = set()
+    for number in range(30):
+        (dispatch,) = _run_all_of(core, f"r{number}")
+        reached.add(dispatch.endpoint)
+        core.finished(dispatch.request, states.Outcome.NOT_SENT, 100.2)
+        core.cancel(dispatch.request, 100.2)
+    assert len(reached) >= 15
+
+
+def _run_all_of(core, request):
+    emitted = core.submit(_work(request), 100.0) + core.tick(100.2)
+    dispatched = [
+        effect
+        for effect in emitted
+        if isinstance(effect, effects.Dispatch) and effect.request == request
+    ]
+    for effect in dispatched:
+        assert core.start_dispatch(effect.request, 100.2)
+    return dispatched
