--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -858,8 +858,12 @@
             # Peers expect the next heartbeat within the interval that the
             # latest one states.
             self._next_heartbeat_at = {
-                node: min(due, now + interval * self._phase(node, targets))
-                for node, due in self._next_heartbeat_at.items()
+                node: min(
+                    self._next_heartbeat_at[node],
+                    now + interval * self._phase(node, targets),
+                )
+                for node in targets
+                if node in self._next_heartbeat_at
             }
         self.interval_seconds = interval
         send_at = {}
--- a/packages/baobabmux-core/tests/large_membership_test.py
+++ b/packages/baobabmux-core/tests/large_membership_test.py
@@ -150,3 +150,39 @@
     for step in range(1, 50):
         view.tick(_START + step * _TICK_SECONDS)
     assert len(view.reachable()) == 78
+
+
+def test_shorter_interval_after_a_node_has_left():
+    """Guards against an error at each tick after a peer is gone.
+
+    Fewer peers shorten the interval, and the turns of all are computed again;
+    that of the peer that had left ended the process.
+    """
+    view = membership.Membership("n0", _CELL, _START, 0.25)
+    names = [f"n{index}" for index in range(1, 9)]
+    view.apply_vm_list(
+        [
+            membership.VmEntry(name, "node", _CELL, peer_address="x")
+            for name in names
+        ],
+        _START,
+        _START,
+    )
+    view.tick(_START + 0.1)
+    before = view.interval_seconds
+    # The list shows after a while that three nodes are gone.
+    kept = [
+        membership.VmEntry(name, "node", _CELL, peer_address="x")
+        for name in names[:-3]
+    ]
+    sent = set()
+    for step in range(1, 1000):
+        now = _START + 0.1 + step * 0.1
+        view.apply_vm_list(kept, now, now)
+        for name in names[:-3]:
+            view.record_frame(name, 1, False, now, _CELL, "x")
+        view.tick(now)
+        if step > 900:
+            sent |= set(view.heartbeat_targets(now))
+    assert view.interval_seconds < before
+    assert sent == set(names[:-3])
