Split the holder's requests, asks, registers and progress reports

Cause: holders.py had 1,169 lines: the data of a request, the messages about it and the reports on running streams were tied in by hand, and new parts have to touch all of them.

Change: held_requests, asks, registers and stream_progress are modules of their own, which the holder asks; it has 808 lines now. No change of behaviour.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -19,7 +19,7 @@
     effects,
     errors,
     fairness,
-    holders,
+    held_requests,
     ids,
     messages,
     placement,
@@ -915,7 +915,7 @@
                     continue
                 examined = (
                     _MAX_RESUMED_CANDIDATES
-                    if rank == holders.RESUMED_RANK
+                    if rank == held_requests.RESUMED_RANK
                     else _MAX_CANDIDATES
                 )
                 grants += self._grant_queue(queue, blocked, examined, now)
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -6,21 +6,21 @@
 """
 
 import collections
-import math
 import random
 from collections.abc import Callable, Set
 
-import msgspec
-
 from baobabmux_core import (
+    asks,
     effects,
     errors,
-    fairness,
+    held_requests,
     ids,
     messages,
     pauses,
+    registers,
     retries,
     states,
+    stream_progress,
 )
 
 IsOpen = Callable[[ids.EndpointId], bool]
@@ -36,31 +36,6 @@
 _RETURN_WAIT_SHARE = 0.05
 _MIN_MOVE_WAIT_SECONDS = 0.25
 
-# An unanswered `Ask` is repeated after this share of the request's time limit,
-# within these bounds. The interval doubles because most requests without an
-# answer are queued, not lost.
-_REPEAT_SHARE = 0.2
-_MIN_REPEAT_SECONDS = 0.5
-_FIRST_REPEAT_SECONDS = 4.0
-_MAX_REPEAT_SECONDS = 16.0
-# Progress is reported at least this often, so that the owner detects a slow
-# endpoint within seconds.
-_PROGRESS_INTERVAL_SECONDS = 2.0
-# A stream at its endpoint's average rate sends its first `Progress` at this
-# age. A slower stream reports at the next interval, and a stream at an endpoint
-# without a known rate in between. With earlier reports, progress alone would
-# exceed the control bytes that a request may cost.
-_FIRST_PROGRESS_SECONDS = 8.0
-_UNKNOWN_PROGRESS_SECONDS = 4.0
-_SLOW_RATE_SHARE = 0.6
-# Weight of one sample in the moving average of an endpoint's stream rate.
-_RATE_WEIGHT = 0.2
-_MIN_RATE_TOKENS = 8
-# A `Register` lists the requests in flight. It is repeated at this interval, so
-# that a lost `Release` occupies a slot for at most about one interval.
-_REGISTER_INTERVAL_SECONDS = 12.0
-# An empty `Register` is sent this many times in case some are lost.
-_EMPTY_REGISTER_COUNT = 3
 # A longer gap between ticks means that the process was paused; owners have
 # dropped its queued requests in the meantime.
 _PAUSE_SECONDS = 1.5
@@ -81,214 +56,10 @@
 # Lost links are probed at this interval.
 _UNREACHED_SECONDS = 0.5
 
-# A waiting request is refused this long before its deadline, or this share of
-# its time limit if that is shorter, so that its caller still gets the refusal.
-_REFUSAL_SECONDS = 0.2
-_REFUSAL_SHARE = 0.25
-
-# Rank above all tiers for a request whose stream broke off: its caller has part
-# of the answer and gives up after a pause.
-RESUMED_RANK = -1
-# Callers abandon a stream after a pause of about eight times `gap_seconds`.
-_ABANDONED_GAPS = 7.0
-
 # Refusals that another data centre would repeat.
 _FINAL_REFUSALS = frozenset(
     {errors.ErrorKind.QUARANTINED, errors.ErrorKind.OVER_QUOTA}
 )
-_SLOT_STATES = frozenset(
-    {
-        states.RequestState.GRANTED,
-        states.RequestState.CLAIMING,
-        states.RequestState.DISPATCHED,
-        states.RequestState.STREAMING,
-    }
-)
-_RUNNING_STATES = frozenset(
-    {states.RequestState.DISPATCHED, states.RequestState.STREAMING}
-)
-
-
-class Held:
-    """One request that this node holds.
-
-    Attributes:
-        work: The request.
-        state: Its state.
-        group: Group that was asked for a grant, or that granted it.
-        owner: Owner that was asked last, or its successor, or None.
-        endpoint: Endpoint that was granted, or None.
-        arrival: Time of submission in seconds.
-        deadline: Latest end in seconds.
-        home: Group that was asked first.
-        spilled: Whether another data centre was asked.
-        returns_home: Whether the home group is asked again if the other data
-            centre refuses the request. This is so if the request moved while
-            it was queued, without a refusal from its home group.
-        claimed: Whether the claim of its key has won.
-        next_ask_at: Time of the next `Ask` or `Reminder` in seconds.
-        repeat_seconds: Interval until the repeat after that one.
-        lease_end: End of the grant's lease in seconds.
-        failures: Number of dispatches that were not sent.
-        dispatched_at: Time of the latest dispatch in seconds.
-        first_token_at: Time of the first token of this attempt in seconds, or
-            None.
-        tokens: Output tokens of this attempt so far.
-        progressed_at: Time of the latest output in seconds.
-        attempt: Number of the current attempt, from 1.
-        avoided: Endpoints of earlier attempts that failed or were rejected.
-        charged: Whether its workspace's quota was charged.
-        declined: Whether the latest grant was declined; it is returned to the
-            owner with the next `Ask`.
-        acknowledged: Whether the owner has confirmed that it queued the
-            request.
-        asked_at: Time from which the acknowledgement timeout counts, in
-            seconds.
-        own_share: Whether the current grant is from the node's own share.
-        owner_has_ask: Whether the whole `Ask` was sent to the owner, so that
-            repeats can be `Reminder` messages.
-        broke_at: Time at which its stream broke off after the first event, or
-            fell silent; None otherwise.
-        version: Version of endpoints at which its stream may go on, or None
-            before its first event.
-        dispatched_version: Version of the endpoint of the latest dispatch.
-        backs_up: Request that it is a backup of, or None.
-    """
-
-    __slots__ = (
-        "acknowledged",
-        "arrival",
-        "asked_at",
-        "attempt",
-        "avoided",
-        "backs_up",
-        "broke_at",
-        "charged",
-        "claimed",
-        "deadline",
-        "declined",
-        "dispatched_at",
-        "dispatched_version",
-        "endpoint",
-        "failures",
-        "first_token_at",
-        "group",
-        "home",
-        "lease_end",
-        "next_ask_at",
-        "own_share",
-        "owner",
-        "owner_has_ask",
-        "progressed_at",
-        "repeat_seconds",
-        "returns_home",
-        "spilled",
-        "state",
-        "tokens",
-        "version",
-        "work",
-    )
-
-    def __init__(
-        self,
-        work: effects.Work,
-        group: ids.GroupId,
-        deadline: float,
-        now: float,
-    ):
-        self.work = work
-        self.state = states.RequestState.RECEIVED
-        self.group = group
-        self.home = group
-        self.owner: ids.NodeId | None = None
-        self.endpoint: ids.EndpointId | None = None
-        self.arrival = now
-        self.deadline = deadline
-        self.spilled = False
-        self.returns_home = False
-        self.claimed = False
-        self.next_ask_at = now
-        self.repeat_seconds = self.first_repeat()
-        self.lease_end = 0.0
-        self.failures = 0
-        self.dispatched_at = 0.0
-        self.first_token_at: float | None = None
-        self.tokens = 0
-        self.progressed_at = 0.0
-        self.attempt = 1
-        self.avoided: tuple[ids.EndpointId, ...] = ()
-        self.charged = False
-        self.declined = False
-        self.acknowledged = False
-        self.own_share = False
-        self.owner_has_ask = False
-        self.asked_at = now
-        self.broke_at: float | None = None
-        self.version = work.version
-        self.dispatched_version = ""
-        self.backs_up: Held | None = None
-
-    def backup(self, request: ids.RequestId, now: float) -> "Held":
-        """Returns a request for another endpoint beside the current one."""
-        work = msgspec.structs.replace(self.work, request=request)
-        backup = Held(work, self.group, self.deadline, now)
-        backup.state = states.RequestState.QUEUED
-        backup.arrival = self.arrival
-        backup.home = self.home
-        backup.spilled = self.spilled
-        backup.claimed = self.claimed
-        backup.charged = self.charged
-        backup.attempt = self.attempt + 1
-        backup.backs_up = self
-        backup.avoided = (*self.avoided, self.endpoint)
-        backup.version = self.version
-        backup.broke_at = self.broke_at
-        if self.first_token_at is not None:
-            backup.broke_at = self.progressed_at
-        return backup
-
-    def target_by(self) -> float | None:
-        """Returns the time after which its next event is late, or None."""
-        if self.broke_at is None or self.work.gap_seconds is None:
-            return self.work.target_by
-        return self.broke_at + self.work.gap_seconds
-
-    def useful_by(self) -> float | None:
-        """Returns the time after which its next event is useless, or None."""
-        if self.broke_at is None or self.work.gap_seconds is None:
-            return self.work.first_by
-        return self.broke_at + _ABANDONED_GAPS * self.work.gap_seconds
-
-    def written_seconds(self) -> float:
-        """Returns the time from the first to the latest event so far."""
-        if self.first_token_at is None:
-            return 0.0
-        return self.progressed_at - self.first_token_at
-
-    def has_terms(self) -> bool:
-        """Returns whether its `Ask` carries terms; owners acknowledge these."""
-        work = self.work
-        return (
-            work.first_by is not None
-            or work.max_attempts > 1
-            or work.cost > 0
-            or self.version is not None
-            or bool(work.parts)
-        )
-
-    def refuse_at(self) -> float:
-        """Returns the time at which it is refused unless it is dispatched."""
-        time_limit = self.deadline - self.arrival
-        margin = min(_REFUSAL_SECONDS, _REFUSAL_SHARE * time_limit)
-        useful_by = self.useful_by()
-        if useful_by is None:
-            return self.deadline - margin
-        return min(self.deadline - margin, useful_by)
-
-    def first_repeat(self) -> float:
-        """Returns the seconds until an `Ask` is repeated the first time."""
-        share = _REPEAT_SHARE * (self.deadline - self.arrival)
-        return min(_FIRST_REPEAT_SECONDS, max(_MIN_REPEAT_SECONDS, share))
 
 
 class Holder:
@@ -321,30 +92,25 @@
         seed: int,
     ):
         self.node = node
-        self.held: dict[ids.RequestId, Held] = {}
+        self.held: dict[ids.RequestId, held_requests.Held] = {}
         self.is_open = is_open
         self._owner_of = owner_of
         self._local_group = local_group
         self._generator = random.Random(seed)
-        # Output tokens per second of one stream, by endpoint.
-        self._stream_rates: dict[ids.EndpointId, float] = {}
         self._retry_budget = retries.RetryBudget()
         # Bounded by the number of groups.
         self._asked_groups: set[ids.GroupId] = set()
-        self._register_repeats: dict[ids.GroupId, int] = {}
-        # Groups with grants from the own share that their owners do not know.
-        self._unregistered_groups: set[ids.GroupId] = set()
-        self._next_register_at = 0.0
-        self._next_report_at = 0.0
+        self._registers = registers.Registers(self.held, owner_of)
+        self._progress = stream_progress.StreamProgress(owner_of)
         self._last_tick: float | None = None
         self.unreachable: dict[ids.EndpointId, float] = {}
         self.pauses = pauses.EndpointPauses()
         self.members_of: Callable[[ids.GroupId], Set[ids.EndpointId]] = (
             lambda group: frozenset()
         )
-        self.fallback: Callable[[Held, float], ids.EndpointId | None] = (
-            lambda held, now: None
-        )
+        self.fallback: Callable[
+            [held_requests.Held, float], ids.EndpointId | None
+        ] = lambda held, now: None
         self.ended_before: Callable[[effects.Work, float], bool] = (
             lambda work, at: False
         )
@@ -365,7 +131,7 @@
         """Accepts a request and asks the owner of a group for a grant."""
         if work.request in self.held:
             return []
-        held = Held(work, group, deadline, now)
+        held = held_requests.Held(work, group, deadline, now)
         self.held[work.request] = held
         held.state = states.RequestState.QUEUED
         self._retry_budget.deposit()
@@ -393,7 +159,7 @@
         held = self.held.get(request)
         if (
             held is None
-            or held.state not in _RUNNING_STATES
+            or held.state not in held_requests.RUNNING_STATES
             or not self._may_repeat(held, states.Outcome.BROKEN)
         ):
             return []
@@ -409,7 +175,7 @@
         cancelled it at the endpoint.
         """
         held = self.held.get(request)
-        if held is None or held.state in _RUNNING_STATES:
+        if held is None or held.state in held_requests.RUNNING_STATES:
             return []
         return self._drop(held, states.RequestState.CANCELLED)
 
@@ -461,7 +227,7 @@
     ) -> list[effects.Effect]:
         """Records the output tokens so far."""
         held = self.held.get(request)
-        if held is None or held.state not in _RUNNING_STATES:
+        if held is None or held.state not in held_requests.RUNNING_STATES:
             return []
         self.first_token(request, now)
         held.tokens = max(held.tokens, tokens)
@@ -478,7 +244,11 @@
     ) -> list[effects.Effect]:
         """Dispatches a request whose claim won, or refuses it."""
         held = self.held.get(request)
-        if held is None or held.state in _RUNNING_STATES or held.claimed:
+        if (
+            held is None
+            or held.state in held_requests.RUNNING_STATES
+            or held.claimed
+        ):
             return []
         if not won:
             return self._refuse(
@@ -503,14 +273,14 @@
         """Ends an attempt; depending on the outcome, another one follows."""
         held = self.held.get(request)
         if held is None or held.state not in (
-            _RUNNING_STATES | {states.RequestState.GRANTED}
+            held_requests.RUNNING_STATES | {states.RequestState.GRANTED}
         ):
             return []
         release = self._release(
             held, outcome, now, computed_tokens, output_tokens, succeeded
         )
         if outcome is states.Outcome.COMPLETED:
-            self._update_rate(held, output_tokens, now)
+            self._progress.observe(held, output_tokens, now)
         if outcome is states.Outcome.UNREACHED:
             # The owner grants other endpoints until the link is probed again.
             self.pauses.observe(held.endpoint, _UNREACHED_SECONDS, now)
@@ -541,7 +311,9 @@
         held = self.held.get(request)
         return held is not None and self._may_repeat(held, outcome)
 
-    def _may_repeat(self, held: Held, outcome: states.Outcome) -> bool:
+    def _may_repeat(
+        self, held: held_requests.Held, outcome: states.Outcome
+    ) -> bool:
         """Returns whether another endpoint may be tried after an attempt."""
         work = held.work
         if held.attempt >= work.max_attempts:
@@ -574,7 +346,7 @@
         """
         emitted = []
         for held in list(self.held.values()):
-            if held.state in _RUNNING_STATES:
+            if held.state in held_requests.RUNNING_STATES:
                 continue
             seconds = refused_for(held.work)
             if seconds is not None:
@@ -593,7 +365,10 @@
         """
         emitted = []
         for held in list(self.held.values()):
-            if held.state in _RUNNING_STATES or held.work.service in declared:
+            if (
+                held.state in held_requests.RUNNING_STATES
+                or held.work.service in declared
+            ):
                 continue
             emitted += self._refuse(
                 held, errors.ErrorKind.NO_ENDPOINT, _UNDECLARED_RETRY_SECONDS
@@ -623,7 +398,9 @@
         held.owner_has_ask = False
         return self._ask(held, now)
 
-    def _grant_from_share(self, held: Held, now: float) -> list[effects.Effect]:
+    def _grant_from_share(
+        self, held: held_requests.Held, now: float
+    ) -> list[effects.Effect]:
         """Grants from the node's own share; the owner is unresponsive."""
         endpoint = self.fallback(held, now)
         if endpoint is None:
@@ -633,9 +410,7 @@
         held.state = states.RequestState.GRANTED
         held.charged = True
         held.own_share = True
-        # A grant may be on its way, and the message with it may be lost.
-        self._register_repeats[held.group] = _EMPTY_REGISTER_COUNT
-        self._unregistered_groups.add(held.group)
+        self._registers.granted_from_share(held.group)
         return self._claim_or_dispatch(held, now)
 
     def granted(
@@ -647,7 +422,7 @@
         if (
             held is not None
             and held.endpoint == grant.endpoint
-            and (held.state in _SLOT_STATES)
+            and (held.state in held_requests.SLOT_STATES)
         ):
             return []
         if (
@@ -664,14 +439,14 @@
         held.state = states.RequestState.GRANTED
         held.charged = True
         held.own_share = False
-        self._register_repeats[held.group] = _EMPTY_REGISTER_COUNT
+        self._registers.expect(held.group)
         return self._claim_or_dispatch(held, now)
 
     def refused(
         self,
         refusal: messages.Refusal,
         sender: ids.NodeId,
-        find_spill_group: Callable[[Held], ids.GroupId | None],
+        find_spill_group: Callable[[held_requests.Held], ids.GroupId | None],
         now: float,
     ) -> list[effects.Effect]:
         """Refuses a request, or asks another data centre once.
@@ -710,7 +485,7 @@
         self, group: ids.GroupId, now: float
     ) -> list[effects.Effect]:
         """Registers with the new owner of a group and repeats every `Ask`."""
-        emitted = self.register(group, now)
+        emitted = self._registers.register(group, now)
         owner = self._owner_of(group)
         for held in list(self.held.values()):
             if held.group != group or held.owner == owner:
@@ -728,7 +503,7 @@
         emitted = []
         for group in sorted(self.groups()):
             if self._owner_of(group) == owner:
-                emitted += self.register(group, now)
+                emitted += self._registers.register(group, now)
         for held in list(self.held.values()):
             if held.owner == owner and (
                 held.state is states.RequestState.QUEUED
@@ -765,33 +540,13 @@
         return collections.Counter(
             held.endpoint
             for held in self.held.values()
-            if held.state in _SLOT_STATES
-        )
-
-    def register(self, group: ids.GroupId, now: float) -> list[effects.Effect]:
-        """Sends the owner of a group this node's requests in flight there."""
-        owner = self._owner_of(group)
-        if owner is None:
-            return []
-        in_flight = tuple(
-            messages.InFlight(
-                held.work.request,
-                held.endpoint,
-                held.work.tier,
-                held.work.prompt_tokens,
-                held.work.output_tokens,
-                held.work.content,
-                round((now - held.dispatched_at) * 1000)
-                if held.state in _RUNNING_STATES
-                else 0,
-            )
-            for held in self.held.values()
-            if held.group == group and held.state in _SLOT_STATES
+            if held.state in held_requests.SLOT_STATES
         )
-        return [effects.Send(owner, messages.Register(group, in_flight))]
 
     def tick(
-        self, now: float, move_target: Callable[[Held], ids.GroupId | None]
+        self,
+        now: float,
+        move_target: Callable[[held_requests.Held], ids.GroupId | None],
     ) -> list[effects.Effect]:
         """Repeats asks, refuses late requests, moves others, reports progress.
 
@@ -805,45 +560,25 @@
         )
         self._last_tick = now
         emitted = []
-        emitted += self._register_own_shares(now)
+        emitted += self._registers.own_shares(now)
         for held in list(self.held.values()):
             emitted += self._check_held(held, paused, now)
             if self._may_move(held, now) and (group := move_target(held)):
                 emitted += self._move(held, group, now)
-        if now >= self._next_report_at:
-            # All streams report at once, so that their messages to one owner
-            # share a frame.
-            self._next_report_at = max(
-                self._next_report_at + _PROGRESS_INTERVAL_SECONDS, now
+        if self._progress.is_due(now):
+            running = (
+                held
+                for held in self.held.values()
+                if held.state in held_requests.RUNNING_STATES
             )
-            emitted += self._report_streams(now)
-            if now >= self._next_register_at:
-                self._next_register_at = now + _REGISTER_INTERVAL_SECONDS
-                emitted += self._register_all(now)
+            emitted += self._progress.reports(running, now)
+            emitted += self._registers.repeats(now)
         return emitted
 
-    def _register_own_shares(self, now: float) -> list[effects.Effect]:
-        """Registers new requests that run from the own share.
-
-        An owner that is only slow would grant their slots once more.
-        """
-        groups = {
-            held.group
-            for held in self.held.values()
-            if held.own_share and held.state in _SLOT_STATES
-        }
-        unregistered = sorted(groups & self._unregistered_groups)
-        self._unregistered_groups.clear()
-        return [
-            effect
-            for group in unregistered
-            for effect in self.register(group, now)
-        ]
-
     def _check_held(
-        self, held: Held, paused: bool, now: float
+        self, held: held_requests.Held, paused: bool, now: float
     ) -> list[effects.Effect]:
-        if held.state in _RUNNING_STATES:
+        if held.state in held_requests.RUNNING_STATES:
             return []
         if now >= held.refuse_at():
             return self._refuse(
@@ -873,32 +608,14 @@
             return self._ask(held, now)
         return []
 
-    def _is_unanswered(self, held: Held, now: float) -> bool:
+    def _is_unanswered(self, held: held_requests.Held, now: float) -> bool:
         return (
             held.has_terms()
             and not held.acknowledged
             and now - held.asked_at >= _ACK_TIMEOUT_SECONDS
         )
 
-    def _register_all(self, now: float) -> list[effects.Effect]:
-        """Repeats registers, so that the slot of a lost `Release` is freed."""
-        busy = {
-            held.group
-            for held in self.held.values()
-            if held.state in _SLOT_STATES
-        }
-        emitted = []
-        for group, left in list(self._register_repeats.items()):
-            emitted += self.register(group, now)
-            if group in busy:
-                self._register_repeats[group] = _EMPTY_REGISTER_COUNT
-            elif left <= 1:
-                del self._register_repeats[group]
-            else:
-                self._register_repeats[group] = left - 1
-        return emitted
-
-    def _may_move(self, held: Held, now: float) -> bool:
+    def _may_move(self, held: held_requests.Held, now: float) -> bool:
         if held.state is not states.RequestState.QUEUED or held.spilled:
             return False
         time_limit = held.deadline - held.arrival
@@ -910,7 +627,7 @@
         return now - held.arrival >= min_wait
 
     def _move(
-        self, held: Held, group: ids.GroupId, now: float
+        self, held: held_requests.Held, group: ids.GroupId, now: float
     ) -> list[effects.Effect]:
         held.spilled = True
         held.returns_home = True
@@ -923,15 +640,17 @@
     # Helpers.
 
     def _ask_group(
-        self, held: Held, group: ids.GroupId, now: float
+        self, held: held_requests.Held, group: ids.GroupId, now: float
     ) -> list[effects.Effect]:
         held.group = group
         held.owner_has_ask = False
         held.repeat_seconds = held.first_repeat()
         return self._ask(held, now)
 
-    def _ask(self, held: Held, now: float) -> list[effects.Effect]:
-        work = held.work
+    def _ask(
+        self, held: held_requests.Held, now: float
+    ) -> list[effects.Effect]:
+        request = held.work.request
         previous = held.owner
         held.owner = self._owner_of(held.group)
         self._asked_groups.add(held.group)
@@ -939,65 +658,37 @@
             held.acknowledged = False
             held.asked_at = now
         held.next_ask_at = now + held.repeat_seconds
-        held.repeat_seconds = min(_MAX_REPEAT_SECONDS, 2 * held.repeat_seconds)
+        held.repeat_seconds = min(
+            held_requests.MAX_REPEAT_SECONDS, 2 * held.repeat_seconds
+        )
         if held.owner is None:
             return []
         if held.owner != previous:
             held.owner_has_ask = False
             held.repeat_seconds = held.first_repeat()
         if held.owner_has_ask and (held.acknowledged or not held.has_terms()):
-            reminder = messages.Reminder(held.group, work.request)
+            reminder = messages.Reminder(held.group, request)
             return [effects.Send(held.owner, reminder)]
         held.owner_has_ask = True
         emitted: list[effects.Effect] = []
         if held.declined:
             held.declined = False
-            withdraw = messages.Withdraw(held.group, work.request)
+            withdraw = messages.Withdraw(held.group, request)
             emitted.append(effects.Send(held.owner, withdraw))
-        remaining = max(0, round((held.deadline - now) * 1000))
-        ask = messages.Ask(
-            held.group,
-            work.request,
-            work.tier if held.broke_at is None else RESUMED_RANK,
-            fairness.workspace_hash(work.workspace),
-            remaining,
-            work.prompt_tokens,
-            work.output_tokens,
-            work.prefixes,
-            work.content,
-            round((now - held.arrival) * 1000),
-            held.spilled,
-            self._terms(held, now),
-        )
+        ask = asks.build(held, self._paused_members(held.group, now), now)
         return [*emitted, effects.Send(held.owner, ask)]
 
-    def _terms(self, held: Held, now: float) -> messages.AskTerms | None:
+    def _paused_members(
+        self, group: ids.GroupId, now: float
+    ) -> dict[ids.EndpointId, float]:
         active = self.pauses.active(now)
-        if active:
-            members = self.members_of(held.group)
-            active = {name: active[name] for name in active.keys() & members}
-        if not held.has_terms() and not active:
-            return None
-        first_by = held.useful_by()
-        target_by = held.target_by()
-        return messages.AskTerms(
-            -1 if first_by is None else max(0, round((first_by - now) * 1000)),
-            held.attempt,
-            held.avoided,
-            0 if held.charged else held.work.cost,
-            -1
-            if target_by is None
-            else max(0, round((target_by - now) * 1000)),
-            held.version,
-            held.work.parts,
-            tuple(
-                messages.Pause(endpoint, math.ceil(1000 * seconds))
-                for endpoint, seconds in active.items()
-            ),
-        )
+        if not active:
+            return active
+        members = self.members_of(group)
+        return {name: active[name] for name in active.keys() & members}
 
     def _claim_or_dispatch(
-        self, held: Held, now: float
+        self, held: held_requests.Held, now: float
     ) -> list[effects.Effect]:
         """Dispatches a granted request, after the claim of its key if any."""
         if held.work.needs_claim and not held.claimed:
@@ -1005,7 +696,9 @@
             return [effects.Claim(held.work.request)]
         return self._dispatch(held, now)
 
-    def _dispatch(self, held: Held, now: float) -> list[effects.Effect]:
+    def _dispatch(
+        self, held: held_requests.Held, now: float
+    ) -> list[effects.Effect]:
         if now >= held.lease_end:
             # The next tick asks again. An immediate `Ask` could loop without
             # end: the lease of a grant counts from the last tick, so until
@@ -1016,7 +709,7 @@
             effects.Dispatch(held.work.request, held.endpoint, held.own_share)
         ]
 
-    def _requeue(self, held: Held, now: float) -> None:
+    def _requeue(self, held: held_requests.Held, now: float) -> None:
         """Returns a request to the queued state; the next tick asks again."""
         held.state = states.RequestState.QUEUED
         held.endpoint = None
@@ -1028,7 +721,9 @@
         held.next_ask_at = now
         held.repeat_seconds = held.first_repeat()
 
-    def _retry(self, held: Held, now: float) -> list[effects.Effect]:
+    def _retry(
+        self, held: held_requests.Held, now: float
+    ) -> list[effects.Effect]:
         held.failures += 1
         if not self._retry_budget.withdraw():
             return self._refuse(
@@ -1046,7 +741,7 @@
 
     def _refuse(
         self,
-        held: Held,
+        held: held_requests.Held,
         kind: errors.ErrorKind,
         retry_after: float | None,
         *,
@@ -1061,7 +756,7 @@
         ]
 
     def _drop(
-        self, held: Held, state: states.RequestState
+        self, held: held_requests.Held, state: states.RequestState
     ) -> list[effects.Effect]:
         held.state = state
         del self.held[held.work.request]
@@ -1074,7 +769,10 @@
         ]
 
     def _return_grant(
-        self, grant: messages.Grant, held: Held | None, sender: ids.NodeId
+        self,
+        grant: messages.Grant,
+        held: held_requests.Held | None,
+        sender: ids.NodeId,
     ) -> list[effects.Effect]:
         # A grant does not name its group; the owner searches all groups that
         # it owns for the request. In case the message is lost, registers show
@@ -1082,12 +780,12 @@
         group = held.group if held is not None else ids.GroupId("")
         for asked in self._asked_groups:
             if self._owner_of(asked) == sender:
-                self._register_repeats[asked] = _EMPTY_REGISTER_COUNT
+                self._registers.expect(asked)
         return [effects.Send(sender, messages.Withdraw(group, grant.request))]
 
     def _release(
         self,
-        held: Held,
+        held: held_requests.Held,
         outcome: states.Outcome,
         now: float,
         computed_tokens: int,
@@ -1108,62 +806,3 @@
         )
         owner = self._owner_of(held.group) or held.owner
         return effects.Send(owner, message)
-
-    def _is_early_report_due(self, held: Held, age: float) -> bool:
-        """Returns whether the progress of a young stream must be reported.
-
-        This is so if the stream is much slower than the endpoint's average
-        rate, or older than a few seconds while that rate is unknown.
-        """
-        average = self._stream_rates.get(held.endpoint)
-        if average is None:
-            return age >= _UNKNOWN_PROGRESS_SECONDS
-        return age >= _PROGRESS_INTERVAL_SECONDS and (
-            held.tokens < _SLOW_RATE_SHARE * average * age
-        )
-
-    def _update_rate(self, held: Held, tokens: int, now: float) -> None:
-        if held.first_token_at is None or tokens < _MIN_RATE_TOKENS:
-            return
-        seconds = now - held.first_token_at
-        if seconds <= 0.0:
-            return
-        sample = tokens / seconds
-        average = self._stream_rates.get(held.endpoint, sample)
-        self._stream_rates[held.endpoint] = average + _RATE_WEIGHT * (
-            sample - average
-        )
-
-    def _report_streams(self, now: float) -> list[effects.Effect]:
-        emitted = []
-        for held in self.held.values():
-            if held.state in _RUNNING_STATES:
-                emitted += self._report_stream(held, now)
-        return emitted
-
-    def _report_stream(self, held: Held, now: float) -> list[effects.Effect]:
-        if held.first_token_at is None:
-            return []
-        age = now - held.first_token_at
-        if age < _FIRST_PROGRESS_SECONDS and not self._is_early_report_due(
-            held, age
-        ):
-            return []
-        self._update_rate(held, held.tokens, now)
-        owner = self._owner_of(held.group)
-        if owner is None:
-            return []
-        # The owner computes a rate from the tokens and the time until the
-        # latest of them. A stalled stream reports the time until now, so that
-        # its rate falls.
-        stalled = now - held.progressed_at > _PROGRESS_INTERVAL_SECONDS
-        until = now if stalled else held.progressed_at
-        elapsed = round((until - held.first_token_at) * 1000)
-        return [
-            effects.Send(
-                owner,
-                messages.Progress(
-                    held.group, held.work.request, held.tokens, elapsed
-                ),
-            )
-        ]
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -25,6 +25,7 @@
     errors,
     fairness,
     grants,
+    held_requests,
     holders,
     ids,
     leaving,
@@ -255,7 +256,9 @@
             if route is None or origin.service not in route.services():
                 return [_refuse(work, errors.ErrorKind.VERSION_GONE, 0.0)]
         # Without a record it may not have begun, and gets no precedence.
-        tier = holders.RESUMED_RANK if conclusion.is_recorded else work.tier
+        tier = (
+            held_requests.RESUMED_RANK if conclusion.is_recorded else work.tier
+        )
         bound = msgspec.structs.replace(
             work, service=origin.service, version=origin.version, tier=tier
         )
@@ -384,7 +387,7 @@
         return emitted + self._send_reports(reports, now)
 
     def _prove_parts(
-        self, held: holders.Held, now: float
+        self, held: held_requests.Held, now: float
     ) -> list[effects.Effect]:
         """Records that the parts of a request's prompt end no endpoint.
 
@@ -1067,7 +1070,7 @@
         )
 
     def _spill_group(
-        self, held: holders.Held, now: float
+        self, held: held_requests.Held, now: float
     ) -> ids.GroupId | None:
         """Returns a group of another data centre that would finish in time."""
         group = self._spill_target(held, now)
@@ -1076,7 +1079,7 @@
         return group
 
     def _spill_target(
-        self, held: holders.Held, now: float
+        self, held: held_requests.Held, now: float
     ) -> ids.GroupId | None:
         best = None
         best_wait = math.inf
@@ -1102,7 +1105,7 @@
         return best
 
     def _add_spill_to_wait(
-        self, held: holders.Held, group: ids.GroupId
+        self, held: held_requests.Held, group: ids.GroupId
     ) -> None:
         """Adds a request to the wait of the group that it moves to.
 
@@ -1119,7 +1122,7 @@
         self._remote_loads[group] = msgspec.structs.replace(load, wait=wait)
 
     def _move_target(
-        self, held: holders.Held, now: float
+        self, held: held_requests.Held, now: float
     ) -> ids.GroupId | None:
         """Returns a group of another data centre to move to, or None.
 
@@ -1369,7 +1372,7 @@
         return emitted
 
     def _choose_from_share(
-        self, held: holders.Held, now: float
+        self, held: held_requests.Held, now: float
     ) -> ids.EndpointId | None:
         """Returns an endpoint with a free slot in this node's share.
 
@@ -1409,7 +1412,7 @@
 
     def _own_endpoints(
         self,
-        held: holders.Held,
+        held: held_requests.Held,
         members: dict[ids.EndpointId, declarations.Endpoint],
         nodes: int,
         now: float,
@@ -1443,7 +1446,7 @@
             return usable
         return rendezvous.rank(self.node, usable)[:count]
 
-    def _needs_owner(self, held: holders.Held, now: float) -> bool:
+    def _needs_owner(self, held: held_requests.Held, now: float) -> bool:
         """Returns whether only the owner may grant a request.
 
         It runs one request at a time of a content or part under which an
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -11,6 +11,7 @@
     errors,
     fairness,
     grants,
+    held_requests,
     holders,
     messages,
     quarantine,
@@ -328,7 +329,7 @@
     (asked,) = holder.ask_backup("r", "r+1", 101.8)
     terms = asked.message.terms
     assert (terms.attempt, terms.avoided, terms.cost) == (2, ("e1",), 0)
-    assert asked.message.tier == holders.RESUMED_RANK
+    assert asked.message.tier == held_requests.RESUMED_RANK
     assert holder.held["r"].state is states.RequestState.STREAMING
     # The caller abandons the stream 2.8 s after its latest event.
     assert terms.first_ms == 1200
@@ -454,7 +455,7 @@
     holder.first_token("r", 100.5)
     emitted = holder.finished("r", states.Outcome.BROKEN, 103.0, -1, 50)
     (ask,) = [e.message for e in emitted if isinstance(e.message, messages.Ask)]
-    assert ask.tier == holders.RESUMED_RANK
+    assert ask.tier == held_requests.RESUMED_RANK
     assert ask.terms.target_ms == 400
     assert ask.terms.first_ms == 2800
     owner = _owner(endpoints=1)
