Split the scheduler into a view of the node and parts that read it

Change: node_view holds the node's state; spills, own_shares, end_watch and group_queries are parts that read it. No change of behaviour; tests follow the names.

--- a/bench/src/baobabmux_bench/nodes.py
+++ b/bench/src/baobabmux_bench/nodes.py
@@ -302,7 +302,7 @@
         group = self._group_of_request[message.request]
         tier = self.run.records[message.request].request.kind.tier
         self.run.inversions.count_refusal(
-            node.scheduler.queued_by_tier(group),
+            node.scheduler.groups.queued_by_tier(group),
             tier,
             errors.ErrorKind(message.kind),
         )
@@ -324,7 +324,10 @@
             self._call(node.name, "members_changed", now)
         for target in node.membership.heartbeat_targets(now):
             heartbeat = messages.Heartbeat(
-                False, 1, node.scheduler.loads(now, target), node.data_centre
+                False,
+                1,
+                node.scheduler.spills.loads(now, target),
+                node.data_centre,
             )
             self._send(node, target, [heartbeat])
         self.run.after(
@@ -356,7 +359,7 @@
         return [
             node
             for node in self._nodes.values()
-            if endpoint in node.scheduler.owned_endpoints()
+            if endpoint in node.scheduler.groups.endpoints()
         ]
 
 
--- a/packages/baobabmux-core/tests/configuration_races_test.py
+++ b/packages/baobabmux-core/tests/configuration_races_test.py
@@ -31,7 +31,7 @@
     def __init__(self, **options):
         self.ended_at = {}
         super().__init__(**options)
-        self.declared = next(iter(self.nodes.values()))._configuration
+        self.declared = next(iter(self.nodes.values())).view.configuration
 
     def configure(self, nodes=None, **changes):
         configuration = msgspec.structs.replace(self.declared, **changes)
--- a/packages/baobabmux-core/tests/content_ends_test.py
+++ b/packages/baobabmux-core/tests/content_ends_test.py
@@ -91,7 +91,7 @@
             node = self.holder_of[request]
             self.break_run(request)
             self.carry_out(
-                node, self.nodes[node].endpoint_ended(endpoint, self.now)
+                node, self.nodes[node].ends.endpoint_ended(endpoint, self.now)
             )
 
     def break_run(self, request):
@@ -155,7 +155,7 @@
         self.network = collections.deque(
             sent for sent in self.network if node not in sent[:2]
         )
-        configuration = self.nodes[node]._configuration
+        configuration = self.nodes[node].view.configuration
         self.nodes[node] = scheduler.NodeScheduler(
             node, "col-a", self.members, 1
         )
@@ -303,7 +303,7 @@
     cluster.lost.clear()
     cluster.advance(_STABLE_SECONDS)
     counts = [
-        core.content_end_counts(cluster.now)[_HARMFUL]
+        core.ends.content_end_counts(cluster.now)[_HARMFUL]
         for core in cluster.nodes.values()
     ]
     assert len(set(counts)) == 1
@@ -353,7 +353,7 @@
         cluster.run()
         assert f"again-{number}" in cluster.running
         cluster.complete(f"again-{number}")
-    assert not cluster.nodes["col-a-n0"].content_end_counts(cluster.now)
+    assert not cluster.nodes["col-a-n0"].ends.content_end_counts(cluster.now)
 
 
 def test_content_at_an_endpoint_that_is_cut_off_is_served():
@@ -382,14 +382,14 @@
         endpoint = cluster.running[f"r{number}"]
         cluster.break_run(f"r{number}")
         core = cluster.nodes["col-a-n0"]
-        emitted = core.endpoint_ended(endpoint, cluster.now, certain=False)
+        emitted = core.ends.endpoint_ended(endpoint, cluster.now, certain=False)
         cluster.carry_out("col-a-n0", emitted)
         cluster.advance(2.0)
-    assert core.content_end_counts(cluster.now) == {7: _MAX_ENDS}
+    assert core.ends.content_end_counts(cluster.now) == {7: _MAX_ENDS}
     cluster.carry_out(
-        "col-a-n0", core.configure(core._configuration, cluster.now)
+        "col-a-n0", core.configure(core.view.configuration, cluster.now)
     )
-    assert core.content_end_counts(cluster.now) == {}
+    assert core.ends.content_end_counts(cluster.now) == {}
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -468,13 +468,17 @@
     cluster.end_endpoint(cluster.running["r1"])
     cluster.run()
     cluster.advance(0.5)
-    counts = [c.content_end_counts(cluster.now) for c in cluster.nodes.values()]
+    counts = [
+        c.ends.content_end_counts(cluster.now) for c in cluster.nodes.values()
+    ]
     assert counts == [{7: 1}] * 3
     cluster.lost.add("Cleared")
     cluster.complete("r1")
     cluster.lost.clear()
     cluster.advance(10.0)
-    counts = [c.content_end_counts(cluster.now) for c in cluster.nodes.values()]
+    counts = [
+        c.ends.content_end_counts(cluster.now) for c in cluster.nodes.values()
+    ]
     assert counts == [{}] * 3
 
 
--- a/packages/baobabmux-core/tests/late_requests_test.py
+++ b/packages/baobabmux-core/tests/late_requests_test.py
@@ -240,7 +240,7 @@
     if cause == "endpoints gone":
         for name, core in cluster.nodes.items():
             declared = msgspec.structs.replace(
-                core._configuration, endpoints={}
+                core.view.configuration, endpoints={}
             )
             cluster.carry_out(name, core.configure(declared, cluster.now))
     elif cause == "closed":
--- a/packages/baobabmux-core/tests/part_ends_test.py
+++ b/packages/baobabmux-core/tests/part_ends_test.py
@@ -100,7 +100,9 @@
         self.abandon_all()
 
     def counts(self):
-        return [core.part_end_counts(self.now) for core in self.nodes.values()]
+        return [
+            core.ends.part_end_counts(self.now) for core in self.nodes.values()
+        ]
 
 
 @pytest.mark.parametrize(
--- a/packages/baobabmux-core/tests/request_limits_test.py
+++ b/packages/baobabmux-core/tests/request_limits_test.py
@@ -165,7 +165,7 @@
         for side in sides:
             members = _Side({"col-a": list(side)}, total)
             for node in side:
-                self.nodes[node]._membership = members
+                self.nodes[node].view.members = members
                 self.side_of[node] = members
         self.members_changed()
 
--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -129,7 +129,7 @@
         while they do.
         """
         key = (node, grant.request, grant.endpoint)
-        requests, tokens = self.nodes[node].outstanding()[grant.endpoint]
+        requests, tokens = self.nodes[node].groups.outstanding()[grant.endpoint]
         if key not in self.granted and (
             requests > _MAX_REQUESTS or tokens > 4000
         ):
@@ -139,8 +139,8 @@
     def record_shed(self, node, refusal):
         if refusal.kind == errors.ErrorKind.OVERLOADED.value:
             tier = self.tiers[refusal.request]
-            (group,) = self.nodes[node].owned_groups()
-            held = self.nodes[node].queued_by_tier(group)
+            (group,) = self.nodes[node].groups.names()
+            held = self.nodes[node].groups.queued_by_tier(group)
             fact = invariants.Shed(
                 refusal.request, tier, max(held, default=None)
             )
@@ -238,7 +238,7 @@
         return {
             endpoint: counts
             for core in self.nodes.values()
-            for endpoint, counts in core.outstanding().items()
+            for endpoint, counts in core.groups.outstanding().items()
         }
 
     def violations(self):
@@ -407,7 +407,7 @@
     for name, core in cluster.nodes.items():
         for peer in cluster.nodes:
             heartbeat = messages.Heartbeat(
-                False, -1, core.loads(cluster.now, peer), name[:5]
+                False, -1, core.spills.loads(cluster.now, peer), name[:5]
             )
             cluster.network.append((name, peer, heartbeat))
     cluster.deliver_all()
@@ -516,7 +516,7 @@
     cluster.submit("late", node=index)
     kind = cluster.refusals["late"].kind
     assert kind is errors.ErrorKind.SHUTTING_DOWN
-    assert not cluster.nodes[owner].owned_groups()
+    assert not cluster.nodes[owner].groups.names()
     cluster.settle()
     assert set(cluster.refusals) == {"late"}
     assert not cluster.nodes[owner].held_requests()
@@ -642,7 +642,7 @@
         self.cluster.settle()
         assert not self.cluster.without_single_final()
         assert not self.cluster.violations()
-        waiting = [c.queue_length() for c in self.cluster.nodes.values()]
+        waiting = [c.groups.queue_length() for c in self.cluster.nodes.values()]
         assert sum(waiting) == 0
         assert sum(n for n, _ in self.cluster.outstanding().values()) == 0
 
--- a/packages/baobabmux-node/src/baobabmux_node/driver.py
+++ b/packages/baobabmux-node/src/baobabmux_node/driver.py
@@ -131,7 +131,7 @@
                     message.request,
                     message.endpoint,
                     holder=to,
-                    **self._host.scheduler.decision_inputs(
+                    **self._host.scheduler.groups.decision_inputs(
                         message.request, clock.now()
                     ),
                 )
@@ -143,7 +143,7 @@
                     holder=to,
                     retry_after_ms=message.retry_after_ms,
                     config=self._host.config.version,
-                    **self._host.scheduler.decision_inputs(
+                    **self._host.scheduler.groups.decision_inputs(
                         message.request, clock.now()
                     ),
                 )
--- a/packages/baobabmux-node/src/baobabmux_node/end_records.py
+++ b/packages/baobabmux-node/src/baobabmux_node/end_records.py
@@ -125,8 +125,8 @@
     def due(self, now: float, now_ms: int) -> dict[str, bytes]:
         """Returns the records that this node has to write, by key."""
         due: dict[str, bytes] = {}
-        counted = self._scheduler.counted_contents(_MIN_STORED_ENDS, now)
-        parts = self._scheduler.counted_parts(_MIN_STORED_ENDS, now)
+        counted = self._scheduler.ends.counted_contents(_MIN_STORED_ENDS, now)
+        parts = self._scheduler.ends.counted_parts(_MIN_STORED_ENDS, now)
         wanted = {f"{content:016x}": ends for content, ends in counted.items()}
         wanted |= {
             f"{_PART_PREFIX}{part:08x}": ends for part, ends in parts.items()
@@ -143,9 +143,9 @@
         cause, digest = _parse_key(key)
         if cause is _Cause.PART:
             part = ids.PartDigest(digest)
-            return self._scheduler.part_has_ended_endpoints(part)
+            return self._scheduler.ends.part_has_ended_endpoints(part)
         content = ids.ContentDigest(digest)
-        return self._scheduler.has_ended_endpoints(content)
+        return self._scheduler.ends.has_ended_endpoints(content)
 
     def written(self, key: str, value: bytes) -> None:
         """Records that a record of this node is in the store."""
--- a/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
+++ b/packages/baobabmux-node/src/baobabmux_node/endpoint_ends.py
@@ -66,7 +66,7 @@
     ) -> None:
         """Records the end of an endpoint and reports it to the scheduler."""
         now = clock.now()
-        contents = self._host.scheduler.unfinished_contents(endpoint, now)
+        contents = self._host.scheduler.ends.unfinished_contents(endpoint, now)
         known = now - self._known.get(endpoint, now - _REPEAT_SECONDS)
         if not contents and known < _REPEAT_SECONDS:
             return
@@ -80,12 +80,14 @@
             contents=[f"{content:x}" for content in contents],
             parts=[
                 f"{part:x}"
-                for part in self._host.scheduler.unfinished_parts(endpoint, now)
+                for part in self._host.scheduler.ends.unfinished_parts(
+                    endpoint, now
+                )
             ],
         )
         self._host.metrics.endpoint_ends.labels(evidence.value).inc()
         await self._host.driver.apply(
-            self._host.scheduler.endpoint_ended(
+            self._host.scheduler.ends.endpoint_ended(
                 endpoint, now, certain=evidence is Evidence.REFUSED
             )
         )
--- a/packages/baobabmux-node/src/baobabmux_node/endpoint_reports.py
+++ b/packages/baobabmux-node/src/baobabmux_node/endpoint_reports.py
@@ -89,7 +89,7 @@
             return []
         return [
             endpoint
-            for endpoint in self._host.scheduler.owned_endpoints()
+            for endpoint in self._host.scheduler.groups.endpoints()
             if endpoint in configuration.endpoints
             and self._host.callers.endpoint(endpoint)[0] == "engine"
         ]
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -105,7 +105,7 @@
         self.scheduler = scheduler.NodeScheduler(
             node_settings.node, cell, self.membership, seed
         )
-        self.scheduler.location = node_settings.data_centre
+        self.scheduler.view.location = node_settings.data_centre
         self.scheduler.serves_while_leaving = node_settings.serve_while_draining
         self.cell = cell
         self.peers = peers.PeerTransport(
@@ -330,7 +330,7 @@
             heartbeat = messages.Heartbeat(
                 self.draining,
                 self.config.version,
-                self.scheduler.loads(now, target),
+                self.scheduler.spills.loads(now, target),
                 self.cell,
                 self.membership.suspects_for(target),
                 self._announced_address(),
@@ -375,7 +375,7 @@
 
     def _tick_scheduler(self, now: float) -> None:
         self.driver.pending += self.scheduler.tick(now)
-        busy = self.callers.held or self.scheduler.queue_length()
+        busy = self.callers.held or self.scheduler.groups.queue_length()
         interval = _TICK_SECONDS if busy else _IDLE_TICK_SECONDS
         self.timers.once(now + interval, self._tick_scheduler)
 
@@ -388,9 +388,9 @@
         self.metrics.update_platform(self.ports, self.peers, now)
         if self.configuration is not None:
             self.metrics.endpoints.set(len(self.configuration.endpoints))
-        for group, budget in self.scheduler.attempt_budgets(now).items():
+        for group, budget in self.scheduler.groups.attempt_budgets(now).items():
             self.metrics.attempt_budget.labels(group).set(budget)
-        for name, level in self.scheduler.quota_levels().items():
+        for name, level in self.scheduler.groups.quota_levels().items():
             self.metrics.quota_level.labels(name).set(level)
         dropped = 0 if self.line_writer is None else self.line_writer.dropped
         self.metrics.update_logs(self.events.unwritten, dropped)
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -255,7 +255,9 @@
 
     async def leaving_observed(self, endpoint: ids.EndpointId) -> None:
         """Passes the notice of an answer's endpoint to the scheduler."""
-        emitted = self._host.scheduler.leaving_observed(endpoint, clock.now())
+        emitted = self._host.scheduler.view.leaving_observed(
+            endpoint, clock.now()
+        )
         if emitted:
             await self._driver.apply(emitted)
 
@@ -334,7 +336,7 @@
         scheduler = self._host.scheduler
         if (
             result.outcome is not states.Outcome.COMPLETED
-            or not scheduler.has_ended_endpoints(content)
+            or not scheduler.ends.has_ended_endpoints(content)
         ):
             return
         self._host.events.record(
@@ -343,7 +345,7 @@
             request.endpoint or "",
             content=f"{content:x}",
             status=result.status,
-            ends=scheduler.content_end_counts(clock.now()).get(content, 0),
+            ends=scheduler.ends.content_end_counts(clock.now()).get(content, 0),
         )
         self._host.metrics.answered_contents.labels(
             str(result.succeeded).lower()
--- a/packages/baobabmux-node/src/baobabmux_node/status.py
+++ b/packages/baobabmux-node/src/baobabmux_node/status.py
@@ -58,12 +58,12 @@
     """
     return [
         _group_state(node_scheduler, group, now)
-        for group in node_scheduler.owned_groups()
+        for group in node_scheduler.groups.names()
     ]
 
 
 def _group_state(node_scheduler, group, now) -> GroupStatus:
-    owner = node_scheduler.owned_group(group)
+    owner = node_scheduler.groups.owner(group)
     drained = node_scheduler.drained()
     return GroupStatus(
         group=group,
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -54,10 +54,12 @@
             }
         )
         self._check_contents(
-            self._host.scheduler.content_end_counts(clock.now())
+            self._host.scheduler.ends.content_end_counts(clock.now())
         )
         self._check_parts(clock.now())
-        self._check_leaving(frozenset(self._host.scheduler.leaving_endpoints()))
+        self._check_leaving(
+            frozenset(self._host.scheduler.view.leaving_endpoints())
+        )
         self._check_limits(self._host.scheduler.request_limits())
         self._check_log()
         self._check_frames()
@@ -111,9 +113,9 @@
         Most parts have a single end until the next request with them succeeds.
         """
         scheduler = self._host.scheduler
-        counts = scheduler.part_end_counts(now)
+        counts = scheduler.ends.part_end_counts(now)
         current = {
-            part: (ends, scheduler.is_part_refused(part, now))
+            part: (ends, scheduler.ends.is_part_refused(part, now))
             for part, ends in counts.items()
             if ends >= _MIN_RECORDED_PART_ENDS
         }
--- a/packages/baobabmux-node/tests/end_records_test.py
+++ b/packages/baobabmux-node/tests/end_records_test.py
@@ -107,7 +107,7 @@
         ended_at = now + 0.1
         outcome = states.Outcome.BROKEN
         emitted = self.core.finished(request, outcome, ended_at)
-        emitted += self.core.endpoint_ended(decided[0].endpoint, ended_at)
+        emitted += self.core.ends.endpoint_ended(decided[0].endpoint, ended_at)
         self.carry_out(emitted, ended_at)
         return True
 
@@ -130,7 +130,7 @@
         return decided
 
     def count(self, now):
-        return self.core.content_end_counts(now).get(_CONTENT, 0)
+        return self.core.ends.content_end_counts(now).get(_CONTENT, 0)
 
 
 def test_nodes_that_do_not_reach_each_other_share_their_counts():
@@ -276,7 +276,7 @@
     assert node.exchange(106.0) == {"part-0000000d": b""}
     other = _Node("b", records)
     other.exchange(107.0)
-    assert other.core.part_end_counts(107.0) == {}
+    assert other.core.ends.part_end_counts(107.0) == {}
 
 
 def test_nodes_that_reach_few_others_do_not_try_a_refused_part():
