Split the owner of a group into state, estimates, runs and isolation

Cause: grants.py had 1,368 lines: admission, grants, running requests and the isolation of suspects shared the private state of one class.

Change: group_state holds the endpoints, the queue and the declarations that all parts read; start_estimates predicts whether a request can start in time, granted_runs records starts and ends, isolation runs suspects alone. grants.py has 927 lines now: messages, admission, the queue and the order of grants. No change of behaviour.

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -9,26 +9,28 @@
 import itertools
 import math
 import statistics
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from baobabmux_core import (
     breakers,
     capacity,
-    deadlines,
     declarations,
     effects,
     errors,
     fairness,
+    granted_runs,
+    group_state,
     held_requests,
     ids,
+    isolation,
     messages,
     placement,
     quarantine,
-    queues,
     quotas,
     request_limits,
     retries,
     shortlists,
+    start_estimates,
     states,
     waits,
 )
@@ -48,23 +50,11 @@
 # A Register that arrives sooner after the grant may have been sent before the
 # grant was used, so it does not prove that the grant is unused.
 _REGISTER_GRACE_SECONDS = LEASE_SECONDS + 2.0
-# Ended requests are kept so that a delayed duplicate of an Ask is not queued;
-# the bound covers more requests than one group ends in a minute.
-_MAX_ENDED = 4096
-# Slots are reserved for a tier or for short requests while one of them was
-# received within this time.
-_RESERVATION_SECONDS = 30.0
 # Requests dropped in one iteration of the event loop; their log lines are
 # written at its end.
 _MAX_DROPPED = 256
 _NO_ENDPOINT_RETRY_SECONDS = 2.0
-# Time until an endpoint that has started again is listed anew.
-_RELIST_SECONDS = 1.5
 _MIN_RETRY_SECONDS = 0.5
-# Weight of one run in the failure share of its endpoint.
-_FAILURE_WEIGHT = 0.1
-# In-flight requests of a lost holder occupy their slots at least this long.
-_MIN_ORPHAN_SECONDS = 1.0
 # Interval of the checks of rates and backlog, which are expensive.
 _CHECK_SECONDS = 0.5
 # Workspaces whose last requests are checked at a time; the cost of one check
@@ -75,13 +65,6 @@
 _REEXAMINE_SECONDS = 0.005
 # Age up to which the summed load of a large group is used again.
 _LOAD_AGE_SECONDS = 0.1
-# Time to the first event in addition to the prefill: the dispatch, one decode
-# step of a full batch and the return to the holder.
-_FIRST_EVENT_OVERHEAD_SECONDS = 0.1
-# Share of refused requests from which on predictions get their full error
-# margin, and the weight of one request in that share.
-_FULL_MARGIN_REFUSAL_SHARE = 0.1
-_REFUSAL_WEIGHT = 0.02
 
 
 class _Blocked:
@@ -117,17 +100,20 @@
         self.group = group
         self._limits = limits
         self._limit_share = 1.0
-        self.notices: list[messages.AnyMessage] = []
+        self.state = group_state.GroupState(group, suspects)
+        self.notices = self.state.notices
         self.quotas = quotas.QuotaLedger()
         self.budget = retries.AttemptBudget()
         self.location_of: Callable[[ids.NodeId], ids.DataCentre] = _nowhere
+        self.estimates = start_estimates.StartEstimates(self.state)
+        self._isolation = isolation.Isolation(self.state)
+        self._runs = granted_runs.GrantedRuns(
+            self.state, self._isolation, self.estimates
+        )
         self._quarantine = suspects
-        self._members: dict[ids.EndpointId, placement.GroupMember] = {}
-        self._service: declarations.Service | None = None
-        self._preset: declarations.Preset | None = None
+        self._members = self.state.members
+        self._queue = self.state.queue
         self._refused_ranks: frozenset[int] = frozenset()
-        self._queue = queues.GroupQueue()
-        self._shortlist = shortlists.Shortlist()
         self._load: waits.GroupLoad | None = None
         self._last_ask: messages.Ask | None = None
         # Queued requests that may go on only at one version of endpoints.
@@ -136,24 +122,10 @@
         self._dropped: collections.OrderedDict[ids.RequestId, None] = (
             collections.OrderedDict()
         )
-        self._granted_members: dict[ids.RequestId, placement.GroupMember] = {}
-        # Number of ended attempts by request.
-        self._ended: collections.OrderedDict[ids.RequestId, int] = (
-            collections.OrderedDict()
-        )
         self._order = itertools.count()
-        self._tier_seen_at: dict[int, float] = {}
-        self._short_seen_at = -math.inf
         self._unregistered: set[ids.NodeId] = set()
         self._withhold_until = now
-        self._isolated_request: ids.RequestId | None = None
         self._check_at = now
-        self._refusal_share = 0.0
-        self._service_margin = deadlines.ErrorMargin()
-        self._wait_margin = deadlines.ErrorMargin()
-        # Contents whose quarantine status changed; their queued requests must
-        # be queued again or refused.
-        self._changed_contents: list[ids.ContentDigest] = []
 
     # Configuration and endpoints.
 
@@ -163,13 +135,13 @@
         """Applies a configuration; kept endpoints keep estimated rates."""
         service_name = self.group.split("@")[0]
         service = configuration.services.get(ids.ServiceName(service_name))
-        declared = configuration.group_endpoints(self.group)
         if service is not None:
-            self._service = service
-        self._preset = configuration.active_preset()
+            self.state.service = service
+        preset = configuration.active_preset()
+        self.state.preset = preset
         self._refused_ranks = frozenset(
             configuration.tiers[name].rank
-            for name in self._preset.refused_tiers
+            for name in preset.refused_tiers
             if name in configuration.tiers
         )
         weights = {
@@ -178,25 +150,7 @@
         }
         self._queue.set_weights(weights)
         self.quotas.configure(configuration.workspaces, now)
-        plain = self._service is not None and self._service.kind == "plain"
-        for name, endpoint in declared.items():
-            member = self._members.get(name)
-            if member is None:
-                self._members[name] = placement.GroupMember(
-                    name, endpoint, plain
-                )
-                continue
-            member.model.declared = endpoint
-            member.prefixes.capacity = endpoint.cache_tokens
-        if self._service is not None:
-            for member in self._members.values():
-                member.model.limited_when_slow = (
-                    self._service.limits_slow_endpoints
-                )
-        for name in self._members.keys() - declared.keys():
-            self._members[name].open = False
-            if not self._members[name].model.running:
-                del self._members[name]
+        self.state.configure_members(configuration)
         # A former owner may just have started requests there.
         self._apply_limits(now, 0.0)
 
@@ -251,10 +205,7 @@
         self._unregistered.discard(holder)
         for entry in self._queue.held_by(holder):
             self._drop(entry)
-        for member in self._members.values():
-            for run in member.model.running.values():
-                if run.holder == holder and run.expires is None:
-                    run.expires = max(run.end, now + _MIN_ORPHAN_SECONDS)
+        self._runs.holder_lost(holder, now)
 
     # Queries.
 
@@ -298,7 +249,7 @@
         """Returns whether this owner recently decided about a request."""
         return (
             (self._last_ask is not None and self._last_ask.request == request)
-            or request in self._granted_members
+            or request in self.state.granted
             or request in self._dropped
         )
 
@@ -363,16 +314,16 @@
         """Queues a request, grants it or refuses it."""
         self._last_ask = ask
         self._queue.demote_late(now)
-        if (member := self._granted_members.get(ask.request)) is not None:
+        if (member := self.state.granted.get(ask.request)) is not None:
             if (
                 member.open
                 or member.model.running[ask.request].holder != holder
             ):
                 return self._repeat_grant(member, ask.request, holder, now)
             # The holder did not use the grant, and the endpoint was closed.
-            self._end_running(ask.request, now)
+            self._runs.end(ask.request, now)
         attempt = ask.terms.attempt if ask.terms is not None else 1
-        if attempt <= self._ended.get(ask.request, 0):
+        if attempt <= self._runs.ended_attempts(ask.request):
             return []
         if (known := self._queue.entries.get(ask.request)) is not None:
             known.holder = holder
@@ -381,14 +332,15 @@
         if refusal is not None:
             return [refusal]
         entry = fairness.QueueEntry(
-            ask, holder, now, self._short_tokens(), next(self._order)
+            ask, holder, now, self.state.short_tokens(), next(self._order)
         )
-        entry.suspect = self._is_suspect(ask.content, now)
+        entry.suspect = self.state.is_suspect(ask.content, now)
         entry.location = self.location_of(holder)
-        self._record_arrival(entry, now)
-        if (refused := self._check_deadline(entry, now)) is not None:
+        self.state.record_arrival(entry, now)
+        late_by = self.estimates.check(entry, now)
+        if late_by is not None:
             self._refund(ask)
-            return [refused]
+            return [self._unreachable(entry, late_by)]
         self._queue.add(entry, entry.on_time_start)
         if entry.version is not None:
             self._version_bound.add(ask.request)
@@ -409,7 +361,7 @@
         if entry is not None:
             entry.holder = holder
             return self._acknowledge(entry.ask, holder)
-        member = self._granted_members.get(request)
+        member = self.state.granted.get(request)
         if member is not None and member.open:
             return self._repeat_grant(member, request, holder, now)
         return [effects.Send(holder, messages.Forgotten(request))]
@@ -430,10 +382,10 @@
         if entry is not None and entry.holder == holder:
             self._drop(entry)
             return self._grant_queued(now)
-        member = self._granted_members.get(request)
+        member = self.state.granted.get(request)
         if member is None or member.model.running[request].holder != holder:
             return []
-        self._end_running(request, now)
+        self._runs.end(request, now)
         member.breaker.record_inconclusive(now)
         if member.allowance is not None:
             member.allowance.refund()
@@ -443,7 +395,7 @@
         self, report: messages.Progress, holder: ids.NodeId, now: float
     ) -> list[effects.Effect]:
         """Updates an endpoint's decode rate from a running request."""
-        member = self._granted_members.get(report.request)
+        member = self.state.granted.get(report.request)
         if member is None:
             return []
         run = member.model.running[report.request]
@@ -460,30 +412,20 @@
         """Ends a granted request and grants its slot to a queued one."""
         outcome = states.Outcome.of_code(release.outcome)
         if outcome not in states.UNSENT_OUTCOMES:
-            self._record_ended(release.request)
+            self._runs.record_ended(release.request)
             entry = self._queue.entries.get(release.request)
             if entry is not None and entry.holder == holder:
                 self._dequeue(entry)
-        member = self._granted_members.get(release.request)
+        member = self.state.granted.get(release.request)
         if member is None or member.model.endpoint != release.endpoint:
             return []
         run = member.model.running[release.request]
         if run.holder != holder:
             return []
-        self._record_outcome(member, run, outcome, release.succeeded, now)
-        self._update_service_margin(run, outcome, release)
-        if outcome is states.Outcome.COMPLETED:
-            member.model.observe_completion(
-                run,
-                release.computed_tokens,
-                release.output_tokens,
-                release.prefill_ms / 1000,
-                release.decode_ms / 1000,
-                now,
-            )
-        self._end_running(release.request, now)
-        changed = tuple(self._changed_contents)
-        self._changed_contents.clear()
+        self._runs.record_release(member, run, release, now)
+        self._runs.end(release.request, now)
+        changed = tuple(self.state.changed_contents)
+        self.state.changed_contents.clear()
         return self.contents_changed(changed, now)
 
     def register(
@@ -503,7 +445,7 @@
             and now - run.granted > _REGISTER_GRACE_SECONDS
         ]
         for request in lost:
-            self._end_running(request, now)
+            self._runs.end(request, now)
         return self._grant_queued(now)
 
     def contents_changed(
@@ -552,7 +494,7 @@
         emitted = self._refuse_unreachable(now) + self._refuse_versions_gone()
         if now >= self._check_at:
             self._check_at = now + _CHECK_SECONDS
-            self._expire_running(now)
+            self._runs.expire(now)
             self._check_rates(now)
             emitted += self._refuse_behind_backlog(now)
         return emitted + self._grant_queued(now)
@@ -580,9 +522,6 @@
 
     # Admission.
 
-    def _short_tokens(self) -> int:
-        return self._service.short_tokens if self._service else 0
-
     def _admission(
         self, ask: messages.Ask, holder: ids.NodeId, now: float
     ) -> effects.Effect | None:
@@ -593,7 +532,9 @@
                 errors.ErrorKind.NO_ENDPOINT,
                 _NO_ENDPOINT_RETRY_SECONDS,
             )
-        if ask.terms is not None and not self._has_version(ask.terms.version):
+        if ask.terms is not None and not self.state.has_version(
+            ask.terms.version
+        ):
             return _version_gone(holder, ask.request)
         if ask.tier in self._refused_ranks:
             return _refusal(
@@ -603,7 +544,7 @@
                 max(_NO_ENDPOINT_RETRY_SECONDS, self.wait(now)),
             )
         seconds = self._quarantine.refused_for(
-            ask.content, _shared_parts(ask), now
+            ask.content, granted_runs.shared_parts(ask), now
         )
         if seconds is not None:
             return _refusal(
@@ -611,23 +552,6 @@
             )
         return self._charge(ask, holder, now)
 
-    def _has_version(self, version: str | None) -> bool:
-        """Returns whether a stream of a version can go on in this group."""
-        members = placement.of_version(self._members, version)
-        return any(member.open for member in members.values())
-
-    def _members_for(
-        self, entry: fairness.QueueEntry
-    ) -> list[placement.GroupMember]:
-        return list(placement.of_version(self._members, entry.version).values())
-
-    def _examined_for(
-        self, entry: fairness.QueueEntry, now: float
-    ) -> shortlists.Members:
-        """Returns the endpoints to examine for a decision about a request."""
-        members = placement.of_version(self._members, entry.version)
-        return self._shortlist.choose(members, entry, now)
-
     def _charge(
         self, ask: messages.Ask, holder: ids.NodeId, now: float
     ) -> effects.Effect | None:
@@ -654,140 +578,10 @@
             return None
         return _refusal(holder, ask.request, errors.ErrorKind.OVER_QUOTA, wait)
 
-    def _record_arrival(self, entry: fairness.QueueEntry, now: float) -> None:
-        self._tier_seen_at[entry.ask.tier] = now
-        if entry.short:
-            self._short_seen_at = now
-
-    def _check_deadline(
-        self, entry: fairness.QueueEntry, now: float
-    ) -> effects.Effect | None:
-        """Sets the entry's estimates.
-
-        Returns:
-            A refusal if the deadline or the target of the first event cannot
-            be met, else None.
-        """
-        members = self._examined_for(entry, now)
-        usable = waits.usable(members.values(), now) or [
-            member for member in members.values() if member.open
-        ]
-        ask = entry.ask
-        seconds = [
-            member.model.prefill_seconds(
-                ask.prompt_tokens - member.prefixes.cached_tokens(ask.prefixes)
-            )
-            + member.model.decode_seconds(ask.output_tokens)
-            for member in usable
-        ]
-        entry.seconds = statistics.fmean(seconds)
-        on_time_start = self._on_time_start(entry, usable)
-        entry.on_time_start = on_time_start
-        entry.late = on_time_start < now
-        entry.predicted_wait = self._wait_of(entry, now, members)
-        wait = entry.predicted_wait * self._scaled_margin(self._wait_margin)
-        wait = max(wait, self._pause_of(entry, now))
-        # Without a wait, the attempt takes no slot from another request.
-        margin = 1.0
-        if wait > 0.0:
-            margin = self._scaled_margin(self._service_margin)
-        entry.latest_start = entry.deadline - min(seconds) * margin
-        if entry.first_by < math.inf:
-            if wait <= 0.0:
-                # The length of a stream is a guess, and taking a free slot
-                # delays no other request.
-                entry.latest_start = entry.deadline
-            fastest = min(
-                member.model.prefill_seconds(ask.prompt_tokens)
-                for member in usable
-            )
-            entry.latest_start = min(
-                entry.latest_start, entry.first_by - fastest
-            )
-            is_first_attempt = ask.terms is not None and ask.terms.attempt == 1
-            if (
-                is_first_attempt
-                and now + wait > on_time_start
-                and not entry.late
-            ):
-                # Other requests will occupy the slots until it is late, so
-                # waiting would be useless.
-                return self._unreachable(entry, now + wait - on_time_start)
-        late_by = now + wait - entry.latest_start
-        if late_by > 0.0:
-            return self._unreachable(entry, late_by)
-        self._refusal_share -= _REFUSAL_WEIGHT * self._refusal_share
-        return None
-
-    def _pause_of(self, entry: fairness.QueueEntry, now: float) -> float:
-        """Returns the seconds until an endpoint takes a request of its holder.
-
-        It is 0 unless all open endpoints want nothing from the holder.
-        """
-        if not entry.paused_until:
-            return 0.0
-        return min(
-            (
-                entry.pause_left(member.model.endpoint, now)
-                for member in self._members_for(entry)
-                if member.open
-            ),
-            default=0.0,
-        )
-
-    def _on_time_start(
-        self,
-        entry: fairness.QueueEntry,
-        members: list[placement.GroupMember],
-    ) -> float:
-        """Returns the latest start with which the first event is on time."""
-        if entry.target_by == math.inf:
-            return math.inf
-        fastest = min(
-            (
-                member.model.prefill_seconds(entry.ask.prompt_tokens)
-                for member in members
-                if member.open
-            ),
-            default=0.0,
-        )
-        return entry.target_by - fastest - _FIRST_EVENT_OVERHEAD_SECONDS
-
-    def _scaled_margin(self, margin: deadlines.ErrorMargin) -> float:
-        """Returns the factor by which admission multiplies a prediction.
-
-        Slot time spent on a late request matters only while other requests
-        are refused for lack of slots, so the margin grows with the share of
-        refusals.
-        """
-        full_factor = margin.factor()
-        return 1.0 + (full_factor - 1.0) * min(
-            1.0, self._refusal_share / _FULL_MARGIN_REFUSAL_SHARE
-        )
-
-    def _wait_of(
-        self,
-        entry: fairness.QueueEntry,
-        now: float,
-        examined: shortlists.Members | None = None,
-    ) -> float:
-        """Predicts the remaining wait of a request, queued or not."""
-        if examined is None:
-            examined = self._examined_for(entry, now)
-        return waits.request_wait(
-            entry,
-            examined.values(),
-            self._queue,
-            self._reserved_share(entry, now),
-            self._preset.short_share if self._preset else 0.0,
-            now,
-            group_size=max(len(examined), len(self._members)),
-        )
-
     def _unreachable(
         self, entry: fairness.QueueEntry, late_by: float
     ) -> effects.Effect:
-        self._refusal_share += _REFUSAL_WEIGHT * (1.0 - self._refusal_share)
+        self.estimates.record_refusal()
         return _refusal(
             entry.holder,
             entry.ask.request,
@@ -800,8 +594,8 @@
         refused = []
         for queue in list(self._queue.tiers.values()):
             for entry in queue.latest_deadlines(_CHECKED_WORKSPACES):
-                wait = self._wait_of(entry, now) * max(
-                    1.0, self._wait_margin.mean
+                wait = self.estimates.wait_of(entry, now) * max(
+                    1.0, self.estimates.wait_margin.mean
                 )
                 late_by = now + wait - entry.latest_start
                 if late_by > 0.0:
@@ -812,10 +606,10 @@
     def _refuse_unreachable(self, now: float) -> list[effects.Effect]:
         refused = []
         while (entry := self._queue.pop_unreachable(now)) is not None:
-            late_by = now + self._wait_of(entry, now) - entry.latest_start
-            self._wait_margin.observe(
-                entry.predicted_wait, now - entry.queued_at
+            late_by = (
+                now + self.estimates.wait_of(entry, now) - entry.latest_start
             )
+            self.estimates.record_wait(entry, now)
             self._drop(entry)
             refused.append(self._unreachable(entry, late_by))
         return refused
@@ -827,7 +621,7 @@
             entry = self._queue.entries.get(request)
             if entry is None:
                 self._version_bound.discard(request)
-            elif not self._has_version(entry.version):
+            elif not self.state.has_version(entry.version):
                 self._drop(entry)
                 refused.append(_version_gone(entry.holder, request))
         return refused
@@ -837,12 +631,12 @@
 
         The bounds are the service's limits of queued requests and tokens.
         """
-        if self._service is None:
+        if self.state.service is None:
             return []
         shed = []
         while (
-            len(self._queue.entries) > self._service.max_queue_requests
-            or self.queued_tokens() > self._service.max_queue_tokens
+            len(self._queue.entries) > self.state.service.max_queue_requests
+            or self.queued_tokens() > self.state.service.max_queue_tokens
         ):
             entry = self._queue.newest_of_lowest()
             self._drop(entry)
@@ -865,8 +659,8 @@
             self._queue.remove_granted(entry)
         else:
             self._queue.remove(entry)
-        if self._isolated_request == entry.ask.request and not granted:
-            self._end_isolation()
+        if not granted:
+            self._isolation.end_for(entry.ask.request)
 
     def _drop(self, entry: fairness.QueueEntry) -> None:
         """Removes a queued request that gets no grant and refunds its cost."""
@@ -973,10 +767,10 @@
                 continue
             choice = placement.choose(
                 entry,
-                self._examined_for(entry, now),
-                self._reserved_share(entry, now),
-                self._scaled_margin(self._service_margin),
-                self._preset,
+                self.state.examined_for(entry, now),
+                self.state.reserved_share(entry, now),
+                self.estimates.scaled_service_margin(),
+                self.state.preset,
                 now,
             )
             if isinstance(choice, placement.GroupMember):
@@ -1003,7 +797,7 @@
     def _is_held_back(self, entry: fairness.QueueEntry, now: float) -> bool:
         """Returns whether a request waits although a slot may be free."""
         return self._waits_after_end(entry, now) or (
-            self._pause_of(entry, now) > 0.0
+            self.state.pause_of(entry, now) > 0.0
         )
 
     def _waits_after_end(self, entry: fairness.QueueEntry, now: float) -> bool:
@@ -1013,7 +807,7 @@
         not again before the next end would count. A second attempt goes on at
         once, since most endpoints end for reasons of their own.
         """
-        if self._isolates_suspects():
+        if self.state.isolates_suspects():
             return False
         terms = entry.ask.terms
         if terms is not None and terms.attempt > 1:
@@ -1021,42 +815,18 @@
         content = entry.ask.content
         if content in self._quarantine.ends and (
             self._quarantine.ends.is_fresh(content, now)
-            or any(run.content == content for run in self._runs())
+            or any(run.content == content for run in self.state.runs())
         ):
             return True
         parts = self._quarantine.parts
         return any(
             parts.counts.is_fresh(part, now)
-            or any(part in run.parts for run in self._runs())
-            for part in parts.suspects(_shared_parts(entry.ask), now)
+            or any(part in run.parts for run in self.state.runs())
+            for part in parts.suspects(
+                granted_runs.shared_parts(entry.ask), now
+            )
         )
 
-    def _runs(self) -> Iterator[capacity.RunningRequest]:
-        for member in self._members.values():
-            yield from member.model.running.values()
-
-    def _reserved_share(self, entry: fairness.QueueEntry, now: float) -> float:
-        """Returns the share of slots that a request must leave free."""
-        if self._preset is None:
-            return 0.0
-        if entry.short:
-            # It frees its slot soon, and the slots reserved from long requests
-            # are meant for it.
-            return 0.0
-        share = 0.0
-        if now - self._short_seen_at < _RESERVATION_SECONDS:
-            share = self._preset.short_share
-        tier = entry.ask.tier
-        present = [
-            rank
-            for rank, seen in self._tier_seen_at.items()
-            if now - seen < _RESERVATION_SECONDS or rank == tier
-        ]
-        above = sum(rank < tier for rank in present)
-        if above:
-            share += self._preset.high_tier_share * above / (len(present) - 1)
-        return share
-
     def _grant(
         self,
         entry: fairness.QueueEntry,
@@ -1067,27 +837,8 @@
     ) -> effects.Effect:
         ask = entry.ask
         self._dequeue(entry, granted=True)
-        self._wait_margin.observe(entry.predicted_wait, now - entry.queued_at)
-        cached = member.prefixes.cached_tokens(ask.prefixes)
-        run = capacity.RunningRequest(
-            ask.request,
-            entry.holder,
-            ask.tier,
-            entry.tokens,
-            max(0, ask.prompt_tokens - cached),
-            ask.output_tokens,
-            ask.content,
-            now,
-            short=entry.short,
-            isolated=isolated,
-            parts=_shared_parts(ask),
-        )
-        member.model.start(run)
-        member.breaker.record_grant(now)
-        if member.allowance is not None:
-            member.allowance.take(now)
-        member.prefixes.used(ask.prefixes)
-        self._granted_members[ask.request] = member
+        self.estimates.record_wait(entry, now)
+        self._runs.start(entry, member, now, isolated=isolated)
         return _grant(entry.holder, ask.request, member.model.endpoint)
 
     def _repeat_grant(
@@ -1106,214 +857,26 @@
 
     # Running requests.
 
-    def _end_running(self, request: ids.RequestId, now: float) -> None:
-        member = self._granted_members.pop(request)
-        member.model.end(request, now)
-        if self._isolated_request == request:
-            self._end_isolation()
-        if (
-            not member.open
-            and not member.model.running
-            and (self._service is None)
-        ):
-            self._members.pop(member.model.endpoint, None)
-
-    def _record_ended(self, request: ids.RequestId) -> None:
-        self._ended[request] = self._ended.get(request, 0) + 1
-        if len(self._ended) > _MAX_ENDED:
-            self._ended.popitem(last=False)
-
-    def _expire_running(self, now: float) -> None:
-        expired = [
-            run.request
-            for member in self._members.values()
-            for run in member.model.running.values()
-            if run.expires is not None and run.expires <= now
-        ]
-        for request in expired:
-            self._end_running(request, now)
-
     def _restore_run(
         self, item: messages.InFlight, holder: ids.NodeId, now: float
     ) -> None:
-        if item.request in self._ended:
+        if not self._runs.restore(item, holder, now):
             return
-        member = self._members.get(item.endpoint)
-        if member is None:
-            return
-        known = self._granted_members.get(item.request)
-        if known is not None:
-            run = known.model.running[item.request]
-            if run.holder == holder and known is member:
-                run.expires = None
-                return
-            self._end_running(item.request, now)
         entry = self._queue.entries.get(item.request)
         if entry is not None:
             self._dequeue(entry)
-        tokens = item.prompt_tokens + item.output_tokens
-        run = capacity.RunningRequest(
-            item.request,
-            holder,
-            item.tier,
-            tokens,
-            0,
-            item.output_tokens,
-            item.content,
-            now - item.elapsed_ms / 1000,
-            short=tokens < self._short_tokens(),
-        )
-        member.model.restore(run)
-        self._granted_members[item.request] = member
-        if (
-            self._isolated_request is None
-            and self._isolates_suspects()
-            and self._is_suspect(item.content, now)
-        ):
-            # A former owner isolated it; nothing may run beside it.
-            run.isolated = True
-            member.reserved_for = item.request
-            self._isolated_request = item.request
-
-    def _update_service_margin(
-        self,
-        run: capacity.RunningRequest,
-        outcome: states.Outcome,
-        release: messages.Release,
-    ) -> None:
-        predicted = run.end - run.granted
-        actual = (release.prefill_ms + release.decode_ms) / 1000
-        completed = outcome is states.Outcome.COMPLETED
-        # A request cancelled at its deadline would have taken at least as
-        # long.
-        if completed or (
-            outcome is states.Outcome.CANCELLED and actual > predicted
-        ):
-            self._service_margin.observe(predicted, actual)
+        self._runs.isolate_restored(item, now)
 
     # Failures.
 
-    def _record_outcome(
-        self,
-        member: placement.GroupMember,
-        run: capacity.RunningRequest,
-        outcome: states.Outcome,
-        succeeded: bool,
-        now: float,
-    ) -> None:
-        """Updates breaker, failure share and quarantine by an outcome."""
-        if outcome is states.Outcome.UNREACHED:
-            member.breaker.record_inconclusive(now)
-            return
-        if outcome is not states.Outcome.CANCELLED:
-            is_completed = outcome is states.Outcome.COMPLETED
-            member.failure_share += _FAILURE_WEIGHT * (
-                (not is_completed) - member.failure_share
-            )
-        if outcome is states.Outcome.COMPLETED:
-            member.breaker.record_success()
-            if succeeded:
-                self._quarantine.parts.prove(run.parts, now)
-            if succeeded and self._quarantine.clear(run.content, now):
-                self.notices.append(messages.Cleared(run.content))
-                self._changed_contents.append(run.content)
-            return
-        if outcome is states.Outcome.CANCELLED:
-            member.breaker.record_inconclusive(now)
-            return
-        if outcome is states.Outcome.NOT_SENT:
-            member.version_doubted_until = now + _RELIST_SECONDS
-        if outcome in states.BROKEN_OUTCOMES:
-            self._quarantine.ends.record_break(run.content, now)
-            for part in run.parts:
-                self._quarantine.parts.counts.record_break(part, now)
-        if (
-            not self._isolates_suspects()
-            and outcome is not states.Outcome.NOT_SENT
-        ):
-            # A full endpoint rejects requests, a run may fail, and an answer
-            # may be lost while the endpoint serves others. Only a failed
-            # connection (NOT_SENT) shows that the endpoint is down.
-            member.breaker.record_inconclusive(now)
-            return
-        member.breaker.record_failure(now)
-        if (
-            outcome is not states.Outcome.BROKEN
-            or not self._isolates_suspects()
-        ):
-            return
-        member.prefixes.clear()
-        if run.isolated and len(member.model.running) == 1:
-            self._quarantine.confirm(run.content, now)
-            self._changed_contents.append(run.content)
-            self.notices.append(
-                messages.Suspect(
-                    member.model.endpoint, (run.content,), alone=True
-                )
-            )
-            return
-        contents = tuple(
-            sorted({other.content for other in member.model.running.values()})
-        )
-        fresh = [
-            content
-            for content in contents
-            if self._quarantine.suspect(content, now)
-        ]
-        if fresh:
-            self._changed_contents += fresh
-            self.notices.append(
-                messages.Suspect(
-                    member.model.endpoint, tuple(fresh), alone=False
-                )
-            )
-
-    def _isolates_suspects(self) -> bool:
-        return self._service is None or self._service.isolates_suspects
-
-    def _is_suspect(self, content: ids.ContentDigest, now: float) -> bool:
-        status = self._quarantine.status(content, now)
-        return status is not quarantine.ContentStatus.CLEAR
-
     def _grant_isolated(
         self, suspects: fairness.TierQueue, now: float
     ) -> list[effects.Effect]:
-        """Reserves an endpoint for a suspect and grants it once it is empty.
-
-        One suspect at a time runs in the group, alone on one endpoint.
-        """
-        if self._isolated_request is None:
-            usable = [
-                member
-                for member in waits.usable(self._members.values(), now)
-                if member.reserved_for is None
-            ]
-            entry = next(suspects.candidates(1), None)
-            if not usable or entry is None:
-                return []
-            member = min(
-                usable, key=lambda member: member.model.running_seconds(now)
-            )
-            member.reserved_for = entry.ask.request
-            self._isolated_request = entry.ask.request
-        entry = self._queue.entries.get(self._isolated_request)
-        if entry is None:
-            return []  # It is running.
-        for member in self._members.values():
-            if member.reserved_for != self._isolated_request:
-                continue
-            if not member.open or not member.breaker.admits(now):
-                self._end_isolation()
-                return []
-            if member.model.used(now) == 0 and member.admits(now):
-                return [self._grant(entry, member, now, isolated=True)]
-        return []
-
-    def _end_isolation(self) -> None:
-        for member in self._members.values():
-            if member.reserved_for == self._isolated_request:
-                member.reserved_for = None
-        self._isolated_request = None
+        """Grants an empty endpoint to the suspect that is isolated."""
+        chosen = self._isolation.next(suspects, now)
+        if chosen is None:
+            return []
+        return [self._grant(*chosen, now, isolated=True)]
 
     def _requeue(
         self, entry: fairness.QueueEntry, now: float
@@ -1339,10 +902,6 @@
     return ids.DataCentre("")
 
 
-def _shared_parts(ask: messages.Ask) -> tuple[ids.PartDigest, ...]:
-    return () if ask.terms is None else ask.terms.parts
-
-
 def _refusal(
     holder: ids.NodeId,
     request: ids.RequestId,
--- a/packages/baobabmux-core/tests/broken_scheduler_test.py
+++ b/packages/baobabmux-core/tests/broken_scheduler_test.py
@@ -234,7 +234,7 @@
     admission = grants.GroupOwner._admission
 
     def broken(self, ask, holder, now):
-        if self.queue_length() >= self._service.max_queue_requests:
+        if self.queue_length() >= self.state.service.max_queue_requests:
             kind = errors.ErrorKind.OVERLOADED.value
             refusal = messages.Refusal(ask.request, kind, 1000)
             return effects.Send(holder, refusal)
--- a/packages/baobabmux-node/tests/caller_orders_test.py
+++ b/packages/baobabmux-node/tests/caller_orders_test.py
@@ -390,8 +390,8 @@
         assert not self.service.held
         assert all(run.ended for run in self.adapter.runs)
         owner = self.scheduler._owned[f"drafting@{_CENTRE}"]
-        assert not list(owner._runs())
-        assert not owner._queue.entries
+        assert not list(owner.state.runs())
+        assert owner.queue_length() == 0
 
     def events(self):
         return [int(n) for n in _EVENT_ID.findall(self.exchange.body)]
