Check declarations before they are published

Cause: validate finds what nodes would reject, not what they accept and cannot serve; nobody tells before a publication what it changes.

Nothing is published.

--- a/packages/baobabmux-ctl/src/baobabmux_ctl/main.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/main.py
@@ -6,6 +6,7 @@
 from absl import flags
 
 from baobabmux_ctl import (
+    check,
     command,
     drain,
     exits,
@@ -92,6 +93,7 @@
 def _commands() -> list[command.Command]:
     return [
         validate.Validate(),
+        check.Check(),
         publish.Publish(),
         preset.Preset(),
         status.Status(),
