Import prometheus_client for the first page of metrics only

Change: instruments.py holds the values; a registry reads them when a page is rendered. The page is the same to the byte.

--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -4,24 +4,16 @@
 is bounded. Requests are never labels; workspaces label only the quota levels.
 """
 
-import prometheus_client
+import functools
 
-from baobabmux_node import status
-
-# The creation time of each counter is not needed and would double the length of
-# the page.
-prometheus_client.disable_created_metrics()
+from baobabmux_node import instruments, status
 
 
 class Metrics:
-    """All metrics; docs/metrics.md describes them for operators.
-
-    Attributes:
-        registry: Registry of the metrics on the admin listener's page.
-    """
+    """All metrics; docs/metrics.md describes them for operators."""
 
     def __init__(self):
-        self.registry = prometheus_client.CollectorRegistry()
+        self._instruments: list[instruments.Instrument] = []
         self.submitted = self._counter(
             "requests", "Requests accepted for scheduling", ["tier", "route"]
         )
@@ -33,12 +25,11 @@
             "Final answers other than an endpoint's",
             ["tier", "kind"],
         )
-        self.first_token = prometheus_client.Histogram(
+        self.first_token = self._histogram(
             "baobabmux_first_token_seconds",
             "Time from arrival to the first token",
             ["tier"],
-            registry=self.registry,
-            buckets=(0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10, 30, 60),
+            (0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10, 30, 60),
         )
         self.prompt_tokens = self._counter(
             "prompt_tokens", "Prompt tokens of finished requests", ["service"]
@@ -90,12 +81,11 @@
             "Log lines that were counted or dropped instead of written",
             ["reason"],
         )
-        self.waiting = prometheus_client.Histogram(
+        self.waiting = self._histogram(
             "baobabmux_waiting_seconds",
             "Time from arrival to the dispatch of an attempt",
             ["tier"],
-            registry=self.registry,
-            buckets=(0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10),
+            (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10),
         )
         self.attempts = self._counter(
             "attempts", "Attempts at endpoints", ["service", "outcome"]
@@ -209,9 +199,14 @@
             "stray_answers", "Answers that matched no request"
         )
 
+    @functools.cached_property
+    def registry(self):
+        """Registry of the metrics on the admin listener's page."""
+        return instruments.registry(self._instruments)
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self.registry)
+        return instruments.page(self.registry)
 
     def update_control(self, transport, appends: int) -> None:
         """Copies the counts of the transport and of the log service.
@@ -276,14 +271,17 @@
 
     @staticmethod
     def _set_total(counter, total: float) -> None:
-        counter.inc(max(0, total - counter._value.get()))
+        counter.inc(max(0, total - counter.value))
 
     def _counter(self, name, text, labels=()):
-        return prometheus_client.Counter(
-            f"baobabmux_{name}", text, labels, registry=self.registry
-        )
+        return self._add(instruments.Counter(f"baobabmux_{name}", text, labels))
 
     def _gauge(self, name, text, labels=()):
-        return prometheus_client.Gauge(
-            f"baobabmux_{name}", text, labels, registry=self.registry
-        )
+        return self._add(instruments.Gauge(f"baobabmux_{name}", text, labels))
+
+    def _histogram(self, name, text, labels, bounds):
+        return self._add(instruments.Histogram(name, text, labels, bounds))
+
+    def _add(self, instrument):
+        self._instruments.append(instrument)
+        return instrument
