Let a node's log lines be written without eliot

Cause: eliot makes ids of tasks for each line, which no tool reads, and its import is 65 of 750 million instructions.

Change: EventRecorder.write_line, if set, receives lines with the fields that eliot writes except the ids. The product's entry point still uses eliot.

--- a/packages/baobabmux-node/src/baobabmux_node/events.py
+++ b/packages/baobabmux-node/src/baobabmux_node/events.py
@@ -1,5 +1,6 @@
 """Records the events of this node in the timeline and in the log."""
 
+from collections.abc import Callable
 from typing import Any
 
 import eliot
@@ -37,11 +38,13 @@
         clock: Hybrid logical clock of this node.
         timeline: Recent events.
         unwritten: Number of routine events that were not written to the log.
+        write_line: Receives the lines of the log, or None if eliot does.
     """
 
     def __init__(self, node: ids.NodeId, max_events: int):
         self.node = node
         self.unwritten = 0
+        self.write_line: Callable[[bytes], None] | None = None
         self._current_second = 0
         self._routine_lines = 0
         self.clock = hlc.HybridClock()
@@ -82,6 +85,9 @@
         if kind in _ROUTINE_KINDS and not self._count_routine_line(event.hlc):
             self.unwritten += 1
             return
+        if self.write_line is not None:
+            self.write_line(_encode(kind, event))
+            return
         eliot.log_message(
             message_type=f"{kind.number}:{kind.title}",
             **msgspec.structs.asdict(event),
@@ -95,3 +101,33 @@
             self._routine_lines = 0
         self._routine_lines += 1
         return self._routine_lines <= _MAX_ROUTINE_LINES_PER_SECOND
+
+
+class _Line(msgspec.Struct):
+    """A line as eliot would write it, without its ids of tasks."""
+
+    message_type: str
+    timestamp: float
+    hlc: int
+    kind: int
+    node: str
+    request: str
+    endpoint: str
+    fields: dict[str, Any]
+
+
+_ENCODER = msgspec.json.Encoder(enc_hook=str)
+
+
+def _encode(kind: catalogue.EventKind, event: timeline.Event) -> bytes:
+    line = _Line(
+        f"{kind.number}:{kind.title}",
+        hlc.wall_ms(event.hlc) / 1000,
+        event.hlc,
+        event.kind,
+        event.node,
+        event.request,
+        event.endpoint,
+        event.fields,
+    )
+    return _ENCODER.encode(line) + b"\n"
--- a/packages/baobabmux-node/tests/logs_test.py
+++ b/packages/baobabmux-node/tests/logs_test.py
@@ -3,6 +3,8 @@
 import fcntl
 import os
 
+import msgspec
+
 from baobabmux_core import catalogue
 from baobabmux_node import events, logs
 
@@ -82,3 +84,39 @@
     routine = written.count(kind.REQUEST_RECEIVED.number)
     assert 0 < routine < 2000
     assert recorder.unwritten == 2000 - routine
+
+
+def test_line_written_directly_has_the_fields_that_eliot_writes(monkeypatch):
+    """Guards against tools that cannot read the lines of some nodes.
+
+    Only eliot's ids of tasks are missing.
+    """
+    by_eliot = []
+    directly = []
+    monkeypatch.setattr(events.wall_clock, "unix_ms", lambda: 5_000_250)
+    events.eliot.add_destinations(by_eliot.append)
+    try:
+        for write_line in (None, directly.append):
+            recorder = events.EventRecorder("n1", 10)
+            recorder.write_line = write_line
+            recorder.record(
+                catalogue.EventKind.REQUEST_REFUSED,
+                "r",
+                "e",
+                error="overloaded",
+                left_ms=None,
+                odd={1.5},
+            )
+    finally:
+        events.eliot.remove_destination(by_eliot.append)
+    line = directly[0]
+    assert line.endswith(b"}\n")
+    found = msgspec.json.decode(line)
+    assert found.pop("timestamp") == 5000.25
+    expected = {
+        name: value
+        for name, value in by_eliot[0].items()
+        if name not in ("task_uuid", "task_level", "timestamp")
+    }
+    expected["fields"]["odd"] = [1.5]
+    assert found == expected
