Import what a node on the platform uses, and nothing else

Cause: half of the instructions until a node is ready go to modules that it never calls: absl and pdb, asyncio (by curio and expression), the clients of the product's own services, subprocess, tempfile. The profile shows no single large part; the number of modules counts.

Ruled out: compiling to target/ (the platform keeps compiled files); importlib.util.LazyLoader (loads at the second import statement); importlib.abc as a base class (20 ms).

--- a/packages/baobabmux-core/src/baobabmux_core/configuration.py
+++ b/packages/baobabmux-core/src/baobabmux_core/configuration.py
@@ -421,10 +421,11 @@
     changes: dict[str, Any],
     delete: list[str],
     configuration: declarations.Configuration | None = None,
-) -> expression.Result[
-    tuple[declarations.Tables, declarations.Configuration],
-    list[declarations.ConfigError],
-]:
+) -> (
+    "expression.Result["
+    "tuple[declarations.Tables, declarations.Configuration], "
+    "list[declarations.ConfigError]]"
+):
     """Applies a delta to tables and checks the result.
 
     Args:
--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -431,7 +431,7 @@
 
 def load_files(
     paths: Iterable[str | pathlib.Path],
-) -> expression.Result[Tables, list[ConfigError]]:
+) -> "expression.Result[Tables, list[ConfigError]]":
     """Reads TOML files and merges their tables.
 
     Args:
@@ -500,7 +500,7 @@
 
 def parse(
     tables: Tables, source: str = "", known: CheckedTables | None = None
-) -> expression.Result[Configuration, list[ConfigError]]:
+) -> "expression.Result[Configuration, list[ConfigError]]":
     """Checks tables against the schema and against each other.
 
     Args:
@@ -539,7 +539,7 @@
         }
         self.errors: list[ConfigError] = []
 
-    def parse(self) -> expression.Result[Configuration, list[ConfigError]]:
+    def parse(self) -> "expression.Result[Configuration, list[ConfigError]]":
         """Checks everything and returns the configuration or the errors."""
         if not isinstance(self.tables, dict):
             return expression.Error(
--- a/packages/baobabmux-core/src/baobabmux_core/keys.py
+++ b/packages/baobabmux-core/src/baobabmux_core/keys.py
@@ -55,7 +55,7 @@
 
 def parse_key(
     text: str, now_ms: int, window_seconds: float
-) -> expression.Result[Key, errors.ErrorKind]:
+) -> "expression.Result[Key, errors.ErrorKind]":
     """Parses an idempotency key and checks its age.
 
     Args:
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -34,7 +34,6 @@
     events,
     logs,
     metrics,
-    own_ports,
     paths,
     peers,
     ports,
@@ -62,6 +61,13 @@
 Kind = catalogue.EventKind
 
 
+def _own_ports(host: "Node") -> ports.Ports:
+    # Nodes of other platforms do not need these modules.
+    from baobabmux_node import own_ports  # noqa: PLC0415
+
+    return own_ports.OwnPorts(host)
+
+
 class Node:
     """A process that accepts requests and schedules and dispatches them.
 
@@ -80,7 +86,7 @@
     def __init__(
         self,
         node_settings: settings.Settings,
-        make_ports: Callable[["Node"], ports.Ports] = own_ports.OwnPorts,
+        make_ports: Callable[["Node"], ports.Ports] = _own_ports,
     ):
         self.settings = node_settings
         self.draining = False
--- a/packages/baobabmux-node/src/baobabmux_node/settings.py
+++ b/packages/baobabmux-node/src/baobabmux_node/settings.py
@@ -7,7 +7,6 @@
 
 import expression
 import msgspec
-from expression import Error, Ok
 
 from baobabmux_core import claims, ids
 
@@ -153,7 +152,7 @@
 _FIELD_BY_KEY = {"id": "node", "secret_file": "secret"}
 
 
-def load(path: Path) -> expression.Result[Settings, list[SettingsError]]:
+def load(path: Path) -> "expression.Result[Settings, list[SettingsError]]":
     """Reads and checks a settings file.
 
     Args:
@@ -165,15 +164,19 @@
     try:
         tables = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
-        return Error([SettingsError(path.name, "", error.strerror or "")])
+        return expression.Error(
+            [SettingsError(path.name, "", error.strerror or "")]
+        )
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        return Error([SettingsError(path.name, "", f"not TOML: {error}")])
+        return expression.Error(
+            [SettingsError(path.name, "", f"not TOML: {error}")]
+        )
     return parse(tables, path.name)
 
 
 def parse(
     tables: dict[str, Any], file: str
-) -> expression.Result[Settings, list[SettingsError]]:
+) -> "expression.Result[Settings, list[SettingsError]]":
     """Checks the tables of a settings file.
 
     Args:
@@ -218,7 +221,11 @@
     ]
     errors += _duplicate_listeners(values, file)
     errors += _retention_errors(values, file)
-    return Error(errors) if errors else Ok(Settings(**values))
+    return (
+        expression.Error(errors)
+        if errors
+        else expression.Ok(Settings(**values))
+    )
 
 
 class _Invalid(msgspec.Struct, frozen=True):
