--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -58,7 +58,7 @@
         )
         self._check_parts(clock.now())
         self._check_leaving(
-            frozenset(self._host.scheduler.view.leaving_endpoints())
+            frozenset(self._host.scheduler.leaving_endpoints())
         )
         self._check_limits(self._host.scheduler.request_limits())
         self._check_log()
--- a/packages/baobabmux-node/tests/endpoint_ends_test.py
+++ b/packages/baobabmux-node/tests/endpoint_ends_test.py
@@ -29,7 +29,7 @@
         self.configuration = types.SimpleNamespace(
             endpoints={_ENDPOINT: endpoint}
         )
-        self.scheduler = self
+        self.scheduler = self.ends = self
         self.driver = self
         self.events = self
         self.metrics = types.SimpleNamespace(
