Learn the speed of endpoints from their answers

Cause: the prefill rate of an endpoint was learned from samples above 50 ms only, with weights below 0.02 for most of them: an engine that reads 148 prompt tokens a millisecond counted as one that reads 60.

Change: endpoint_speed keeps two rates and a slowness for each endpoint, and for the group what all have in common: the time to a first event besides reading, the cost of a further stream, the delay of streams by prompts, and whether prompts are read in turn or at once. EndpointModel predicts by it where it has one; nothing sets it yet.

--- a/packages/baobabmux-core/src/baobabmux_core/capacity.py
+++ b/packages/baobabmux-core/src/baobabmux_core/capacity.py
@@ -3,7 +3,13 @@
 import collections
 import math
 
-from baobabmux_core import deadlines, declarations, ids
+from baobabmux_core import (
+    deadlines,
+    declarations,
+    endpoint_speed,
+    endpoint_work,
+    ids,
+)
 
 # Weight of one sample that covers a second or more in an estimated rate; about
 # ten such samples replace the declared rate.
@@ -58,10 +64,15 @@
         isolated: Whether it runs alone because its content is suspect.
         expires: Time at which its slot is freed because its holder is lost,
             or None.
+        crosses: Whether its holder is in another data centre.
+        ahead: Prompt tokens that were to be read before its own.
+        work_before: Work of the endpoint until the grant.
     """
 
     __slots__ = (
+        "ahead",
         "content",
+        "crosses",
         "elapsed",
         "end",
         "expires",
@@ -78,6 +89,7 @@
         "tier",
         "tokens",
         "uncached",
+        "work_before",
     )
 
     def __init__(
@@ -94,6 +106,7 @@
         short: bool = False,
         isolated: bool = False,
         parts: tuple[ids.PartDigest, ...] = (),
+        crosses: bool = False,
     ):
         self.request = request
         self.holder = holder
@@ -112,6 +125,9 @@
         self.isolated = isolated
         self.parts = parts
         self.expires: float | None = None
+        self.crosses = crosses
+        self.ahead: endpoint_work.Ahead | None = None
+        self.work_before = endpoint_work.Work()
 
 
 class EndpointModel:
@@ -132,6 +148,8 @@
         stalled: Whether a running request has sent no report for too long.
         limited_when_slow: Whether it runs fewer requests when it is slower
             than its peers.
+        speed: Speed learned from answers, or None if the rates are used.
+        prompts: Prompts that it reads now, if it has a learned speed.
     """
 
     def __init__(
@@ -153,6 +171,9 @@
         self.peer_decode_rate: float | None = None
         self.stalled = False
         self.limited_when_slow = True
+        self.speed: endpoint_speed.EndpointSpeed | None = None
+        self.prompts = endpoint_work.PromptQueue()
+        self._work = endpoint_work.WorkCounter()
         self._prefill_free_at = 0.0
         self._samples = 0
         self._sum_of_ends = 0.0
@@ -165,18 +186,27 @@
 
     def prefill_seconds(self, uncached: int) -> float:
         """Predicts the time to compute prompt tokens, without a queue."""
+        if self.speed is not None:
+            return self.speed.prefill_seconds(uncached)
         return 0.0 if self.plain else uncached / self.prefill_rate
 
     def decode_seconds(self, output: int) -> float:
         """Predicts the time to produce output tokens."""
         if self.plain:
             return self.plain_seconds
+        if self.speed is not None:
+            return self.speed.decode_seconds(output, len(self.running) + 1)
         return output * self._batch_slowdown(1) / self.decode_rate
 
     def predict(
         self, start: float, uncached: int, output: int
     ) -> deadlines.Prediction:
         """Predicts the end of a request dispatched at `start`."""
+        if self.speed is not None:
+            first = start + self.first_event_seconds(uncached, start)
+            return deadlines.Prediction(
+                first, first + self.decode_seconds(output)
+            )
         return deadlines.predict_end(
             start,
             start if self.plain else self._prefill_free_at,
@@ -184,6 +214,17 @@
             self.decode_seconds(output),
         )
 
+    def first_event_seconds(
+        self, uncached: int, now: float, crosses: bool = False
+    ) -> float:
+        """Predicts the time to a first event, by the learned speed."""
+        common = self.speed.common
+        self.prompts.advance(self.speed.prefill_rate, common.order, now)
+        ahead = self.prompts.ahead(uncached).tokens(common.order)
+        return common.overhead(crosses) + self.speed.prefill_seconds(
+            uncached + ahead
+        )
+
     def slowdown(self) -> float:
         """Returns how many times slower it is than its peers or long-term rate.
 
@@ -249,6 +290,12 @@
     def start(self, run: RunningRequest) -> None:
         """Adds a granted request and predicts its times."""
         prediction = self.predict(run.granted, run.uncached, run.output)
+        if self.speed is not None:
+            run.ahead = self.prompts.ahead(run.uncached)
+            self.prompts.left[run.request] = float(run.uncached)
+            run.work_before = self._work.count(
+                len(self.running), run.uncached, run.granted
+            )
         run.first_token = prediction.first_token
         run.end = prediction.end
         self._prefill_free_at = max(
@@ -270,6 +317,9 @@
             return None
         self.tokens -= run.tokens
         self._sum_of_ends -= run.end
+        if self.speed is not None:
+            self._work.count(len(self.running) + 1, 0, now)
+            self.prompts.left.pop(request, None)
         self._record_count(now)
         if not self.running:
             self._prefill_free_at = 0.0
@@ -288,6 +338,10 @@
             elapsed: Seconds since its first token.
             now: Current time in seconds.
         """
+        if self.speed is not None:
+            run.reported = now
+            self._learn_decode(run, tokens, elapsed, now)
+            return
         gained = tokens - run.produced
         seconds = elapsed - run.elapsed
         if gained < 0 or seconds < _MIN_SAMPLE_SECONDS:
@@ -334,6 +388,17 @@
                 prefill + decode - self.plain_seconds
             )
             return
+        if self.speed is not None:
+            if run.ahead is not None:
+                self.speed.observe_first_event(
+                    run.uncached if computed < 0 else computed,
+                    run.ahead,
+                    run.crosses,
+                    prefill,
+                    now,
+                )
+            self._learn_decode(run, output, decode, now)
+            return
         predicted = run.first_token - run.granted
         if computed >= 0:
             predicted += (computed - run.uncached) / self.prefill_rate
@@ -345,6 +410,22 @@
             )
         self.observe_progress(run, output, decode, now)
 
+    def _learn_decode(
+        self, run: RunningRequest, tokens: int, elapsed: float, now: float
+    ) -> None:
+        if run.ahead is None:
+            return
+        work = self._work.count(len(self.running), 0, now)
+        self.speed.observe_stream(
+            tokens - run.produced,
+            work.since(run.work_before),
+            now - run.granted,
+            elapsed - run.elapsed,
+            now,
+        )
+        run.produced = tokens
+        run.elapsed = elapsed
+
     def apply_load_report(
         self, requests: int, as_of: float, now: float
     ) -> None:
