Place requests by first events and pauses

Cause: each request went where it would end soonest. Long prompts were read on endpoints four times slower, where the first event came 100 to 470 ms after the dispatch at the median, and paused the streams there.

Change: a service may declare placement = "first_event" and gap_seconds. A request then goes to an endpoint where its first event is on time and where reading its prompt pauses no stream for too long; it passes over a slow slot as before (decision 0007), but not when its first event would become late.

--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -82,6 +82,11 @@
             have ended while they ran it.
         max_connections: Connections that each endpoint accepts from all nodes
             together, or 0 if unknown.
+        placement: "end" to run each request where it ends soonest,
+            "first_event" to run it where its first event is on time and other
+            streams do not pause for too long.
+        gap_seconds: Longest time between two events that callers of its
+            streams expect, or 0 if any.
     """
 
     kind: str
@@ -91,6 +96,8 @@
     limits_slow_endpoints: bool = True
     isolates_suspects: bool = True
     max_connections: int = 0
+    placement: str = "end"
+    gap_seconds: float = 0.0
 
 
 class Endpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -412,6 +419,7 @@
 }
 
 _KINDS = ("engine", "plain")
+_PLACEMENTS = ("end", "first_event")
 _UNITS = ("requests", "tokens")
 _METHODS = ("DELETE", "GET", "PATCH", "POST", "PUT")
 
@@ -818,6 +826,11 @@
         )
     if key == "kind" and value not in _KINDS:
         return f"{_quoted(value)} is unknown", f"known: {_format_names(_KINDS)}"
+    if key == "placement" and value not in _PLACEMENTS:
+        return (
+            f"{_quoted(value)} is unknown",
+            f"known: {_format_names(_PLACEMENTS)}",
+        )
     if key == "methods":
         unknown = [method for method in value if method not in _METHODS]
         if unknown or not value:
--- a/packages/baobabmux-core/src/baobabmux_core/granted_runs.py
+++ b/packages/baobabmux-core/src/baobabmux_core/granted_runs.py
@@ -5,6 +5,7 @@
 from baobabmux_core import (
     capacity,
     fairness,
+    first_events,
     group_state,
     ids,
     isolation,
@@ -67,6 +68,7 @@
             short=entry.short,
             isolated=isolated,
             parts=shared_parts(ask),
+            crosses=first_events.crosses(entry, member),
         )
         member.model.start(run)
         member.breaker.record_grant(now)
@@ -125,6 +127,14 @@
             member.model.running[item.request].isolated = True
             self._isolation.take(member, item.request)
 
+    def predicted_first(self, request: ids.RequestId) -> dict[str, int]:
+        """Returns the predicted first event of a run, for the log."""
+        member = self._state.granted.get(request)
+        if member is None or member.model.speed is None:
+            return {}
+        run = member.model.running[request]
+        return {"first_ms": round(1000 * (run.first_token - run.granted))}
+
     # Ends.
 
     def end(self, request: ids.RequestId, now: float) -> None:
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -267,6 +267,7 @@
             **self._version_input(request),
             "limited": load.limited,
             "wait_ms": round(load.wait * 1000),
+            **self._runs.predicted_first(request),
         }
 
     def _current_load(self, now: float) -> waits.GroupLoad:
@@ -690,6 +691,7 @@
         """
         if not self._queue.entries or self._is_withholding(now):
             return []
+        self.state.first_events.slots_changed()
         grants: list[effects.Effect] = []
         blocked = _Blocked()
         higher_tier_waits = False
@@ -765,13 +767,8 @@
                 continue
             if now < entry.examine_at:
                 continue
-            choice = placement.choose(
-                entry,
-                self.state.examined_for(entry, now),
-                self.state.reserved_share(entry, now),
-                self.estimates.scaled_service_margin(),
-                self.state.preset,
-                now,
+            choice = self.state.choose(
+                entry, self.estimates.scaled_service_margin(), now
             )
             if isinstance(choice, placement.GroupMember):
                 return entry, choice
@@ -837,6 +834,7 @@
     ) -> effects.Effect:
         ask = entry.ask
         self._dequeue(entry, granted=True)
+        self.state.first_events.slots_changed()
         self.estimates.record_wait(entry, now)
         self._runs.start(entry, member, now, isolated=isolated)
         return _grant(entry.holder, ask.request, member.model.endpoint)
--- a/packages/baobabmux-core/src/baobabmux_core/group_state.py
+++ b/packages/baobabmux-core/src/baobabmux_core/group_state.py
@@ -6,6 +6,7 @@
     capacity,
     declarations,
     fairness,
+    first_events,
     ids,
     messages,
     placement,
@@ -31,6 +32,8 @@
         quarantine: Contents and parts under which endpoints have ended.
         granted: Endpoint of each granted request.
         notices: Messages for all nodes.
+        first_events: Choice of endpoints for a service that is placed by first
+            events.
         changed_contents: Contents whose quarantine status changed; their
             queued requests must be queued again or refused.
     """
@@ -45,6 +48,7 @@
         self.granted: dict[ids.RequestId, placement.GroupMember] = {}
         self.notices: list[messages.AnyMessage] = []
         self.changed_contents: list[ids.ContentDigest] = []
+        self.first_events = first_events.Chooser()
         self._shortlist = shortlists.Shortlist()
         self._tier_seen_at: dict[int, float] = {}
         self._short_seen_at = float("-inf")
@@ -66,6 +70,7 @@
                 continue
             member.model.declared = endpoint
             member.prefixes.capacity = endpoint.cache_tokens
+        self.first_events.configure(self.service, self.members.values())
         if self.service is not None:
             for member in self.members.values():
                 member.model.limited_when_slow = (
@@ -120,6 +125,26 @@
         members = placement.of_version(self.members, entry.version)
         return self._shortlist.choose(members, entry, now)
 
+    def choose(
+        self, entry: fairness.QueueEntry, margin: float, now: float
+    ) -> placement.GroupMember | placement.NoPlacement:
+        """Returns the endpoint for a request, or why it gets none.
+
+        Args:
+            entry: The request.
+            margin: Factor on predicted durations.
+            now: Current time in seconds.
+        """
+        reserved = self.reserved_share(entry, now)
+        if first_events.applies(self.service):
+            return self.first_events.choose(
+                entry, self.members, reserved, self.preset, now
+            )
+        examined = self.examined_for(entry, now)
+        return placement.choose(
+            entry, examined, reserved, margin, self.preset, now
+        )
+
     def pause_of(self, entry: fairness.QueueEntry, now: float) -> float:
         """Returns the seconds until an endpoint takes a request of its holder.
 
--- a/packages/baobabmux-core/src/baobabmux_core/placement.py
+++ b/packages/baobabmux-core/src/baobabmux_core/placement.py
@@ -31,7 +31,7 @@
 # A stream waits for a faster endpoint at most this share of the time by which
 # it would end sooner there (decision 0007). A long stream on a slow endpoint
 # is exposed to faults for longer; a short one can use the slow slot meanwhile.
-_MAX_WAIT_PER_SECOND_SOONER = 0.1
+MAX_WAIT_PER_SECOND_SOONER = 0.1
 
 
 class NoPlacement(enum.Enum):
@@ -164,11 +164,11 @@
     best_cost = math.inf
     busy_cost = math.inf
     usable = in_time = has_slot = False
-    avoided = _avoided(ask, members)
+    passed_over = avoided(ask, members)
     for name, member in members.items():
         model = member.model
         if (
-            name in avoided
+            name in passed_over
             or not member.takes_requests(now)
             or (entry.version and now < member.version_doubted_until)
             or entry.pause_left(name, now) > 0.0
@@ -187,9 +187,7 @@
             start, ask.prompt_tokens - cached[name], ask.output_tokens
         )
         end = predicted.end
-        recomputed = model.prefill_seconds(max(0, longest - cached[name]))
-        cost = end + _RECOMPUTE_WEIGHT * recomputed
-        cost += _FAILURE_COST_SECONDS * member.failure_share
+        cost = end + extra_cost(member, max(0, longest - cached[name]))
         cost += _crossing_cost(entry, model.declared, preset)
         ends_in_time = now + (end - now) * margin <= entry.deadline
         if not ends_in_time and entry.first_by == math.inf:
@@ -233,17 +231,31 @@
     return preset.other_centre_seconds
 
 
-def _avoided(
+def extra_cost(member: GroupMember, recomputed: int) -> float:
+    """Returns what a run costs besides its own duration, in seconds.
+
+    Args:
+        member: Endpoint of the run.
+        recomputed: Prompt tokens that another endpoint has cached.
+    """
+    seconds = member.model.prefill_seconds(recomputed)
+    return (
+        _RECOMPUTE_WEIGHT * seconds
+        + _FAILURE_COST_SECONDS * member.failure_share
+    )
+
+
+def avoided(
     ask: messages.Ask, members: Mapping[ids.EndpointId, GroupMember]
 ) -> frozenset[ids.EndpointId]:
     """Returns the endpoints of earlier attempts, if others are open."""
     if ask.terms is None or not ask.terms.avoided:
         return frozenset()
-    avoided = frozenset(ask.terms.avoided)
+    names = frozenset(ask.terms.avoided)
     others = any(
-        member.open and name not in avoided for name, member in members.items()
+        member.open and name not in names for name, member in members.items()
     )
-    return avoided if others else frozenset()
+    return names if others else frozenset()
 
 
 def _max_wait(
@@ -264,4 +276,4 @@
     max_wait = min(longest, _MAX_WAIT_PER_SAVED_SECOND * saved_seconds)
     if entry.target_by == math.inf:
         return max_wait
-    return max(max_wait, _MAX_WAIT_PER_SECOND_SOONER * seconds_sooner)
+    return max(max_wait, MAX_WAIT_PER_SECOND_SOONER * seconds_sooner)
--- a/packages/baobabmux-core/src/baobabmux_core/start_estimates.py
+++ b/packages/baobabmux-core/src/baobabmux_core/start_estimates.py
@@ -11,6 +11,7 @@
 from baobabmux_core import (
     deadlines,
     fairness,
+    first_events,
     group_state,
     placement,
     shortlists,
@@ -162,4 +163,7 @@
         ),
         default=0.0,
     )
-    return entry.target_by - fastest - _FIRST_EVENT_OVERHEAD_SECONDS
+    overhead = first_events.overhead_seconds(
+        members, _FIRST_EVENT_OVERHEAD_SECONDS
+    )
+    return entry.target_by - fastest - overhead
--- a/packages/baobabmux-core/tests/declarations_test.py
+++ b/packages/baobabmux-core/tests/declarations_test.py
@@ -74,6 +74,10 @@
     ({"tier": {"a/b": {"rank": 2}}}, "the name is not allowed"),
     ({"workspace": {"a": {"weight": float("nan")}}}, "weight is nan"),
     ({"service": {"s": {"kind": "gpu"}}}, 'kind "gpu" is unknown'),
+    (
+        {"service": {"s": {"kind": "engine", "placement": "any"}}},
+        'placement "any" is unknown',
+    ),
     ({"endpoint": {"e": {**_ENDPOINT}}}, 'address "127.0.0.1:9001" is already'),
     *(
         (
