Record streams in the store while several versions serve

Nodes hand begun streams to a recorder while several versions may be in play; nodes read them for requests that no node can answer.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -178,6 +178,11 @@
 
     VM_LIST_REACHED = (801, "The VM list is reachable: {reachable}.")
     LOG_REACHED = (802, "The log service is reachable: {reachable}.")
+    STREAMS_READ = (
+        803,
+        "The store's records of streams were read for {requests} requests;"
+        " {streams} streams were read from it so far.",
+    )
 
     REQUEST_MALFORMED = (
         901,
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -727,6 +727,24 @@
     certain: bool
 
 
+class StreamsToStore(Message, frozen=True, tag=33):
+    """Hands streams to a node that records them in the platform's store.
+
+    Attributes:
+        service: Service that runs them.
+        version: Version of the endpoints that sent their first events.
+        streams: Keys of the streams.
+        handovers: Number of nodes that could not record them.
+    """
+
+    since: ClassVar[int] = 7
+
+    service: ids.ServiceName
+    version: str
+    streams: tuple[ids.StreamKey, ...]
+    handovers: int = 0
+
+
 class EndpointPaused(Message, frozen=True, tag=32):
     """Reports that an endpoint wants nothing from the receiver for a while.
 
@@ -777,6 +795,7 @@
     | PartsProved
     | EndpointsLeaving
     | EndpointPaused
+    | StreamsToStore
 )
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -39,6 +39,7 @@
     spills,
     states,
     stream_origins,
+    version_history,
 )
 
 if typing.TYPE_CHECKING:
@@ -193,7 +194,7 @@
             return self._submit_at_origin(conclusion, now)
         peers = self.view.members.reachable()
         asks = self._origins.look_up(work, peers, now)
-        return asks or [_stream_unknown(work)]
+        return [_stream_unknown(work)] if asks is None else asks
 
     def _submit_at_origin(
         self, conclusion: stream_origins.Conclusion | None, now: float
@@ -461,6 +462,9 @@
             case messages.StreamsBegan():
                 self._origins.receive(message, now)
                 emitted = []
+            case messages.StreamsToStore():
+                self._origins.stored.receive(message)
+                emitted = []
             case messages.StreamAsk():
                 answer = self._origins.answer(message, now)
                 emitted = [effects.Send(sender, answer)]
@@ -664,10 +668,14 @@
             and self._holder.pauses.seconds_left(endpoint, now) == 0.0
         )
 
-    def versions(self) -> stream_origins.VersionHistory:
+    def versions(self) -> version_history.VersionHistory:
         """Returns the versions of endpoints that were listed recently."""
         return self._origins.history
 
+    def streams(self) -> stream_origins.StreamOrigins:
+        """Returns the records of recent streams."""
+        return self._origins
+
     def stream_records(self) -> int:
         """Returns the number of recent streams whose version is kept here."""
         return len(self._origins)
--- a/packages/baobabmux-core/src/baobabmux_core/stream_origins.py
+++ b/packages/baobabmux-core/src/baobabmux_core/stream_origins.py
@@ -16,21 +16,26 @@
 import msgspec
 import xxhash
 
-from baobabmux_core import declarations, effects, ids, messages
+from baobabmux_core import (
+    effects,
+    ids,
+    messages,
+    stored_streams,
+    version_history,
+)
+
+Origin = stored_streams.Origin
 
 # Nodes that keep a copy of a record.
 _COPIES = 3
 # Nodes that are asked for a record: those that keep it, and the next ones in
 # case nodes have come or gone since.
 _MAX_ASKED = 16
-# Shortest time for which a record is kept.
-_MIN_KEPT_SECONDS = 30.0
-# A caller may take a stream up after its first try has timed out.
-_KEPT_TIMEOUTS = 2.0
-# Age of the endpoint directory from which on another version may serve without
-# this node's knowledge.
-_MAX_DIRECTORY_AGE_SECONDS = 3.0
 _ANSWER_TIMEOUT_SECONDS = 0.3
+# Longest time that a request waits for the record of its stream in the store.
+_STORE_TIMEOUT_SECONDS = 1.5
+# Names no stream.
+_NO_STREAM = ids.StreamKey(0)
 # Bound the memory; the oldest record is evicted first.
 _MAX_RECORDS = 10_000
 _MAX_LOOKUPS = 1_000
@@ -38,18 +43,6 @@
 _MAX_SENT = 100
 
 
-class Origin(msgspec.Struct, frozen=True):
-    """What began a stream.
-
-    Attributes:
-        service: Service that runs it.
-        version: Version of the endpoint that sent its first event.
-    """
-
-    service: ids.ServiceName
-    version: str
-
-
 class Conclusion(msgspec.Struct, frozen=True):
     """Result of a question about the stream that a request takes up.
 
@@ -69,140 +62,6 @@
     at: float
 
 
-class ListedVersions(msgspec.Struct, frozen=True):
-    """Versions of one service since a time.
-
-    Attributes:
-        since: Time in seconds from which on every listed version is known.
-        listed: Versions of the endpoints that are listed now.
-        left: Time in seconds at which other versions were listed last.
-    """
-
-    since: float
-    listed: frozenset[str]
-    left: dict[str, float]
-
-
-class VersionHistory:
-    """Versions of each service's endpoints that were listed recently.
-
-    Attributes:
-        kept_seconds: Time for which a version that left is kept.
-        gaps: Number of times after which versions may have been missed, the
-            start of the node included.
-    """
-
-    def __init__(self):
-        self.kept_seconds = _MIN_KEPT_SECONDS
-        self.gaps = 1
-        self._is_current = True
-        self._streaming: frozenset[ids.ServiceName] = frozenset()
-        self._observed_since: dict[ids.ServiceName, float] = {}
-        self._listed: dict[ids.ServiceName, frozenset[str]] = {}
-        # Time at which a version was listed last.
-        self._left: dict[tuple[ids.ServiceName, str], float] = {}
-
-    def configure(
-        self, configuration: declarations.Configuration, now: float
-    ) -> None:
-        """Applies the endpoints that exist now."""
-        streaming = [
-            route for route in configuration.routes.values() if route.streaming
-        ]
-        timeouts = [route.timeout_seconds for route in streaming]
-        self.kept_seconds = max(
-            _MIN_KEPT_SECONDS, _KEPT_TIMEOUTS * max(timeouts, default=0.0)
-        )
-        self._streaming = frozenset().union(
-            *(route.services() for route in streaming)
-        )
-        listed = collections.defaultdict(set)
-        for endpoint in configuration.endpoints.values():
-            listed[endpoint.service].add(endpoint.version)
-        for service, known in self._listed.items():
-            for version in known - listed.get(service, set()):
-                self._left[service, version] = now
-        self._listed = {
-            service: frozenset(known) for service, known in listed.items()
-        }
-        for key, at in list(self._left.items()):
-            if at <= now - self.kept_seconds:
-                del self._left[key]
-        for service in self._listed:
-            self._observed_since.setdefault(service, now)
-
-    def check_age(self, directory_age: float, now: float) -> None:
-        """Starts anew if versions may have been listed unseen."""
-        is_current = directory_age <= _MAX_DIRECTORY_AGE_SECONDS
-        if not is_current:
-            self.gaps += self._is_current
-            self._observed_since = dict.fromkeys(self._observed_since, now)
-        self._is_current = is_current
-
-    def known(self) -> dict[ids.ServiceName, ListedVersions]:
-        """Returns the versions of all services that send streams.
-
-        It is empty while the endpoint directory is not current.
-        """
-        if not self._is_current:
-            return {}
-        return {
-            service: ListedVersions(
-                self._observed_since[service],
-                listed,
-                {
-                    version: at
-                    for (name, version), at in self._left.items()
-                    if name == service and version not in listed
-                },
-            )
-            for service, listed in self._listed.items()
-            if service in self._streaming and any(listed)
-        }
-
-    def restore(
-        self, service: ids.ServiceName, earlier: ListedVersions, now: float
-    ) -> None:
-        """Adds what was known of a service before this node's observation."""
-        listed = self._listed.get(service, frozenset())
-        left = dict(earlier.left)
-        # They have left since the record was made, at an unknown time.
-        left.update(dict.fromkeys(earlier.listed - listed, now))
-        for version, at in left.items():
-            if version not in listed:
-                before = self._left.get((service, version), at)
-                self._left[service, version] = max(at, before)
-        if service in self._observed_since:
-            since = min(self._observed_since[service], earlier.since)
-            self._observed_since[service] = since
-
-    def versions(self, service: ids.ServiceName, now: float) -> set[str]:
-        """Returns the versions that may have begun a recent stream."""
-        recent = {
-            version
-            for (name, version), at in self._left.items()
-            if name == service and at > now - self.kept_seconds
-        }
-        return recent | self._listed.get(service, frozenset())
-
-    def only_version(self, service: ids.ServiceName, now: float) -> str | None:
-        """Returns the version that began every recent stream, or None.
-
-        None means that it is not known, or that there were several.
-        """
-        known = self.versions(service, now)
-        if len(known) != 1:
-            return None
-        (version,) = known
-        if not version:
-            # Endpoints of this service name no versions.
-            return version
-        since = self._observed_since.get(service)
-        if since is None or now - since < self.kept_seconds:
-            return None
-        return version
-
-
 class _Lookup:
     """A request whose stream other nodes are asked about."""
 
@@ -213,6 +72,22 @@
         self.versions: set[str] = set()
 
 
+class _StoreLookup(msgspec.Struct):
+    """A request whose stream only the store may know.
+
+    Attributes:
+        work: The request.
+        asked: Time in seconds from which on a read of the store answers it.
+        due: Time in seconds at which it is refused.
+        is_read: Whether the store was read since.
+    """
+
+    work: effects.Work
+    asked: float
+    due: float
+    is_read: bool = False
+
+
 class _Ring:
     """Nodes on a hash ring; a stream's record is kept by the next ones.
 
@@ -239,10 +114,12 @@
 
     Attributes:
         history: Versions that were listed recently.
+        stored: Streams on their way to the platform's store.
     """
 
     def __init__(self, node: ids.NodeId):
-        self.history = VersionHistory()
+        self.history = version_history.VersionHistory()
+        self.stored = stored_streams.StoredStreams(node)
         self._node = node
         # In the order of their times.
         self._records: collections.OrderedDict[ids.StreamKey, _Record] = (
@@ -253,6 +130,8 @@
             collections.defaultdict(set)
         )
         self._lookups: dict[ids.RequestId, _Lookup] = {}
+        # Questions that no node could answer; the store may.
+        self._store_lookups: dict[ids.RequestId, _StoreLookup] = {}
         self._ring = _Ring(node, frozenset({node}))
 
     def __len__(self) -> int:
@@ -283,6 +162,7 @@
         for key in keys:
             if (record := self._records.get(key)) is not None:
                 self._unsent[record.origin.service].add(key)
+                self.stored.began(key, record.origin)
 
     def reports(
         self, peers: Iterable[ids.NodeId], now: float
@@ -293,6 +173,16 @@
             peers: Reachable nodes.
             now: Current time in seconds.
         """
+        return [
+            *self._copies(peers, now),
+            *self.stored.handovers(
+                lambda service: len(self.history.versions(service, now)) > 1
+            ),
+        ]
+
+    def _copies(
+        self, peers: Iterable[ids.NodeId], now: float
+    ) -> list[effects.Effect]:
         ring = self._ring_of(peers)
         by_node = collections.defaultdict(list)
         for service, keys in self._unsent.items():
@@ -344,6 +234,7 @@
     def _drop(self, key: ids.StreamKey) -> None:
         record = self._records.pop(key)
         self._unsent[record.origin.service].discard(key)
+        self.stored.expired(key, record.origin)
 
     # Questions to other nodes.
 
@@ -361,16 +252,18 @@
 
     def look_up(
         self, work: effects.Work, peers: Iterable[ids.NodeId], now: float
-    ) -> list[effects.Effect]:
-        """Asks other nodes which version began a stream.
+    ) -> list[effects.Effect] | None:
+        """Asks other nodes, or the store, which version began a stream.
 
         Returns:
-            The questions; empty if there is nobody to ask, or if too many
-            requests are waiting for answers.
+            The questions to other nodes, or None if there is nobody to ask, or
+            if too many requests are waiting for answers.
         """
+        if self.waiting() >= _MAX_LOOKUPS:
+            return None
         asked = self._ring_of(peers).nodes(work.resumes, _MAX_ASKED)
-        if not asked or len(self._lookups) >= _MAX_LOOKUPS:
-            return []
+        if not asked:
+            return [] if self._ask_store(work, now) else None
         self._lookups[work.request] = _Lookup(
             work, set(asked), now + _ANSWER_TIMEOUT_SECONDS
         )
@@ -380,11 +273,13 @@
     def cancel(self, request: ids.RequestId) -> effects.Work | None:
         """Drops the question for a request; returns it if there was one."""
         lookup = self._lookups.pop(request, None)
+        if lookup is None:
+            lookup = self._store_lookups.pop(request, None)
         return None if lookup is None else lookup.work
 
     def waiting(self) -> int:
         """Returns the number of requests that wait for answers."""
-        return len(self._lookups)
+        return len(self._lookups) + len(self._store_lookups)
 
     def answered(
         self, answer: messages.StreamAnswer, sender: ids.NodeId, now: float
@@ -404,7 +299,7 @@
         if lookup.unanswered:
             return None
         del self._lookups[answer.request]
-        return Conclusion(lookup.work, self._conclude(lookup, now))
+        return self._conclude(lookup, now)
 
     def overdue(self, now: float) -> list[Conclusion]:
         """Returns the requests whose answers did not all arrive in time."""
@@ -414,19 +309,85 @@
             if lookup.due <= now
         ]
         lookups = [self._lookups.pop(request) for request in due]
+        concluded = [self._conclude(lookup, now) for lookup in lookups]
         return [
-            Conclusion(lookup.work, self._conclude(lookup, now))
-            for lookup in lookups
+            *(one for one in concluded if one is not None),
+            *self._overdue_at_store(now),
         ]
 
-    def _conclude(self, lookup: _Lookup, now: float) -> Origin | None:
-        """Returns what must have begun a stream of which nobody has a record.
+    def _conclude(self, lookup: _Lookup, now: float) -> Conclusion | None:
+        """Concludes what must have begun a stream unknown to all nodes.
 
         A node that has known only one version for long enough is right about
-        it, unless this node has seen another one.
+        it, unless this node has seen another one. Without one, the store is
+        asked.
         """
-        service = lookup.work.service
-        known = lookup.versions | self.history.versions(service, now)
-        if len(lookup.versions) != 1 or known != lookup.versions:
+        work = lookup.work
+        known = lookup.versions | self.history.versions(work.service, now)
+        if len(lookup.versions) == 1 and known == lookup.versions:
+            origin = Origin(work.service, next(iter(lookup.versions)))
+            return Conclusion(work, origin)
+        if self._ask_store(work, now):
             return None
-        return Origin(service, next(iter(lookup.versions)))
+        return Conclusion(work, None)
+
+    # Questions to the platform's store.
+
+    def _ask_store(self, work: effects.Work, now: float) -> bool:
+        """Lets a request wait for the store; returns whether it may."""
+        if not self.stored.candidates or work.resumes == _NO_STREAM:
+            return False
+        due = now + _STORE_TIMEOUT_SECONDS
+        self._store_lookups[work.request] = _StoreLookup(work, now, due)
+        return True
+
+    def needs_store(self) -> bool:
+        """Returns whether a request waits for what the store knows."""
+        return any(not one.is_read for one in self._store_lookups.values())
+
+    def restore(
+        self, streams: Iterable[tuple[ids.StreamKey, Origin, float]], now: float
+    ) -> None:
+        """Adds streams from the store, the oldest ones first.
+
+        Args:
+            streams: Key, origin and time in seconds of each stream.
+            now: Current time in seconds.
+        """
+        for key, origin, at in streams:
+            if (
+                key not in self._records
+                and at > now - self.history.kept_seconds
+            ):
+                self._add(key, origin, now)
+
+    def store_read(self, started: float) -> int:
+        """Records that the store was read to its end.
+
+        Args:
+            started: Time in seconds at which the read was sent.
+
+        Returns:
+            Number of requests that waited for it.
+        """
+        answered = 0
+        for lookup in self._store_lookups.values():
+            if not lookup.is_read and lookup.asked <= started:
+                lookup.is_read = True
+                answered += 1
+        return answered
+
+    def _overdue_at_store(self, now: float) -> list[Conclusion]:
+        concluded = []
+        for request, lookup in list(self._store_lookups.items()):
+            origin = self.find(lookup.work.resumes, now)
+            if origin is None and not lookup.is_read and lookup.due > now:
+                continue
+            del self._store_lookups[request]
+            is_recorded = origin is not None
+            service = lookup.work.service
+            version = self.history.only_version(service, now)
+            if origin is None and version is not None:
+                origin = Origin(service, version)
+            concluded.append(Conclusion(lookup.work, origin, is_recorded))
+        return concluded
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -151,6 +151,11 @@
             "stream_records",
             "Recent streams whose version is known here",
         )
+        self.stored_streams = self._counter(
+            "stored_streams",
+            "Records of streams in the platform's store",
+            ["kind"],
+        )
         self.limited_endpoints = self._gauge(
             "limited_endpoints",
             "Endpoints that name a request limit",
@@ -236,6 +241,8 @@
         """
         for kind, count in ports.store_calls().items():
             self._set_total(self.store_calls.labels(kind), count)
+        for kind, count in ports.stored_streams().items():
+            self._set_total(self.stored_streams.labels(kind), count)
         opened, reused = ports.connections()
         self._set_total(self.endpoint_connections.labels("opened"), opened)
         self._set_total(self.endpoint_connections.labels("reused"), reused)
--- a/packages/baobabmux-node/src/baobabmux_node/ports.py
+++ b/packages/baobabmux-node/src/baobabmux_node/ports.py
@@ -121,6 +121,14 @@
         """Returns the number of calls to the platform's store, by kind."""
         return {}
 
+    def stored_streams(self) -> dict[str, int]:
+        """Returns the records of streams in the store so far, by kind.
+
+        The kinds are `written` and `read` streams, `unreadable` records and
+        requests that `awaited` a read.
+        """
+        return {}
+
     def connections(self) -> tuple[int, int]:
         """Returns how many endpoint connections were opened and reused."""
         return 0, 0
--- a/packages/baobabmux-node/src/baobabmux_node/version_records.py
+++ b/packages/baobabmux-node/src/baobabmux_node/version_records.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from baobabmux_core import ids, stream_origins
+from baobabmux_core import ids, version_history
 
 
 class _Record(msgspec.Struct):
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        history: stream_origins.VersionHistory,
+        history: version_history.VersionHistory,
         is_writer: Callable[[str], bool],
         record_malformed: Callable[[str, str], None],
     ):
@@ -86,7 +86,7 @@
 
 
 def _encode(
-    known: stream_origins.ListedVersions, now: float, now_ms: int
+    known: version_history.ListedVersions, now: float, now_ms: int
 ) -> _Record:
     return _Record(
         now_ms - round((now - known.since) * 1000),
@@ -100,9 +100,9 @@
 
 def _decode(
     record: _Record, now: float, now_ms: int
-) -> stream_origins.ListedVersions:
+) -> version_history.ListedVersions:
     """Converts times; those in the future count as now."""
-    return stream_origins.ListedVersions(
+    return version_history.ListedVersions(
         now - max(0, now_ms - record.since_ms) / 1000,
         frozenset(record.listed),
         {
--- a/packages/baobabmux-node/tests/version_records_test.py
+++ b/packages/baobabmux-node/tests/version_records_test.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from baobabmux_core import declarations, stream_origins
+from baobabmux_core import declarations, version_history
 from baobabmux_node import version_records
 
 _NOW_MS = 1_796_000_000_000
@@ -15,7 +15,7 @@
     def __init__(self, stored, now):
         self.stored = stored
         self.malformed = []
-        self.history = stream_origins.VersionHistory()
+        self.history = version_history.VersionHistory()
         self.records = version_records.VersionRecords(
             self.history,
             lambda key: True,
