--- a/packages/baobabmux-core/tests/stream_versions_test.py
+++ b/packages/baobabmux-core/tests/stream_versions_test.py
@@ -2,6 +2,7 @@
 
 import collections
 import pathlib
+import zlib
 
 import msgspec
 import pytest
@@ -73,7 +74,9 @@
     def _submit_stream(self, request, stream, node, **fields):
         self._streams[request] = stream
         values = {
-            "stream": stream if "resumes" not in fields else hash(request),
+            "stream": stream
+            if "resumes" not in fields
+            else zlib.crc32(request.encode()),
             "max_attempts": 2,
             "resumable": True,
             "first_by": self.now + 5.0,
