--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -29,6 +29,7 @@
     admin,
     answers,
     clock,
+    config_asks,
     driver,
     endpoint_ends,
     events,
@@ -136,6 +137,7 @@
         # Ranks of this node for tasks among the live nodes.
         self._ranked: list[ids.NodeId] = []
         self._ranks: dict[str, int] = {}
+        self._config_asks = config_asks.ConfigAsks()
         self._stop_requested = False
         self._reload_requested = False
         self._recorded_unwritten = 0
@@ -266,7 +268,9 @@
             ):
                 await self.answers.receive(sender, message)
             case messages.Heartbeat():
-                if message.config_version > self.config.version:
+                if self._config_asks.is_due(
+                    message.config_version, self.config.version, clock.now()
+                ):
                     ask = messages.ConfigAsk(self.config.through)
                     self.peers.enqueue(sender, ask)
                 await self.ports.receive(sender, message)
@@ -355,11 +359,21 @@
             )
             self.peers.enqueue(target, heartbeat)
 
-    async def send_heartbeats(self) -> None:
-        """Sends a heartbeat to all reachable nodes, outside of the ticks."""
+    async def send_heartbeats(
+        self, among: frozenset[ids.NodeId] | None = None
+    ) -> None:
+        """Sends a heartbeat to reachable nodes, outside of the ticks.
+
+        Args:
+            among: Nodes that may receive one, or None for all.
+        """
         own = self.settings.node
         self._send_heartbeats(
-            [node for node in self.membership.reachable() if node != own]
+            [
+                node
+                for node in self.membership.reachable()
+                if node != own and (among is None or node in among)
+            ]
         )
         await self.peers.notify()
 
