Divide a workspace's limit among all that may grant from it

Load: one workspace at six times its usual while a third of the nodes had lost the store.

Cause: several parties granted from the same limit. Each group of endpoints had a ledger with the whole quota, and a workspace has two groups. A node that became the owner again began with a new start. Ruled out: refunds (the level is cut to the burst before each charge) and repeated attempts (charged once).

Change: `quota_parts` divides the limit among the engines' owner, which keeps rate and burst whole, the owners of plain groups, the starts of two new owners in a window and one overdraft. `quota_deputies` has requests from own shares charged by the one node that would own the group next; it goes on with the same level if it becomes the owner. `QuotaAsk` and `QuotaAnswer` exist since revision 7. A share that changes is settled with the rate before the change.

--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -413,6 +413,22 @@
         self._registers.granted_from_share(held.group)
         return self._claim_or_dispatch(held, now)
 
+    def charged(
+        self, answer: messages.QuotaAnswer, now: float
+    ) -> list[effects.Effect]:
+        """Grants a request from the own share after a deputy charged it."""
+        held = self.held.get(answer.request)
+        if (
+            held is None
+            or not answer.charged
+            or held.state is not states.RequestState.QUEUED
+        ):
+            return []
+        held.charged = True
+        if held.acknowledged:
+            return []
+        return self._grant_from_share(held, now)
+
     def granted(
         self, grant: messages.Grant, sender: ids.NodeId, now: float
     ) -> list[effects.Effect]:
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -747,6 +747,41 @@
     ms: int
 
 
+class QuotaAsk(Message, frozen=True, tag=36):
+    """Asks an owner's successor to charge a request while the owner is silent.
+
+    It is repeated until answered. To builds that do not know it nothing is
+    sent instead: the request waits for the owner.
+
+    Attributes:
+        request: Request that would run from the sender's own share.
+        group: Group of the silent owner.
+        workspace: 32-bit hash of the workspace.
+        cost: Units to charge to the workspace's quota.
+    """
+
+    since: ClassVar[int] = 7
+
+    request: ids.RequestId
+    group: ids.GroupId
+    workspace: int
+    cost: int
+
+
+class QuotaAnswer(Message, frozen=True, tag=37):
+    """Answers a `QuotaAsk`.
+
+    Attributes:
+        request: Request of the `QuotaAsk`.
+        charged: Whether its cost was charged.
+    """
+
+    since: ClassVar[int] = 7
+
+    request: ids.RequestId
+    charged: bool
+
+
 AnyMessage = (
     Ask
     | Withdraw
@@ -780,6 +815,8 @@
     | PartsProved
     | EndpointsLeaving
     | EndpointPaused
+    | QuotaAsk
+    | QuotaAnswer
 )
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/own_shares.py
+++ b/packages/baobabmux-core/src/baobabmux_core/own_shares.py
@@ -1,7 +1,8 @@
 """Grants from a node's own share while the owner of a group does not answer.
 
-Every node may then use an equal part of the endpoints' slots, of the quotas
-and of the budget of repeated attempts, so that together they overload nothing.
+Every node may then use an equal part of the endpoints' slots and of the budget
+of repeated attempts, so that together they overload nothing. The owner's deputy
+charges the quotas.
 """
 
 from __future__ import annotations
@@ -12,11 +13,9 @@
 
 from baobabmux_core import (
     declarations,
-    fairness,
     held_requests,
     ids,
     quarantine,
-    quotas,
     rendezvous,
     request_limits,
     retries,
@@ -24,7 +23,7 @@
 )
 
 if typing.TYPE_CHECKING:
-    from baobabmux_core import holders, node_view
+    from baobabmux_core import holders, node_view, quota_deputies
 
 # Nodes that have a share of the same slot. Few use their whole share at once,
 # and endpoints queue a few requests.
@@ -44,6 +43,7 @@
         is_open: Returns whether this node may send new work to an endpoint.
         suspects: Contents and parts under which endpoints have ended.
         limits: Request limits that endpoints name.
+        deputies: Asks an owner's deputy to charge a request.
     """
 
     def __init__(
@@ -53,13 +53,14 @@
         is_open: Callable[[ids.EndpointId], bool],
         suspects: quarantine.Quarantine,
         limits: request_limits.RequestLimits,
+        deputies: quota_deputies.QuotaDeputies,
     ):
         self._view = view
         self._holder = holder
         self._is_open = is_open
         self._quarantine = suspects
         self._limits = limits
-        self._quotas = quotas.QuotaLedger()
+        self._deputies = deputies
         self._budget_limits: tuple[float, float, float] | None = None
         self._slack = retries.AttemptBudget().slack
         # Repeated attempts from the share, by service.
@@ -75,12 +76,6 @@
         self._slack = slack
         self._budgets.clear()
 
-    def configure(
-        self, configuration: declarations.Configuration, now: float
-    ) -> None:
-        """Applies the quotas of a configuration."""
-        self._quotas.configure(configuration.workspaces, now)
-
     def record_first_attempt(
         self, service: ids.ServiceName, now: float
     ) -> None:
@@ -93,7 +88,12 @@
     def choose(
         self, held: held_requests.Held, now: float
     ) -> ids.EndpointId | None:
-        """Returns an endpoint with a free slot in the share, and charges it."""
+        """Returns an endpoint with a free slot in the share, and charges it.
+
+        Returns:
+            The endpoint, or None without one, or while the owner's deputy has
+            not charged the request.
+        """
         if self._needs_owner(held, now):
             return None
         nodes = max(1, len(self._view.reachable))
@@ -103,12 +103,10 @@
         if held.attempt > 1 or held.failures > 0:
             budget = self._budget(held.work.service)
             return endpoint if budget.take(now) else None
-        if held.charged:
+        if held.charged or not held.work.cost:
             return endpoint
-        self._quotas.share = 1 / nodes
-        workspace = fairness.workspace_hash(held.work.workspace)
-        wait = self._quotas.take(workspace, held.work.cost, now)
-        return endpoint if wait is None else None
+        self._deputies.ask(held, now)
+        return None
 
     def _least_used(
         self, held: held_requests.Held, nodes: int, now: float
--- a/packages/baobabmux-core/src/baobabmux_core/quotas.py
+++ b/packages/baobabmux-core/src/baobabmux_core/quotas.py
@@ -1,58 +1,26 @@
-"""Quotas of workspaces, charged by the owners that decide on grants."""
+"""Quotas of workspaces, charged by the owners that decide on grants.
 
-import msgspec
+How a limit is divided among groups, owners and their successors is decided in
+`quota_parts`.
+"""
 
-from baobabmux_core import declarations, fairness, ids
+import math
 
-# Owners change at most about twice within a window.
-_OWNERS_IN_WINDOW = 2
+from baobabmux_core import declarations, fairness, ids, quota_parts
 
+Tolerance = quota_parts.Tolerance
+NO_TOLERANCE = quota_parts.NO_TOLERANCE
 
-class Tolerance(msgspec.Struct, frozen=True):
-    """By how much a quota may be exceeded in a window.
-
-    Attributes:
-        window_seconds: Length of the window.
-        share: Tolerated excess as a share of what the quota allows in the
-            window.
-        units: Tolerated units in addition to that share.
-    """
-
-    window_seconds: float = 10.0
-    share: float = 0.0
-    units: float = 0.0
-
-    def initial_level(self, quota: declarations.Quota) -> float:
-        """Returns the units that a new owner may grant at once.
-
-        A new owner has no record of what its predecessor just granted, so its
-        bucket starts with the part of the tolerance for one change of owners,
-        or with a quarter of the burst if that is more.
-        """
-        allowed = quota.rate * self.window_seconds + quota.burst
-        spare = (self.share * allowed + self.units) / _OWNERS_IN_WINDOW
-        return min(quota.burst, max(spare, 0.25 * quota.burst))
-
-
-NO_TOLERANCE = Tolerance()
-"""A quota that must not be exceeded."""
+# Units are indivisible, so a bucket of less than one must still grant one.
+_MIN_OVERDRAFT = 1.0
 
 
 class _Bucket:
-    def __init__(
-        self, quota: declarations.Quota, tolerance: Tolerance, now: float
-    ):
-        self.quota = quota
-        self.level = tolerance.initial_level(quota)
+    def __init__(self, part: quota_parts.Part, level: float, now: float):
+        self.part = part
+        self.level = level
         self.refilled_at = now
 
-    def refill(self, share: float, now: float) -> None:
-        elapsed = max(0.0, now - self.refilled_at)
-        self.refilled_at = now
-        ceiling = share * self.quota.burst
-        gained = elapsed * share * self.quota.rate
-        self.level = min(ceiling, self.level + gained)
-
 
 def cost(share: declarations.WorkspaceShare | None, tokens: int | None) -> int:
     """Returns the units that a request is charged to its workspace's quota.
@@ -70,16 +38,31 @@
 
 
 class QuotaLedger:
-    """Token buckets of the workspaces.
+    """Token buckets of the workspaces in one group.
+
+    A node keeps the ledger of a group as long as it runs. It grants as the
+    owner, or stands by as a successor that charges requests while the owner is
+    silent. A node that becomes the owner goes on with the levels of its ledger.
 
     Attributes:
-        share: Part of every quota that this owner may grant; below 1 while
-            other nodes that may also grant are unreachable.
+        share: Part of every quota that this side of a cut may grant; below 1
+            while other nodes that may also grant are unreachable.
+        tolerance: By how much quotas may be exceeded; applied by `configure`.
+        division: How quotas are divided among groups; applied by `configure`.
+        is_acting: Whether the node grants as the owner.
     """
 
-    def __init__(self, tolerance: Tolerance = NO_TOLERANCE):
+    def __init__(
+        self,
+        tolerance: quota_parts.Tolerance = NO_TOLERANCE,
+        *,
+        is_acting: bool = True,
+    ):
         self.share = 1.0
-        self._tolerance = tolerance
+        self.tolerance = tolerance
+        self.division = quota_parts.Division()
+        self.is_acting = is_acting
+        self._acting_since = -math.inf
         self._buckets: dict[int, _Bucket] = {}
 
     def configure(
@@ -93,16 +76,43 @@
         for name, workspace in workspaces.items():
             if workspace.quota is None:
                 continue
-            digest = fairness.workspace_hash(name)
-            bucket = known.get(digest) or _Bucket(
-                workspace.quota, self._tolerance, now
+            part = quota_parts.divide(
+                workspace.quota, self.tolerance, self.division
             )
-            if bucket.quota != workspace.quota:
-                bucket.refill(self.share, now)
-                bucket.quota = workspace.quota
-                bucket.level = min(bucket.level, workspace.quota.burst)
+            digest = fairness.workspace_hash(name)
+            bucket = known.get(digest)
+            if bucket is None:
+                level = part.start if self.is_acting else part.standby_burst
+                bucket = _Bucket(part, min(level, part.burst), now)
+            if bucket.part != part:
+                self._refill(bucket, now)
+                bucket.part = part
+                bucket.level = min(bucket.level, self._ceiling(bucket))
             self._buckets[digest] = bucket
 
+    def act(self, now: float) -> None:
+        """Begins to grant as a new owner, without a record of the former's."""
+        self._refill_all(now)
+        self.is_acting = True
+        self._acting_since = now
+        for bucket in self._buckets.values():
+            bucket.level = min(bucket.level, bucket.part.start)
+
+    def stand_by(self, now: float) -> None:
+        """Stops granting as the owner."""
+        if not self.is_acting:
+            return
+        self._refill_all(now)
+        self.is_acting = False
+        for bucket in self._buckets.values():
+            bucket.level = min(bucket.level, bucket.part.standby_burst)
+
+    def set_share(self, share: float, now: float) -> None:
+        """Sets the part of every quota that may be granted from now on."""
+        if share != self.share:
+            self._refill_all(now)
+            self.share = share
+
     def take(self, workspace: int, cost: int, now: float) -> float | None:
         """Charges a workspace.
 
@@ -118,15 +128,19 @@
         bucket = self._buckets.get(workspace)
         if bucket is None:
             return None
-        bucket.refill(self.share, now)
+        self._refill(bucket, now)
         # A request larger than the burst would never be granted; it needs a
         # full bucket and makes the level negative.
-        needed = min(cost, self.share * bucket.quota.burst)
+        overdraft = self._overdraft(bucket, now)
+        needed = max(min(cost, self._ceiling(bucket)), cost - overdraft)
         if bucket.level >= needed:
             bucket.level -= cost
             return None
-        rate = max(self.share * bucket.quota.rate, 1e-9)
-        return (needed - bucket.level) / rate
+        rate = max(self.share * bucket.part.rate, 1e-9)
+        wait = (needed - bucket.level) / rate
+        if needed > self._ceiling(bucket):
+            wait = min(wait, self.tolerance.window_seconds)
+        return wait
 
     def refund(self, workspace: int, cost: int) -> None:
         """Gives back the units charged for a request that is not run."""
@@ -138,3 +152,29 @@
         """Returns the units left, or None without a quota."""
         bucket = self._buckets.get(workspace)
         return None if bucket is None else bucket.level
+
+    def _overdraft(self, bucket: _Bucket, now: float) -> float:
+        if not self.is_acting:
+            return 0.0
+        # The former owner may have overdrawn in the same window.
+        acting_seconds = now - self._acting_since
+        if acting_seconds < self.tolerance.window_seconds:
+            return _MIN_OVERDRAFT
+        return max(self.share * bucket.part.overdraft, _MIN_OVERDRAFT)
+
+    def _ceiling(self, bucket: _Bucket) -> float:
+        part = bucket.part
+        burst = part.burst if self.is_acting else part.standby_burst
+        return self.share * burst
+
+    def _refill_all(self, now: float) -> None:
+        for bucket in self._buckets.values():
+            self._refill(bucket, now)
+
+    def _refill(self, bucket: _Bucket, now: float) -> None:
+        elapsed = max(0.0, now - bucket.refilled_at)
+        bucket.refilled_at = now
+        part = bucket.part
+        rate = part.rate if self.is_acting else part.standby_rate
+        gained = elapsed * self.share * rate
+        bucket.level = min(self._ceiling(bucket), bucket.level + gained)
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -32,6 +32,7 @@
     own_shares,
     prefixes,
     quarantine,
+    quota_deputies,
     quotas,
     rendezvous,
     request_limits,
@@ -104,7 +105,6 @@
         self._holder.version_of = self._version_of
         self._holder.members_of = self._members_of
         self._attempt_budget: tuple[float, float, float] | None = None
-        self._quota_tolerance = quotas.NO_TOLERANCE
         self._owned = self.view.owned
         self._owners: dict[ids.GroupId, ids.NodeId | None] = {}
         self._local_nodes: set[ids.NodeId] = {node}
@@ -116,12 +116,14 @@
             self.view, self._holder, self._quarantine, seed
         )
         self._holder.ended_before = self.ends.ended_before
+        self.quotas = quota_deputies.QuotaDeputies(self.view)
         self._shares = own_shares.OwnShares(
             self.view,
             self._holder,
             lambda endpoint: self._is_open(endpoint),
             self._quarantine,
             self._limits,
+            self.quotas,
         )
         self._holder.fallback = self._shares.choose
         self.spills = spills.Spills(self.view)
@@ -152,7 +154,7 @@
 
     def set_quota_tolerance(self, tolerance: quotas.Tolerance) -> None:
         """Sets by how much quotas may be exceeded when owners change."""
-        self._quota_tolerance = tolerance
+        self.quotas.set_tolerance(tolerance)
 
     # Callers.
 
@@ -174,7 +176,8 @@
         deadline = math.inf if work.deadline is None else work.deadline
         if route is not None:
             deadline = min(deadline, now + route.timeout_seconds)
-        return self._holder.submit(work, group, deadline, now)
+        emitted = self._holder.submit(work, group, deadline, now)
+        return emitted + self.quotas.take_asks()
 
     def _take_up(self, work: effects.Work, now: float) -> list[effects.Effect]:
         """Submits a request that takes up a stream.
@@ -471,6 +474,12 @@
             case messages.DrainEndpoint():
                 self._set_drained(message.endpoint, message.drain)
                 emitted = []
+            case messages.QuotaAsk():
+                emitted = [
+                    effects.Send(sender, self.quotas.answer(message, now))
+                ]
+            case messages.QuotaAnswer():
+                emitted = self._holder.charged(message, now)
             case _:
                 emitted = []
         return emitted + self._broadcast_notices()
@@ -559,7 +568,7 @@
         self.ends.configure(configuration.endpoints)
         self._limits.endpoints_declared(configuration.endpoints, now)
         self._origins.history.configure(configuration, now)
-        self._shares.configure(configuration, now)
+        self.quotas.configure(now)
         for owner in self._owned.values():
             owner.configure(configuration, now)
         return self.members_changed(now)
@@ -881,8 +890,9 @@
         """
         share = self.view.reachable_share()
         self._quarantine.parts.may_try = share > _MAJORITY_SHARE
+        self.quotas.set_share(share, now)
         for owner in self._owned.values():
-            owner.quotas.share = owner.budget.share = share
+            owner.budget.share = share
             owner.set_limit_share(share, now)
 
     def _take_ownership(self, group: ids.GroupId, now: float) -> None:
@@ -891,7 +901,7 @@
         if self._attempt_budget is not None:
             taken.budget = retries.AttemptBudget(*self._attempt_budget)
         taken.location_of = self._location_of
-        taken.quotas = quotas.QuotaLedger(self._quota_tolerance)
+        taken.quotas = self.quotas.take_ownership(group, now)
         taken.configure(self.view.configuration, now)
         taken.await_registers(self._local_nodes, now, self.registration_seconds)
         self._owned[group] = taken
@@ -951,7 +961,7 @@
         return emitted + self._broadcast_notices()
 
     def _broadcast_notices(self) -> list[effects.Effect]:
-        emitted = []
+        emitted = self.quotas.take_asks()
         for owner in self._owned.values():
             for message in owner.notices:
                 emitted += self.view.broadcast(message)
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -15,6 +15,7 @@
     holders,
     messages,
     quarantine,
+    quotas,
     scheduler,
     states,
 )
@@ -53,6 +54,8 @@
 
 def _owner(**fields):
     owner = grants.GroupOwner(_GROUP, quarantine.Quarantine(), 100.0)
+    # A new owner may grant about 100 units at once.
+    owner.quotas.tolerance = quotas.Tolerance(units=250.0)
     owner.configure(_configuration(**fields), 100.0)
     return owner
 
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -255,9 +255,7 @@
 
     async def leaving_observed(self, endpoint: ids.EndpointId) -> None:
         """Passes the notice of an answer's endpoint to the scheduler."""
-        emitted = self._host.scheduler.leaving_observed(
-            endpoint, clock.now()
-        )
+        emitted = self._host.scheduler.leaving_observed(endpoint, clock.now())
         if emitted:
             await self._driver.apply(emitted)
 
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -57,9 +57,7 @@
             self._host.scheduler.ends.content_end_counts(clock.now())
         )
         self._check_parts(clock.now())
-        self._check_leaving(
-            frozenset(self._host.scheduler.leaving_endpoints())
-        )
+        self._check_leaving(frozenset(self._host.scheduler.leaving_endpoints()))
         self._check_limits(self._host.scheduler.request_limits())
         self._check_log()
         self._check_frames()
