--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+# The tests of one file share a process: process tests keep their nodes.
 test: check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses 4 --dist loadfile
 
 demo: $(STAMP)
 	$(BIN)/python -m baobabmux_standins.demo
