Charge for a silent owner at the node that would own its group next

Cause: owners are chosen among the abler VMs now, and deputies were chosen among all. The next owner then began a start of its own beside the deputy's, and a third one in a window exceeds the limit.

Change: `Membership.deputy` answers as `owner` would without the owner.

Test: the deputy of 40 groups of unlike VMs is their owner once the owner has ended.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -66,6 +66,12 @@
         "{successor} takes over from {endpoint}, which is silent, as {backup}.",
     )
 
+    QUOTA_CHARGED = (
+        212,
+        "The owner is silent; node {deputy}, which stands in for it, charged"
+        " the request to its workspace's quota: {charged}.",
+    )
+
     OWNERSHIP_TAKEN = (301, "The node owns group {group} now.")
     OWNERSHIP_LEFT = (302, "The node no longer owns group {group}.")
     REQUEST_ASKED = (
--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -439,6 +439,14 @@
         """
         return self._owner(group)
 
+    def deputy(self, group: ids.GroupId) -> ids.NodeId | None:
+        """Returns the node that would own a group without its owner, if any."""
+        owner = self.owner(group)
+        others = [
+            node for node in self._live(self.data_centre) if node != owner
+        ]
+        return rendezvous.owner(group, self.abilities.able(others))
+
     def settled(self) -> bool:
         """Returns whether all live local peers have sent frames to this node.
 
--- a/packages/baobabmux-core/src/baobabmux_core/quota_deputies.py
+++ b/packages/baobabmux-core/src/baobabmux_core/quota_deputies.py
@@ -10,7 +10,6 @@
 
 import collections
 import typing
-from collections.abc import Iterable
 
 from baobabmux_core import (
     effects,
@@ -20,7 +19,6 @@
     messages,
     quota_parts,
     quotas,
-    rendezvous,
 )
 
 if typing.TYPE_CHECKING:
@@ -35,15 +33,6 @@
 _MAJORITY_SHARE = 0.5
 
 
-def deputy(
-    group: ids.GroupId,
-    owner: ids.NodeId | None,
-    live: Iterable[ids.NodeId],
-) -> ids.NodeId | None:
-    """Returns the node that stands in for the owner of a group, or None."""
-    return rendezvous.owner(group, (node for node in live if node != owner))
-
-
 class QuotaDeputies:
     """Keeps the ledgers of groups; asks deputies, and charges as a deputy.
 
@@ -118,9 +107,7 @@
         asked_at = self._asked_at.get(request)
         if asked_at is not None and now - asked_at < _REPEAT_SECONDS:
             return
-        owner = self._view.owner(held.group)
-        live = self._view.members.live(self._view.data_centre)
-        to = deputy(held.group, owner, live)
+        to = self._view.members.deputy(held.group)
         if to is None:
             return
         self._asked_at[request] = now
--- a/packages/baobabmux-core/tests/abilities_test.py
+++ b/packages/baobabmux-core/tests/abilities_test.py
@@ -77,3 +77,27 @@
 def test_heartbeat_of_older_build_states_nothing():
     """Guards against a default that an older build cannot have meant."""
     assert messages.Heartbeat(False, 1).ability == abilities.UNSTATED
+
+
+def test_deputy_is_the_owner_when_the_owner_has_ended():
+    """Guards against a deputy's charges that the next owner doesn't know."""
+    stated = dict.fromkeys(_NODES, 250) | {"n2": 2150, "n5": 1500, "n6": 300}
+    view = _view("n0", stated)
+    for group in _GROUPS:
+        owner = view.owner(group)
+        deputy = view.deputy(group)
+        assert deputy not in (owner, None)
+        others = {name: stated[name] for name in _NODES if name != owner}
+        after = membership.Membership("n0", _CELL, 0.0)
+        entries = [
+            membership.VmEntry(name, "node", _CELL, "live", "127.0.0.1:1")
+            for name in others
+        ]
+        after.apply_vm_list(entries, 1.0, 10.0)
+        for name, ability in others.items():
+            if name != "n0":
+                after.record_frame(name, 1, False, 10.0, _CELL)
+            after.record_ability(name, ability)
+        after.tick(10.0)
+        if owner != "n0":
+            assert after.owner(group) == deputy
--- a/packages/baobabmux-node/src/baobabmux_node/driver.py
+++ b/packages/baobabmux-node/src/baobabmux_node/driver.py
@@ -164,6 +164,13 @@
                     version=message.version,
                     certain=message.certain,
                 )
+            case messages.QuotaAnswer() if to == own:
+                self._host.events.record(
+                    Kind.QUOTA_CHARGED,
+                    message.request,
+                    deputy=sender,
+                    charged=message.charged,
+                )
             case messages.Suspect():
                 self._host.events.record(
                     Kind.CONTENT_SUSPECTED,
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -137,6 +137,11 @@
         self.quota_level = self._gauge(
             "quota_level", "Units left of a quota at its owner", ["workspace"]
         )
+        self.deputy_charges = self._gauge(
+            "deputy_charges",
+            "Requests that this node was asked to charge for a silent owner",
+            ["charged"],
+        )
         self.attempt_budget = self._gauge(
             "attempt_budget",
             "Repeated attempts left in the window of an owned group",
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -406,6 +406,9 @@
             self.metrics.attempt_budget.labels(group).set(budget)
         for name, level in self.scheduler.groups.quota_levels().items():
             self.metrics.quota_level.labels(name).set(level)
+        deputies = self.scheduler.quotas
+        self.metrics.deputy_charges.labels("true").set(deputies.charged)
+        self.metrics.deputy_charges.labels("false").set(deputies.refused)
         dropped = 0 if self.line_writer is None else self.line_writer.dropped
         self.metrics.update_logs(self.events.unwritten, dropped)
         self._record_unwritten()
