Say after an attempt has stopped whether it was sent

Failure: the timeout of a route passes while an attempt's connection opens.

Cause: the handler read whether the request had been sent, then stopped the attempt. An attempt may pass its last check and send between both, and was answered "not run" (503 on the platform), though the endpoint had it.

Change: the attempt is stopped first; what it did decides the answer.

--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -621,6 +621,8 @@
         await self._end_without_answer(errors.ErrorKind.CALLER_GONE)
 
     async def _handle_timeout(self) -> None:
+        await self._stop_attempts()
+        # An attempt may be sent until it has stopped.
         dispatched = self.request.dispatched or self.request.may_have_run
         kind = (
             errors.ErrorKind.TIMED_OUT
@@ -644,11 +646,7 @@
 
     async def _end_without_answer(self, kind: errors.ErrorKind) -> None:
         """Ends the request without an answer from an endpoint."""
-        self.request.finished = True
-        await self._cancel_backup()
-        if self._attempt is not None:
-            await self._attempt.task.cancel()
-            self._attempt = None
+        await self._stop_attempts()
         if self.request.dispatched:
             tokens = self._sink.tokens if self._sink is not None else 0
             cancelled = adapters.Result(
@@ -659,6 +657,13 @@
             await self.host.cancel(self.request)
         self.host.record_refusal(self.request, kind)
 
+    async def _stop_attempts(self) -> None:
+        self.request.finished = True
+        await self._cancel_backup()
+        if self._attempt is not None:
+            await self._attempt.task.cancel()
+            self._attempt = None
+
     async def _answer(self, response: responses.Response) -> None:
         try:
             await self.exchange.respond(*response)
--- a/packages/baobabmux-node/tests/callers_test.py
+++ b/packages/baobabmux-node/tests/callers_test.py
@@ -102,9 +102,9 @@
         self.refusals.append(kind)
 
 
-def _parsed():
+def _parsed(timeout):
     route = declarations.Route(
-        "/a", "s", "t0", streaming=True, timeout_seconds=_TIMEOUT_SECONDS
+        "/a", "s", "t0", streaming=True, timeout_seconds=timeout
     )
     work = effects.Work(
         request="r", route="a", service="s", tier=0, workspace="w",
@@ -116,11 +116,11 @@
     )  # fmt: skip
 
 
-def _serve(host):
+def _serve(host, timeout=_TIMEOUT_SECONDS):
     """Returns what a caller receives before the timeout of its route."""
 
     async def handle(exchange):
-        request = held.HeldRequest(_parsed())
+        request = held.HeldRequest(_parsed(timeout))
         await callers.RequestHandler(host, exchange, request).run()
 
     async def run():
@@ -159,3 +159,31 @@
     assert answer.startswith(b"HTTP/1.1 " + status)
     assert host.outcomes == [outcome]
     assert len(host.refusals) == 1
+
+
+class _SlowConnection(_Protocol):
+    """Adapter that is permitted to send while its cancellation is pending."""
+
+    async def run(self, call, sink):
+        try:
+            await curio.sleep(10 * _TIMEOUT_SECONDS)
+        except curio.CancelledError:
+            self.host.sent = call.permit()
+            raise
+
+
+@pytest.mark.parametrize("sends", [True, False])
+def test_timeout_while_the_first_byte_is_sent_promises_nothing(sends):
+    """Guards against "not run" for a request that was sent meanwhile.
+
+    Whether it was sent was read before its attempt had ended, and the attempt
+    may send its first byte until then.
+    """
+    host = _Host("")
+    host.protocol = _SlowConnection(host)
+    host.begin_dispatch = lambda request: sends
+    host.sent = None
+    answer = _serve(host, timeout=0.1)
+    assert host.sent is sends
+    kind = b"timed_out" if sends else b"deadline_passed"
+    assert kind in answer
