Keep answers that callers read slowly, within a bound

Beyond that the endpoint waits, and a caller that holds up its answer for 5 s in all is cut off. Complete answers are kept and sent.

--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -205,6 +205,12 @@
             "Messages withheld from nodes of older builds, or replaced",
             ["message"],
         )
+        self.unread_bytes = self._gauge(
+            "unread_bytes", "Bytes of answers that callers have not read"
+        )
+        self.slow_readers = self._counter(
+            "slow_readers", "Callers cut off as they held up their answers"
+        )
         self.stray_answers = self._counter(
             "stray_answers", "Answers that matched no request"
         )
@@ -254,6 +260,11 @@
         self._set_total(self.peer_reconnects, transport.reconnects)
         self.endpoints_age.set(ports.endpoints_age_ms(now) / 1000)
 
+    def update_unread(self, used: int, cut_off: int) -> None:
+        """Copies what is kept for slow readers, and how many were cut off."""
+        self.unread_bytes.set(used)
+        self._set_total(self.slow_readers, cut_off)
+
     def update_logs(self, counted: int, dropped: int) -> None:
         """Copies the counts of log lines that were not written.
 
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -428,6 +428,8 @@
         self.metrics.lost_links.set(len(self.paths.links.lost()))
         self.metrics.carried_tunnels.set(self.carrier.carried.total())
         self.metrics.update_platform(self.ports, self.peers, now)
+        unread = self._caller_server.unread
+        self.metrics.update_unread(unread.used, unread.cut_off)
         if self.configuration is not None:
             self.metrics.endpoints.set(len(self.configuration.endpoints))
         for group, budget in self.scheduler.groups.attempt_budgets(now).items():
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from baobabmux_core import errors
-from baobabmux_node import responses, sockets
+from baobabmux_node import responses, send_buffers, sockets
 
 _READ_BYTES = 65_536
 _CLOSE_CHECK_SECONDS = 1.0
@@ -34,6 +34,10 @@
             again to receive a body.
         send_timeout_seconds: Longest time to send a part of an answer.
         idle_timeout_seconds: Longest time between requests.
+        max_held_seconds: Longest time for which a slow reader holds up its
+            answer, once no more of it may be kept.
+        max_unread_bytes: Bound on answers that are kept for slow readers, all
+            connections together.
     """
 
     max_header_bytes: int = 16_384
@@ -41,6 +45,8 @@
     receive_timeout_seconds: float = 10.0
     send_timeout_seconds: float = 20.0
     idle_timeout_seconds: float = 60.0
+    max_held_seconds: float = 5.0
+    max_unread_bytes: int = 8_000_000
 
 
 class PeerGoneError(Exception):
@@ -174,6 +180,7 @@
         limits: Limits in force; a change applies from the next request on.
         closing: Whether each connection closes after its next answer.
         finishing: Whether the server accepts no further request.
+        unread: Answers that callers have not read yet.
     """
 
     def __init__(self, host: str, port: int, handler: Handler, limits: Limits):
@@ -184,6 +191,7 @@
         self.limits = limits
         self.closing = False
         self.finishing = False
+        self.unread = send_buffers.SendBudget(limits.max_unread_bytes)
         self._open: set[_Connection] = set()
         self._handler = handler
         self._socket = None
@@ -228,7 +236,11 @@
         self._open.add(connection)
         try:
             async with client:
-                await connection.run(self._handle)
+                try:
+                    await connection.run(self._handle)
+                    await connection.buffer.drain()
+                finally:
+                    await connection.buffer.close()
         except (OSError, PeerGoneError):
             pass
         finally:
@@ -251,6 +263,7 @@
         self.server = server
         self.received = bytearray()
         self.http = self._new_http()
+        self.buffer = send_buffers.SendBuffer(client, server.unread)
         # Whether no request is being handled.
         self.idle = True
         self._reading_stopped = False
@@ -447,21 +460,22 @@
             self._reset_on_close(False)
         if not data:
             return
+        if isinstance(event, h11.Response):
+            self.buffer.held_seconds = 0.0
         try:
-            # Most parts fit into the socket's buffer, and a timer for each part
-            # would cost more than the send itself.
-            sent = self.client._socket.send(data)
-        except BlockingIOError:
-            sent = 0
-        except OSError as error:
+            await self.buffer.send(
+                data,
+                self.limits.send_timeout_seconds,
+                self.limits.max_held_seconds,
+            )
+            if self._resets:
+                # Only the close ends this answer, and it must not look
+                # complete if the rest is never read.
+                await self.buffer.drain()
+        except send_buffers.SlowReaderError as error:
+            await self.buffer.close()
             raise PeerGoneError from error
-        if sent == len(data):
-            return
-        data = data[sent:]
-        try:
-            async with curio.timeout_after(self.limits.send_timeout_seconds):
-                await self.client.sendall(data)
-        except (curio.TaskTimeout, OSError) as error:
+        except OSError as error:
             raise PeerGoneError from error
 
     def _skip_received_body(self) -> bool:
@@ -520,6 +534,7 @@
         # destroy the answer before the peer reads it.
         try:
             async with curio.timeout_after(1.0):
+                await self.buffer.drain()
                 await self.client.shutdown(1)
                 while await self.client.recv(_READ_BYTES):
                     pass
