--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -87,8 +87,6 @@
             streams do not pause for too long.
         gap_seconds: Longest time between two events that callers of its
             streams expect, or 0 if any.
-        keeps_returns: Whether requests without room are refused early, and
-            places are kept for those whose callers come back.
     """
 
     kind: str
@@ -100,7 +98,6 @@
     max_connections: int = 0
     placement: str = "end"
     gap_seconds: float = 0.0
-    keeps_returns: bool = False
 
 
 class Endpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/baobabmux-core/src/baobabmux_core/fairness.py
+++ b/packages/baobabmux-core/src/baobabmux_core/fairness.py
@@ -58,7 +58,6 @@
         passed_over_at: Time at which it first passed over a free slot to wait
             for a busy endpoint that suits it better, or None.
         location: Data centre of the holder in a cell, or empty.
-        has_returned: Whether it was refused before and its caller came back.
         examine_at: Time before which it is not examined for a grant.
         key: Sort key inside its workspace.
     """
@@ -69,7 +68,6 @@
         "deadline",
         "examine_at",
         "first_by",
-        "has_returned",
         "holder",
         "key",
         "late",
@@ -124,7 +122,6 @@
         self.version = ask.terms.version if ask.terms is not None else None
         self.passed_over_at: float | None = None
         self.examine_at = now
-        self.has_returned = False
         self.location = ids.DataCentre("")
         self.key = (self.deadline, self.arrival, order)
 
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 
 from baobabmux_core import (
-    admission,
     breakers,
     capacity,
     declarations,
@@ -30,7 +29,6 @@
     quotas,
     request_limits,
     retries,
-    returns,
     shortlists,
     start_estimates,
     states,
@@ -88,7 +86,6 @@
         notices: Messages for all nodes; the scheduler sends and removes them.
         quotas: Quotas of the workspaces.
         budget: Budget of repeated attempts of the service.
-        admission: Admission of a service that keeps returns, or None.
         location_of: Returns the data centre of a holder in a cell, or an empty
             name.
     """
@@ -109,7 +106,6 @@
         self.budget = retries.AttemptBudget()
         self.location_of: Callable[[ids.NodeId], ids.DataCentre] = _nowhere
         self.estimates = start_estimates.StartEstimates(self.state)
-        self.admission: admission.Admission | None = None
         self._isolation = isolation.Isolation(self.state)
         self._runs = granted_runs.GrantedRuns(
             self.state, self._isolation, self.estimates
@@ -141,8 +137,6 @@
         service = configuration.services.get(ids.ServiceName(service_name))
         if service is not None:
             self.state.service = service
-            if service.keeps_returns and self.admission is None:
-                self.admission = admission.Admission(self._queue)
         preset = configuration.active_preset()
         self.state.preset = preset
         self._refused_ranks = frozenset(
@@ -338,9 +332,6 @@
         refusal = self._admission(ask, holder, now)
         if refusal is not None:
             return [refusal]
-        arrival = returns.Arrival.FIRST
-        if self.admission is not None:
-            ask, arrival = self.admission.arrived(ask, now)
         entry = fairness.QueueEntry(
             ask, holder, now, self.state.short_tokens(), next(self._order)
         )
@@ -348,13 +339,9 @@
         entry.location = self.location_of(holder)
         self.state.record_arrival(entry, now)
         late_by = self.estimates.check(entry, now)
-        if self.admission is not None:
-            late_by = self.admission.decide(
-                entry, late_by, arrival, self._places(now), now
-            )
         if late_by is not None:
             self._refund(ask)
-            return [self._unreachable(entry, late_by, now)]
+            return [self._unreachable(entry, late_by)]
         self._queue.add(entry, entry.on_time_start)
         if entry.version is not None:
             self._version_bound.add(ask.request)
@@ -593,24 +580,16 @@
         return _refusal(holder, ask.request, errors.ErrorKind.OVER_QUOTA, wait)
 
     def _unreachable(
-        self, entry: fairness.QueueEntry, late_by: float, now: float
+        self, entry: fairness.QueueEntry, late_by: float
     ) -> effects.Effect:
         self.estimates.record_refusal()
-        seconds = max(_MIN_RETRY_SECONDS, late_by)
-        if self.admission is not None:
-            seconds = self.admission.return_seconds(
-                entry, late_by, self._places(now), now
-            )
         return _refusal(
             entry.holder,
             entry.ask.request,
             errors.ErrorKind.DEADLINE_UNREACHABLE,
-            seconds,
+            max(_MIN_RETRY_SECONDS, late_by),
         )
 
-    def _places(self, now: float) -> int:
-        return self._current_load(now).places
-
     def _refuse_behind_backlog(self, now: float) -> list[effects.Effect]:
         """Refuses requests that the backlog ahead keeps from ending in time."""
         refused = []
@@ -622,7 +601,7 @@
                 late_by = now + wait - entry.latest_start
                 if late_by > 0.0:
                     self._drop(entry)
-                    refused.append(self._unreachable(entry, late_by, now))
+                    refused.append(self._unreachable(entry, late_by))
         return refused
 
     def _refuse_unreachable(self, now: float) -> list[effects.Effect]:
@@ -633,7 +612,7 @@
             )
             self.estimates.record_wait(entry, now)
             self._drop(entry)
-            refused.append(self._unreachable(entry, late_by, now))
+            refused.append(self._unreachable(entry, late_by))
         return refused
 
     def _refuse_versions_gone(self) -> list[effects.Effect]:
@@ -762,7 +741,7 @@
                 self._queue.demote(entry)
             else:
                 self._drop(entry)
-                emitted.append(self._unreachable(entry, entry.seconds, now))
+                emitted.append(self._unreachable(entry, entry.seconds))
 
     def _next_grant(
         self,
