--- a/packages/baobabmux-core/tests/scheduler_test.py
+++ b/packages/baobabmux-core/tests/scheduler_test.py
@@ -68,6 +68,11 @@
     def owner(self, group):
         return rendezvous.owner(group, self.live(group.split("@")[1]))
 
+    def deputy(self, group):
+        live = self.live(group.split("@")[1])
+        owner = self.owner(group)
+        return rendezvous.owner(group, [node for node in live if node != owner])
+
     def endpoint_vm_state(self, vm):
         return self.endpoint_states.get(vm, states.EndpointState.LIVE)
 
