Send a whole answer with one write, an event without h11's states

Cause: an answer took three calls to the kernel at worst (head, body, end); each event of a stream passed h11's state machine for a chunk, which keeps no count of its own, and awaited the head of the answer again.

Change: respond() joins its events; a part of a chunked answer is framed in send_data(); a stream sends its head once. The bytes are the same, by comparison with h11 for chunks, lengths and HTTP/1.0 (chunks_test.py).

--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -402,13 +402,16 @@
         gap = self._dialect.answer_timeouts(call).gap_seconds
         tokens_each = self._dialect.tokens_per_event(call)
         headers = self._dialect.answer_headers(head)
+        has_sent_head = False
         while (part := await connection.next_part()) is not None:
             if not (events := splitter.add(part)):
                 continue
             await _record_progress(call, watch)
             events, count = _new_events(events, sink)
             if events:
-                await sink.head(head.status, headers)
+                if not has_sent_head:
+                    has_sent_head = True
+                    await sink.head(head.status, headers)
                 await sink.data(events)
                 sink.progress(sink.tokens + count * tokens_each)
             if watch is not None:
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -20,6 +20,8 @@
 
 _READ_BYTES = 65_536
 _CLOSE_CHECK_SECONDS = 1.0
+# RFC 9112, 6.3
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 _LOG = logging.getLogger(__name__)
 
@@ -123,10 +125,12 @@
         Raises:
             PeerGoneError: The peer closed the connection or stopped reading.
         """
-        await self.start(status, {**headers, "content-length": str(len(body))})
-        if self.method != "HEAD":
-            await self.send(body)
-        await self.finish()
+        self.answered = True
+        head = _response(status, {**headers, "content-length": str(len(body))})
+        events = [head, h11.Data(data=body), h11.EndOfMessage()]
+        if self.method == "HEAD":
+            del events[1]
+        await self._connection.send(*events)
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Sends the status line and the headers of an answer."""
@@ -135,7 +139,7 @@
 
     async def send(self, data: bytes) -> None:
         """Sends a part of the body."""
-        await self._connection.send(h11.Data(data=data))
+        await self._connection.send_data(data)
 
     async def finish(self) -> None:
         """Ends the answer."""
@@ -255,6 +259,10 @@
         self.idle = True
         self._reading_stopped = False
         self._resets = False
+        # Whether the answer to the request may have a body, and whether h11
+        # frames it as chunks.
+        self._has_body = True
+        self._is_chunked = False
 
     def has_received(self) -> bool:
         """Returns whether bytes of the next request have arrived."""
@@ -330,7 +338,10 @@
             raise RequestError(
                 errors.ErrorKind.BAD_REQUEST, _violation_text(error)
             ) from error
-        return event if isinstance(event, h11.Request) else None
+        if not isinstance(event, h11.Request):
+            return None
+        self._has_body = event.method not in (b"HEAD", b"CONNECT")
+        return event
 
     async def _read_head(self) -> bytes | None:
         """Removes the next header section from `received`.
@@ -428,7 +439,11 @@
             if not data:
                 return
 
-    async def send(self, event: h11.Event) -> None:
+    async def send(self, *events: h11.Event) -> None:
+        """Sends events with one write."""
+        await self._write(b"".join(map(self._encode, events)))
+
+    def _encode(self, event: h11.Event) -> bytes:
         if isinstance(event, h11.Response) and (
             self.server.closing or not self._skip_received_body()
         ):
@@ -441,10 +456,36 @@
             data = self.http.send(event)
         except h11.LocalProtocolError as error:
             raise PeerGoneError from error
-        if isinstance(event, h11.Response) and self._ends_with_close(event):
-            self._reset_on_close(True)
+        if isinstance(event, h11.Response):
+            self._is_chunked = self._sends_chunks(event)
+            if self._ends_with_close(event):
+                self._reset_on_close(True)
         elif isinstance(event, h11.EndOfMessage):
             self._reset_on_close(False)
+        return data or b""
+
+    async def send_data(self, data: bytes) -> None:
+        """Sends a part of the body.
+
+        A chunk is framed here: h11 would check the state of the connection
+        again for each event of a stream, and it counts no chunked bytes.
+        """
+        if not self._is_chunked or self.http.our_state is not h11.SEND_BODY:
+            await self.send(h11.Data(data=data))
+        elif data:
+            await self._write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def _sends_chunks(self, head: h11.Response) -> bool:
+        """Returns whether h11 frames the body of this answer as chunks."""
+        return (
+            self.http.our_state is h11.SEND_BODY
+            and self._has_body
+            and head.status_code not in _STATUSES_WITHOUT_BODY
+            and self.http.their_http_version not in (None, b"1.0")
+            and not any(name == b"content-length" for name, _ in head.headers)
+        )
+
+    async def _write(self, data: bytes) -> None:
         if not data:
             return
         try:
