--- a/bench/src/baobabmux_bench/deployments.py
+++ b/bench/src/baobabmux_bench/deployments.py
@@ -6,9 +6,11 @@
 capacity the top tier alone still fits.
 """
 
+import functools
+
 import msgspec
 
-from baobabmux_bench import loads
+from baobabmux_bench import engines, loads
 from baobabmux_core import declarations, ids
 
 _DRAFTING = ids.ServiceName("drafting")
@@ -47,6 +49,9 @@
         ordinary_load: Peak load of an ordinary day relative to capacity.
         ordinary_shape: How arrivals vary on an ordinary day.
         peak_shape: How arrivals vary in all other scenarios.
+        placement: Placement that the engine services declare.
+        decode_share: Decode rate of engines while a prompt is computed,
+            relative to the rate without.
     """
 
     name: str
@@ -59,6 +64,8 @@
     ordinary_load: float
     ordinary_shape: loads.Shape
     peak_shape: loads.Shape
+    placement: str = "end"
+    decode_share: float = engines.DECODE_SHARE_DURING_PREFILL
 
     def endpoints(self, service: ids.ServiceName) -> list[ids.EndpointId]:
         """Returns the endpoints of a service."""
@@ -72,17 +79,26 @@
         """Returns all services."""
         return sorted({r.declared.service for r in self.replicas.values()})
 
+    def _service(self, name: ids.ServiceName) -> declarations.Service:
+        if name not in self.engine_services:
+            return declarations.Service("plain")
+        gaps = [
+            kind.gap_seconds
+            for kind in self.kinds
+            if kind.service == name and kind.gap_seconds is not None
+        ]
+        return declarations.Service(
+            "engine",
+            placement=self.placement,
+            gap_seconds=min(gaps, default=0.0),
+        )
+
     def configuration(self) -> declarations.Configuration:
         """Returns the declarations as operators would publish them."""
         names = {rank: name for name, rank in self.tiers.items()}
         return declarations.Configuration(
             tiers={n: declarations.Tier(r) for n, r in self.tiers.items()},
-            services={
-                name: declarations.Service(
-                    "engine" if name in self.engine_services else "plain"
-                )
-                for name in self.services()
-            },
+            services={name: self._service(name) for name in self.services()},
             endpoints={n: r.declared for n, r in self.replicas.items()},
             routes={
                 kind.route: declarations.Route(
@@ -256,7 +272,75 @@
     Raises:
         KeyError: There is no such deployment.
     """
-    return {"kelaniya": kelaniya, "lone-star": lone_star}[name]()
+    return {
+        "kelaniya": kelaniya,
+        "lone-star": lone_star,
+        "uneven": functools.partial(_streams, "uneven", (1.4, 1.4, 0.35)),
+        "even": functools.partial(_streams, "even", (1.05, 1.05, 1.05)),
+    }[name]()
+
+
+def _streams(name: str, speeds: tuple[float, ...]) -> Deployment:
+    """Returns 12 engines for callers who want all events as soon.
+
+    Args:
+        name: Name of the deployment.
+        speeds: Actual speeds relative to the declared rates, in turn.
+    """
+    service = ids.ServiceName("streams")
+    centres = ("x", "y", "z")
+    cell = ids.DataCentre("cell")
+    kinds = (
+        ("draft", 0, 23.0, 4000, 380, 0.5, 0.9),
+        ("note", 1, 36.0, 500, 290, 0.3, 0.6),
+        ("caption", 2, 41.0, 1400, 27, 0.3, 0.6),
+    )
+    return Deployment(
+        name=name,
+        nodes={ids.NodeId(f"node-{number}"): cell for number in range(6)},
+        replicas={
+            ids.EndpointId(f"engine-{number}"): Replica(
+                declarations.Endpoint(
+                    service=service,
+                    data_centre=cell,
+                    vm=ids.VmId(f"vm-{number}"),
+                    address="127.0.0.1:1",
+                    max_requests=10,
+                    max_tokens=1_000_000,
+                    prefill_tokens_per_second=60_000.0,
+                    decode_tokens_per_second=200.0,
+                    location=ids.DataCentre(centres[number % 3]),
+                ),
+                speeds[number // 4],
+            )
+            for number in range(12)
+        },
+        engine_services=(service,),
+        tiers=_tiers("draft", "note", "caption"),
+        workspaces=_workspaces("studio"),
+        kinds=tuple(
+            loads.Kind(
+                route=ids.RouteName(route),
+                service=service,
+                tier=tier,
+                weight=weight,
+                prompt_tokens=prompt,
+                output_tokens=output,
+                deadline_seconds=12.0,
+                spread=spread,
+                target_seconds=target,
+                gap_seconds=0.3,
+            )
+            for route, tier, weight, prompt, output, target, spread in kinds
+        ),
+        ordinary_load=0.6,
+        ordinary_shape=loads.Shape(burst_share=0.2, burst_size=6),
+        peak_shape=loads.Shape(
+            waves=2, trough=0.3, burst_share=0.2, burst_size=6
+        ),
+        placement="first_event",
+        decode_share=0.0,
+    )
 
 
 def _nodes(
--- a/bench/src/baobabmux_bench/engines.py
+++ b/bench/src/baobabmux_bench/engines.py
@@ -15,9 +15,12 @@
 # Each further request in a batch makes a decode step longer by this share. A
 # step reads all weights once for the whole batch, so the share is small.
 _STEP_SLOWDOWN_PER_REQUEST = 0.06
-# Relative decode rate while any prompt is being computed: chunked prefill
-# occupies part of each step.
-_DECODE_SHARE_DURING_PREFILL = 0.6
+DECODE_SHARE_DURING_PREFILL = 0.6
+"""Relative decode rate while any prompt is being computed.
+
+Chunked prefill occupies part of each step.
+"""
+
 # Remaining work below this is a rounding error.
 _EPSILON_TOKENS = 1e-6
 
@@ -34,6 +37,8 @@
         prefill_left: Prompt tokens still to compute.
         decode_left: Output tokens still to produce.
         admitted: Whether the job is in the batch.
+        pause: Seconds for which its answer stands still now.
+        longest_pause: Longest such time so far.
     """
 
     request: ids.RequestId
@@ -44,6 +49,8 @@
     prefill_left: float = 0.0
     decode_left: float = 0.0
     admitted: bool = False
+    pause: float = 0.0
+    longest_pause: float = 0.0
 
     def computed_tokens(self) -> int:
         """Returns the prompt tokens computed so far."""
@@ -171,6 +178,8 @@
         speed_factor: Actual speed relative to the declared rates.
         slowdown: Additional speed factor that faults change.
         batched: Whether jobs share the compute of the endpoint.
+        decode_share: Decode rate while a prompt is computed, relative to the
+            rate without; 0 if answers stand still meanwhile.
         cache: Prefix cache.
     """
 
@@ -180,12 +189,14 @@
         declared: declarations.Endpoint,
         speed_factor: float = 1.0,
         batched: bool = True,
+        decode_share: float = DECODE_SHARE_DURING_PREFILL,
     ):
         self.name = name
         self.declared = declared
         self.speed_factor = speed_factor
         self.slowdown = 1.0
         self.batched = batched
+        self.decode_share = decode_share
         self.cache = PrefixCache(declared.cache_tokens)
         self.running: dict[ids.RequestId, Job] = {}
         self.waiting: collections.OrderedDict[ids.RequestId, Job] = (
@@ -236,6 +247,7 @@
             if job.prefill_left > 0
             else job.decode_left / decode_rate
             for job in self.running.values()
+            if job.prefill_left > 0 or decode_rate > 0
         )
 
     def advance(self, now: float) -> list[Change]:
@@ -258,7 +270,7 @@
         prefilling = sum(job.prefill_left > 0 for job in self.running.values())
         if not prefilling:
             return prefill, decode
-        return prefill / prefilling, decode * _DECODE_SHARE_DURING_PREFILL
+        return prefill / prefilling, decode * self.decode_share
 
     def _advance_jobs(self, now: float) -> None:
         seconds = now - self._time
@@ -271,8 +283,10 @@
                 job.prefill_left -= prefill_rate * seconds
                 if job.prefill_left < _EPSILON_TOKENS:
                     job.prefill_left = 0.0
-            else:
-                job.decode_left -= decode_rate * seconds
+                continue
+            job.decode_left -= decode_rate * seconds
+            job.pause = 0.0 if decode_rate else job.pause + seconds
+            job.longest_pause = max(job.longest_pause, job.pause)
 
     def _complete_steps(self) -> list[Change]:
         changes = []
--- a/bench/src/baobabmux_bench/loads.py
+++ b/bench/src/baobabmux_bench/loads.py
@@ -35,6 +35,8 @@
         file_tokens: Prefix shared by prompts about the same file.
         files: Number of files for each workspace.
         idempotent: Whether a request may safely run more than once.
+        target_seconds: Time to the first token that callers expect, or None.
+        gap_seconds: Longest pause of an answer that callers expect, or None.
     """
 
     route: ids.RouteName
@@ -49,6 +51,8 @@
     file_tokens: int = 0
     files: int = 0
     idempotent: bool = True
+    target_seconds: float | None = None
+    gap_seconds: float | None = None
 
 
 class Request(msgspec.Struct, frozen=True):
--- a/bench/src/baobabmux_bench/nodes.py
+++ b/bench/src/baobabmux_bench/nodes.py
@@ -26,6 +26,10 @@
 _TICK_SECONDS = 0.05
 _MEMBERSHIP_SECONDS = 0.1
 _VM_POLL_SECONDS = 1.0
+# As on the users' platform: part of a target that is left for the delivery, and
+# the multiple of it after which callers no longer use a first event.
+_DELIVERY_MARGIN_SECONDS = 0.03
+_USELESS_TARGETS = 2.5
 # Frames carry a message authentication code, which counts as control traffic;
 # its length does not depend on the secret.
 _FRAME_SECRET = b"bench"
@@ -99,6 +103,8 @@
             content=ids.ContentDigest(hash_content(request)),
             needs_claim=not kind.idempotent,
             idempotent=kind.idempotent,
+            gap_seconds=kind.gap_seconds,
+            **_expected_times(request),
         )
         self._call(node, "submit", work, self.run.now)
 
@@ -363,6 +369,22 @@
         ]
 
 
+class EndSoonest(Grants):
+    """The same scheduler, with each request placed where it ends soonest."""
+
+    name = "end-soonest"
+
+    def _configuration(self, node: _Node) -> declarations.Configuration:
+        configuration = super()._configuration(node)
+        return msgspec.structs.replace(
+            configuration,
+            services={
+                name: msgspec.structs.replace(service, placement="end")
+                for name, service in configuration.services.items()
+            },
+        )
+
+
 class IndependentNodes(Grants):
     """The same scheduler, but without coordination between nodes.
 
@@ -425,3 +447,14 @@
     digits = request.request.rpartition("-")[2]
     # An odd multiplier spreads the numbers over all 64 bits, as a hash does.
     return int(digits, 16) * 0x9E3779B97F4A7C15 % 2**64
+
+
+def _expected_times(request: loads.Request) -> dict[str, float]:
+    """Returns when the first event is late and when it is useless."""
+    target = request.kind.target_seconds
+    if target is None:
+        return {}
+    return {
+        "target_by": request.arrival + target - _DELIVERY_MARGIN_SECONDS,
+        "first_by": request.arrival + _USELESS_TARGETS * target,
+    }
--- a/bench/src/baobabmux_bench/registry.py
+++ b/bench/src/baobabmux_bench/registry.py
@@ -1,6 +1,6 @@
 """Policies by name."""
 
-from baobabmux_bench import nodes, policies
+from baobabmux_bench import nodes, oracle, policies
 
 _POLICIES: dict[str, type[policies.Policy]] = {
     policy.name: policy
@@ -10,7 +10,9 @@
         policies.LeastReported,
         policies.Shares,
         nodes.Grants,
+        nodes.EndSoonest,
         nodes.IndependentNodes,
+        oracle.Oracle,
     )
 }
 BASELINES = (
--- a/bench/src/baobabmux_bench/results.py
+++ b/bench/src/baobabmux_bench/results.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import math
 import pathlib
 
 import msgspec
@@ -43,6 +44,7 @@
         computed_tokens: Prompt tokens computed for it.
         repeated_tokens: Those of them in a prefix that some cache of the
             service had stored before.
+        longest_pause: Longest pause of its answer in seconds.
     """
 
     request: loads.Request
@@ -54,6 +56,17 @@
     first_token: float | None = None
     computed_tokens: int = 0
     repeated_tokens: int = 0
+    longest_pause: float = 0.0
+
+    def is_on_time(self) -> bool:
+        """Returns whether a good answer came as its caller expected it."""
+        kind = self.request.kind
+        if self.ending is not Ending.GOOD or self.first_token is None:
+            return False
+        first = self.first_token - self.request.arrival
+        return first <= (kind.target_seconds or math.inf) and (
+            self.longest_pause <= (kind.gap_seconds or math.inf)
+        )
 
 
 class Inversions:
@@ -139,6 +152,8 @@
             cache had stored their prefix.
         missed_tokens: Prompt tokens computed for requests without a good
             answer.
+        on_time: Good answers whose first token and pauses were as callers
+            expect them.
     """
 
     tier: str
@@ -151,6 +166,7 @@
     computed_tokens: int
     repeated_tokens: int
     missed_tokens: int
+    on_time: int = 0
 
     def goodput(self) -> float:
         """Returns the share of submitted requests with good answers."""
@@ -195,6 +211,11 @@
     deadline_inversions: int
     control: Control
 
+    def on_time_share(self) -> float:
+        """Returns the share of requests that were answered on time."""
+        count = sum(tier.on_time for tier in self.tiers)
+        return count / max(1, self.submitted())
+
     def submitted(self) -> int:
         """Returns the number of requests submitted."""
         return sum(tier.submitted for tier in self.tiers)
@@ -336,6 +357,7 @@
         missed_tokens=sum(
             r.computed_tokens for r in records if r.ending is not Ending.GOOD
         ),
+        on_time=sum(record.is_on_time() for record in records),
     )
 
 
--- a/bench/src/baobabmux_bench/runs.py
+++ b/bench/src/baobabmux_bench/runs.py
@@ -83,6 +83,7 @@
                 replica.declared,
                 replica.speed_factor,
                 replica.declared.service in deployment.engine_services,
+                deployment.decode_share,
             )
             for name, replica in deployment.replicas.items()
         }
@@ -249,6 +250,7 @@
                 record.first_token = self.now
             self.policy.first_token(record.node, request)
             return
+        record.longest_pause = change.job.longest_pause
         if record.ending is None:
             self._end(record, results.Ending.GOOD)
         self.policy.finished(
--- a/bench/src/baobabmux_bench/scenarios.py
+++ b/bench/src/baobabmux_bench/scenarios.py
@@ -1,5 +1,7 @@
 """Scenarios of the benchmark, and the capacity that their load refers to."""
 
+import itertools
+
 import msgspec
 
 from baobabmux_bench import deployments, engines, loads
@@ -107,7 +109,7 @@
         Completed requests a second, in virtual time.
     """
     kinds = tuple(k for k in deployment.kinds if k.service == service)
-    samples = iter(
+    samples = itertools.cycle(
         loads.sample(kinds, deployment.workspaces, _SAMPLE_REQUESTS, seed)
     )
     finished = 0
@@ -118,6 +120,7 @@
             replica.declared,
             replica.speed_factor,
             service in deployment.engine_services,
+            deployment.decode_share,
         )
         for _ in range(replica.declared.max_requests):
             engine.submit(_job(next(samples)), 0.0)
