Keep an engine's two rates apart from its slowness

Change: the first samples replace the guessed overhead; an error counts towards the slowness by the share of the time that is the endpoint's own.

--- a/packages/baobabmux-core/src/baobabmux_core/endpoint_speed.py
+++ b/packages/baobabmux-core/src/baobabmux_core/endpoint_speed.py
@@ -20,6 +20,8 @@
 _SETTLING_SHARE = 0.02
 # Weight of one sample in what a group has in common.
 _COMMON_WEIGHT = 0.01
+# Weight of one sample in the overhead, after the first samples.
+_OVERHEAD_WEIGHT = 0.02
 # Weight of one sample in the mean error.
 _ERROR_WEIGHT = 0.05
 # Bound of the logarithm of one sample's ratio, so that a slow reader or a
@@ -50,6 +52,7 @@
         self.crossing_seconds = 0.0
         self.batch_cost = 0.02
         self.stall_share = 0.7
+        self._samples = 0
         self._order_errors = dict.fromkeys(endpoint_work.PromptOrder, 0.0)
 
     @property
@@ -85,8 +88,10 @@
             )
         predicted = overhead + reading[self.order]
         # A prompt that takes long to read says little about the rest.
-        weight = _COMMON_WEIGHT * overhead / predicted
-        change = weight * _bounded(seconds, predicted) * predicted
+        weight = max(_OVERHEAD_WEIGHT, 1.0 / (1 + self._samples))
+        self._samples += 1
+        weight *= (overhead / predicted) ** 2
+        change = overhead * math.expm1(weight * _bounded(seconds, predicted))
         if crosses:
             self.crossing_seconds = max(0.0, self.crossing_seconds + change)
         else:
@@ -226,11 +231,10 @@
         predicted = steps + stalled
         share = stalled / predicted
         ratio = _bounded(seconds, predicted)
-        self._step_seconds *= math.exp(
-            _gain(self._decode_samples) * ratio * (1.0 - share)
-        )
+        own = ratio * (1.0 - share)
+        self._step_seconds *= math.exp(_gain(self._decode_samples) * own)
         self._decode_samples += 1
-        self._learn_slowness(ratio, now)
+        self._learn_slowness(own, now)
         self.common.observe_decode(streams - 1.0, share, ratio)
 
     def _learn_slowness(self, log_ratio: float, now: float) -> None:
