Let long prompts wait for a fast endpoint

Change: such a prompt goes to a fast endpoint; a prompt waits for the fastest while that is in time; the reading of prompts counts in full for pauses; an endpoint of which little is known counts as slow beside known ones.

--- a/packages/baobabmux-core/src/baobabmux_core/first_events.py
+++ b/packages/baobabmux-core/src/baobabmux_core/first_events.py
@@ -22,6 +22,8 @@
 _READING_SHARE = 0.7
 # Factor on predicted durations, as the length of an answer is a guess.
 _LENGTH_MARGIN = 2.0
+# Factor on the reading of prompts by an endpoint of which little is known.
+_UNKNOWN_FACTOR = 2.0
 # Time that a stream's pause beyond the target costs, in seconds.
 _PAUSE_COST_SECONDS = 0.2
 # Longest time for which a late request passes over slots where it would make
@@ -134,6 +136,8 @@
         ]
         longest = max(cached)
         wanted_by = entry.first_by if entry.late else entry.target_by
+        fastest = _fastest(free + busy)
+        is_long = self._pauses_anywhere(entry, fastest)
         best = other = None
         best_cost = other_cost = math.inf
         for member, kept in zip(free, cached, strict=True):
@@ -147,20 +151,22 @@
             cost = end + placement.extra_cost(member, longest - kept)
             if is_remote and preset is not None:
                 cost += preset.other_centre_seconds
-            paused = self._paused_streams(member, uncached)
+            paused = self._paused_streams(member, uncached, fastest)
+            cost += _PAUSE_COST_SECONDS * paused
+            suits = not paused or (is_long and not _is_slow(member, fastest))
             in_time = now + (end - now) * _LENGTH_MARGIN <= entry.deadline
-            if not paused and in_time and first <= wanted_by:
+            if suits and in_time and first <= wanted_by:
                 if cost < best_cost:
                     best, best_cost = member, cost
-            elif first <= entry.first_by:
-                cost += _PAUSE_COST_SECONDS * paused
-                if cost < other_cost:
-                    other, other_cost = member, cost
+            elif first <= entry.first_by and cost < other_cost:
+                other, other_cost = member, cost
         if best is not None:
-            if _passes_over(entry, best, best_cost, busy, now):
+            if busy and _passes_over(
+                entry, best, best_cost, _fastest(busy), now
+            ):
                 return placement.NoPlacement.AFFINITY
             return best
-        if self._may_wait(entry, free, busy, now):
+        if self._may_wait(entry, fastest, now):
             return placement.NoPlacement.AFFINITY
         if entry.late and other is not None:
             return other
@@ -195,23 +201,32 @@
         )
 
     def _paused_streams(
-        self, member: placement.GroupMember, uncached: int
+        self,
+        member: placement.GroupMember,
+        uncached: int,
+        fastest: placement.GroupMember,
     ) -> int:
         """Returns the streams that would pause too long by a prompt."""
         model = member.model
         if not self._gap_seconds or not model.running:
             return 0
-        reading = model.speed.common.stall_share * model.prefill_seconds(
-            model.prompts.tokens() + uncached
-        )
+        reading = model.prefill_seconds(model.prompts.tokens() + uncached)
+        if fastest.model.speed.known and not model.speed.known:
+            reading *= _UNKNOWN_FACTOR
         is_long = reading > _READING_SHARE * self._gap_seconds
         return len(model.running) if is_long else 0
 
+    def _pauses_anywhere(
+        self, entry: fairness.QueueEntry, fastest: placement.GroupMember
+    ) -> bool:
+        """Returns whether a prompt is too long for every endpoint."""
+        reading = fastest.model.prefill_seconds(entry.ask.prompt_tokens)
+        return 0.0 < _READING_SHARE * self._gap_seconds < reading
+
     def _may_wait(
         self,
         entry: fairness.QueueEntry,
-        free: list[placement.GroupMember],
-        busy: list[placement.GroupMember],
+        fastest: placement.GroupMember,
         now: float,
     ) -> bool:
         """Returns whether an endpoint will soon suit the request better."""
@@ -221,15 +236,9 @@
         if entry.late and now - since > _MAX_PATIENCE_SECONDS:
             return False
         wanted_by = entry.first_by if entry.late else entry.target_by
-        gap = self._gap_seconds or math.inf
-        for member in (*_fastest(busy), *_fastest(free)):
-            speed = member.model.speed
-            reading = speed.prefill_seconds(entry.ask.prompt_tokens)
-            first = now + reading + speed.common.overhead(True)
-            stalled = speed.common.stall_share * reading
-            if first <= wanted_by and stalled <= _READING_SHARE * gap:
-                return True
-        return False
+        reading = fastest.model.prefill_seconds(entry.ask.prompt_tokens)
+        overhead = fastest.model.speed.common.overhead(True)
+        return now + reading + overhead <= wanted_by
 
 
 def _split(
@@ -250,19 +259,26 @@
 
 
 def _fastest(
-    members: list[placement.GroupMember],
-) -> list[placement.GroupMember]:
-    """Returns the endpoint with the shortest steps, if there is any."""
-    if not members:
-        return []
-    return [min(members, key=lambda member: member.model.speed.step_seconds)]
+    members: Sequence[placement.GroupMember],
+) -> placement.GroupMember:
+    """Returns the endpoint with the shortest steps."""
+    return min(members, key=lambda member: member.model.speed.step_seconds)
+
+
+def _is_slow(
+    member: placement.GroupMember, fastest: placement.GroupMember
+) -> bool:
+    """Returns whether an endpoint is much slower than another."""
+    return member.model.speed.step_seconds > (
+        _SLOWER_FACTOR * fastest.model.speed.step_seconds
+    )
 
 
 def _passes_over(
     entry: fairness.QueueEntry,
     best: placement.GroupMember,
     best_cost: float,
-    busy: list[placement.GroupMember],
+    busy: placement.GroupMember,
     now: float,
 ) -> bool:
     """Returns whether a request leaves a slow slot to shorter ones.
@@ -270,21 +286,15 @@
     It waits for a faster endpoint for a part of the time by which it would end
     sooner there, while its first event would still be on time here.
     """
-    if entry.late or not busy or not best.model.speed.known:
+    is_slow = best.model.speed.known and _is_slow(best, busy)
+    if entry.late or not is_slow:
         return False
     ask = entry.ask
-    faster = _fastest(busy)[0].model
-    if best.model.speed.step_seconds < (
-        _SLOWER_FACTOR * faster.speed.step_seconds
-    ):
-        return False
     sooner = best_cost - (
         now
-        + faster.prefill_seconds(ask.prompt_tokens)
-        + faster.decode_seconds(ask.output_tokens)
+        + busy.model.prefill_seconds(ask.prompt_tokens)
+        + busy.model.decode_seconds(ask.output_tokens)
     )
-    if sooner <= 0.0:
-        return False
     if entry.passed_over_at is None:
         entry.passed_over_at = now
     waited = now - entry.passed_over_at
