--- a/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
@@ -25,6 +25,8 @@
     drained: bool = False
     decode_tokens_per_second: float = 0.0
     prefill_tokens_per_second: float = 0.0
+    speed_age_seconds: float | None = None
+    first_event_error: float | None = None
 
 
 class GroupStatus(msgspec.Struct, frozen=True):
--- a/packages/baobabmux-ctl/src/baobabmux_ctl/status.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/status.py
@@ -136,7 +136,15 @@
 def _endpoint_table(
     groups: Iterable[tuple[nodes.NodeStatus, nodes.GroupStatus]],
 ) -> str:
-    heads = ("ENDPOINT", "GROUP", "RUNNING", "TOKENS", "BREAKER", "DRAIN")
+    heads = (
+        "ENDPOINT",
+        "GROUP",
+        "RUNNING",
+        "TOKENS",
+        "BREAKER",
+        "DRAIN",
+        "SPEED",
+    )
     rows = [
         (
             endpoint_status.endpoint,
@@ -145,8 +153,20 @@
             endpoint_status.outstanding_tokens,
             endpoint_status.breaker,
             "yes" if endpoint_status.drained else "no",
+            _speed_text(endpoint_status),
         )
         for _, group in groups
         for endpoint_status in group.endpoints
     ]
     return output.table(heads, rows)
+
+
+def _speed_text(endpoint: nodes.EndpointStatus) -> str:
+    """Returns learned rates and their age; declared ones have no age."""
+    rates = (
+        f"{endpoint.prefill_tokens_per_second:.0f}"
+        f"/{endpoint.decode_tokens_per_second:.0f}"
+    )
+    if endpoint.speed_age_seconds is None:
+        return rates
+    return f"{rates}, {endpoint.speed_age_seconds:.1f} s ago"
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -55,6 +55,11 @@
         self.queue_tokens = self._gauge(
             "queue_tokens", "Tokens waiting in an owned group", ["group"]
         )
+        self.first_event_error = self._gauge(
+            "first_event_error",
+            "Mean relative error of the predicted first events of an endpoint",
+            ["endpoint"],
+        )
         self.outstanding_tokens = self._gauge(
             "outstanding_tokens",
             "Tokens granted and not released at an endpoint of an owned group",
@@ -271,6 +276,7 @@
             self.queue_requests,
             self.queue_tokens,
             self.outstanding_tokens,
+            self.first_event_error,
         ):
             gauge.clear()
         for group in groups:
@@ -280,6 +286,10 @@
                 self.outstanding_tokens.labels(endpoint.endpoint).set(
                     endpoint.outstanding_tokens
                 )
+                if endpoint.first_event_error is not None:
+                    self.first_event_error.labels(endpoint.endpoint).set(
+                        endpoint.first_event_error
+                    )
 
     @staticmethod
     def _set_total(counter, total: float) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/status.py
+++ b/packages/baobabmux-node/src/baobabmux_node/status.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from baobabmux_core import ids, scheduler
+from baobabmux_core import capacity, ids, scheduler
 
 
 class EndpointStatus(msgspec.Struct, frozen=True):
@@ -16,6 +16,10 @@
         drained: Whether an operator drains it.
         decode_tokens_per_second: Estimated decode rate of one request.
         prefill_tokens_per_second: Estimated prefill rate.
+        speed_age_seconds: Time since the answer from which its speed was last
+            learned, or None if its service is not placed by first events.
+        first_event_error: Mean relative error of its predicted first events,
+            or None likewise.
     """
 
     endpoint: ids.EndpointId
@@ -25,6 +29,8 @@
     drained: bool
     decode_tokens_per_second: float
     prefill_tokens_per_second: float
+    speed_age_seconds: float | None = None
+    first_event_error: float | None = None
 
 
 class GroupStatus(msgspec.Struct, frozen=True):
@@ -78,9 +84,25 @@
                 outstanding_tokens=tokens,
                 breaker=owner.breaker(name).state.value,
                 drained=name in drained,
-                decode_tokens_per_second=owner.model(name).decode_rate,
-                prefill_tokens_per_second=owner.model(name).prefill_rate,
+                **_speed_state(owner.model(name), now),
             )
             for name, (requests, tokens) in owner.outstanding().items()
         ],
     )
+
+
+def _speed_state(model: capacity.EndpointModel, now: float) -> dict[str, float]:
+    speed = model.speed
+    if speed is None:
+        return {
+            "decode_tokens_per_second": model.decode_rate,
+            "prefill_tokens_per_second": model.prefill_rate,
+        }
+    state = {
+        "decode_tokens_per_second": 1.0 / speed.step_seconds,
+        "prefill_tokens_per_second": speed.prefill_rate,
+    }
+    if speed.samples:
+        state["speed_age_seconds"] = now - speed.learned_at
+        state["first_event_error"] = speed.error
+    return state
