Count how long prompts have been read without a break

Each prompt by itself was short enough, but answers stood still while one followed the other.

Change: the pause that a prompt makes longer counts from its beginning.

--- a/packages/baobabmux-core/src/baobabmux_core/capacity.py
+++ b/packages/baobabmux-core/src/baobabmux_core/capacity.py
@@ -292,7 +292,7 @@
         prediction = self.predict(run.granted, run.uncached, run.output)
         if self.speed is not None:
             run.ahead = self.prompts.ahead(run.uncached)
-            self.prompts.left[run.request] = float(run.uncached)
+            self.prompts.add(run.request, float(run.uncached), run.granted)
             run.work_before = self._work.count(
                 len(self.running), run.uncached, run.granted
             )
--- a/packages/baobabmux-core/src/baobabmux_core/endpoint_work.py
+++ b/packages/baobabmux-core/src/baobabmux_core/endpoint_work.py
@@ -38,6 +38,7 @@
     def __init__(self):
         self.left: dict[str, float] = {}
         self._as_of = 0.0
+        self._busy_since = 0.0
 
     def advance(self, rate: float, order: PromptOrder, now: float) -> None:
         """Reads prompts up to a time.
@@ -67,6 +68,16 @@
                 return
             del self.left[name]
 
+    def add(self, name: str, tokens: float, now: float) -> None:
+        """Adds a prompt that arrives now; call `advance` first."""
+        if not self.left:
+            self._busy_since = now
+        self.left[name] = tokens
+
+    def busy_seconds(self, now: float) -> float:
+        """Returns for how long prompts have been read without a break."""
+        return max(0.0, now - self._busy_since) if self.left else 0.0
+
     def ahead(self, own: float) -> Ahead:
         """Returns what delays a prompt that arrives now."""
         if not self.left:
--- a/packages/baobabmux-core/src/baobabmux_core/first_events.py
+++ b/packages/baobabmux-core/src/baobabmux_core/first_events.py
@@ -151,7 +151,7 @@
             cost = end + placement.extra_cost(member, longest - kept)
             if is_remote and preset is not None:
                 cost += preset.other_centre_seconds
-            paused = self._paused_streams(member, uncached, fastest)
+            paused = self._paused_streams(member, uncached, fastest, now)
             cost += _PAUSE_COST_SECONDS * paused
             suits = not paused or (is_long and not _is_slow(member, fastest))
             in_time = now + (end - now) * _LENGTH_MARGIN <= entry.deadline
@@ -205,6 +205,7 @@
         member: placement.GroupMember,
         uncached: int,
         fastest: placement.GroupMember,
+        now: float,
     ) -> int:
         """Returns the streams that would pause too long by a prompt."""
         model = member.model
@@ -213,6 +214,7 @@
         reading = model.prefill_seconds(model.prompts.tokens() + uncached)
         if fastest.model.speed.known and not model.speed.known:
             reading *= _UNKNOWN_FACTOR
+        reading += model.prompts.busy_seconds(now)
         is_long = reading > _READING_SHARE * self._gap_seconds
         return len(model.running) if is_long else 0
 
