Send slow requests to a second endpoint where a service declares it

Off by default (hedge_quantile = 0). Holders learn when an answer is slow, owners grant a second endpoint at once or not at all, within a share of the first attempts that ended under their own grants.

--- a/packages/baobabmux-core/src/baobabmux_core/asks.py
+++ b/packages/baobabmux-core/src/baobabmux_core/asks.py
@@ -55,6 +55,7 @@
             messages.Pause(endpoint, math.ceil(1000 * seconds))
             for endpoint, seconds in paused.items()
         ),
+        held.hedged,
     )
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -63,7 +63,13 @@
     )
     ANSWER_TAKEN_OVER = (
         211,
-        "{successor} takes over from {endpoint}, which is silent, as {backup}.",
+        "{successor} takes over from {endpoint}, which is silent or slow, as"
+        " {backup}.",
+    )
+    ANSWER_SLOW = (
+        212,
+        "The answer of {endpoint} has not begun after {silent_ms} ms, longer"
+        " than usual; another endpoint is asked for as {backup}.",
     )
 
     QUOTA_CHARGED = (
--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -87,6 +87,17 @@
             streams do not pause for too long.
         gap_seconds: Longest time between two events that callers of its
             streams expect, or 0 if any.
+        hedge_quantile: Quantile of the time until answers begin after which a
+            request that may be repeated is sent to a second endpoint, 0 for
+            never.
+        hedge_request_share: Most such second attempts in a window, as a share
+            of the first attempts.
+        hedge_token_share: Most tokens of theirs, as a share of those of the
+            first attempts.
+        hedge_workspace_share: Most of them for one workspace, as a share of
+            those that are allowed.
+        hedge_free_share: Share of the places of a group that they leave free.
+        hedge_window_seconds: Length of the window.
     """
 
     kind: str
@@ -98,6 +109,12 @@
     max_connections: int = 0
     placement: str = "end"
     gap_seconds: float = 0.0
+    hedge_quantile: float = 0.0
+    hedge_request_share: float = 0.02
+    hedge_token_share: float = 0.02
+    hedge_workspace_share: float = 0.25
+    hedge_free_share: float = 0.25
+    hedge_window_seconds: float = 10.0
 
 
 class Endpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -409,6 +426,12 @@
     "short_share": (0, 1),
     "high_tier_share": (0, 1),
     "window_seconds": (1, 31_536_000),
+    "hedge_quantile": (0, 0.999),
+    "hedge_request_share": (0, 0.5),
+    "hedge_token_share": (0, 0.5),
+    "hedge_workspace_share": (0, 1),
+    "hedge_free_share": (0, 1),
+    "hedge_window_seconds": (1, 3600),
     "kept_answers": (0, 10_000_000),
     "kept_answer_bytes": (0, 16_000_000_000),
     "max_connections": (0, 1_000_000),
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -20,6 +20,7 @@
     fairness,
     granted_runs,
     group_state,
+    hedging,
     held_requests,
     ids,
     isolation,
@@ -104,6 +105,7 @@
         self.notices = self.state.notices
         self.quotas = quotas.QuotaLedger()
         self.budget = retries.AttemptBudget()
+        self.hedges = hedging.OwnerHedges()
         self.location_of: Callable[[ids.NodeId], ids.DataCentre] = _nowhere
         self.estimates = start_estimates.StartEstimates(self.state)
         self._isolation = isolation.Isolation(self.state)
@@ -137,6 +139,7 @@
         service = configuration.services.get(ids.ServiceName(service_name))
         if service is not None:
             self.state.service = service
+        self.hedges.configure(service)
         preset = configuration.active_preset()
         self.state.preset = preset
         self._refused_ranks = frozenset(
@@ -329,6 +332,8 @@
         if (known := self._queue.entries.get(ask.request)) is not None:
             known.holder = holder
             return self._acknowledge(ask, holder)
+        if not self._admits_hedge(ask, now):
+            return _no_hedge(ask, holder)
         refusal = self._admission(ask, holder, now)
         if refusal is not None:
             return [refusal]
@@ -346,10 +351,22 @@
         if entry.version is not None:
             self._version_bound.add(ask.request)
         emitted = self._grant_queued(now) + self._shed(now)
+        if entry.queued and hedging.is_hedge(ask):
+            self._drop(entry)
+            return emitted + _no_hedge(ask, holder)
         if entry.queued:
             emitted += self._acknowledge(ask, holder)
         return emitted
 
+    def _admits_hedge(self, ask: messages.Ask, now: float) -> bool:
+        queued = free = places = 0
+        if hedging.is_hedge(ask):
+            members = waits.usable(self._members.values(), now)
+            queued = len(self._queue.entries)
+            free = waits.free_slots(members, now)
+            places = sum(member.model.limit() for member in members)
+        return self.hedges.admits(ask, queued, free, places, now)
+
     def repeat_ask(
         self, request: ids.RequestId, holder: ids.NodeId, now: float
     ) -> list[effects.Effect]:
@@ -424,6 +441,7 @@
         if run.holder != holder:
             return []
         self._runs.record_release(member, run, release, now)
+        self.hedges.ended(release.request, outcome, now)
         self._runs.end(release.request, now)
         changed = tuple(self.state.changed_contents)
         self.state.changed_contents.clear()
@@ -912,6 +930,17 @@
     )
 
 
+def _no_hedge(ask: messages.Ask, holder: ids.NodeId) -> list[effects.Effect]:
+    return [
+        _refusal(
+            holder,
+            ask.request,
+            errors.ErrorKind.NO_ENDPOINT,
+            _NO_ENDPOINT_RETRY_SECONDS,
+        )
+    ]
+
+
 def _version_gone(holder: ids.NodeId, request: ids.RequestId) -> effects.Effect:
     return _refusal(holder, request, errors.ErrorKind.VERSION_GONE, 0.0)
 
--- a/packages/baobabmux-core/src/baobabmux_core/hedging.py
+++ b/packages/baobabmux-core/src/baobabmux_core/hedging.py
@@ -13,6 +13,20 @@
 
 import msgspec
 
+from baobabmux_core import (
+    declarations,
+    effects,
+    held_requests,
+    ids,
+    messages,
+    states,
+)
+
+SINCE_REVISION = 7
+"""First revision whose owners know hedges."""
+
+# First attempts of one owner that have not ended; the oldest go uncounted.
+_MAX_UNENDED = 20_000
 # Answers of one size from which a quantile is learned, the latest ones.
 _MAX_SAMPLES = 400
 # Answers beyond the quantile that make it known.
@@ -50,6 +64,20 @@
 """No request is hedged."""
 
 
+def limit_of(service: declarations.Service | None) -> Limit:
+    """Returns the limit that a service declares."""
+    if service is None or not service.hedge_quantile:
+        return OFF
+    return Limit(
+        service.hedge_quantile,
+        service.hedge_request_share,
+        service.hedge_token_share,
+        service.hedge_workspace_share,
+        service.hedge_free_share,
+        service.hedge_window_seconds,
+    )
+
+
 class _Samples:
     """Times of the latest answers of one class, in order and by size."""
 
@@ -193,7 +221,7 @@
             or self._hedges.requests + 1 > allowed
             or self._hedges.tokens + tokens
             > self.limit.token_share * self._firsts.tokens
-            or own > max(1.0, self.limit.workspace_share * allowed)
+            or own > self.limit.workspace_share * allowed
         ):
             return False
         self._hedges.add(workspace, tokens, now)
@@ -208,3 +236,104 @@
             places: All places of the group.
         """
         return not queued and free - 1 >= self.limit.free_share * places
+
+
+class HolderHedges:
+    """Decides at a node when its requests are slow."""
+
+    def __init__(self):
+        self._times = LearnedTimes()
+        self._limits: dict[ids.ServiceName, Limit] = {}
+
+    def configure(self, configuration: declarations.Configuration) -> None:
+        """Applies the limits that the services declare now."""
+        self._limits = {
+            name: limit
+            for name, service in configuration.services.items()
+            if (limit := limit_of(service)) is not OFF
+        }
+
+    def delay(self, work: effects.Work, now: float) -> float | None:
+        """Returns the seconds after which a request is slow, or None."""
+        limit = self._limits.get(work.service)
+        if limit is None:
+            return None
+        return self._times.delay(
+            work.service, work.prompt_tokens, limit.quantile, now
+        )
+
+    def answered(self, held: held_requests.Held | None, now: float) -> None:
+        """Records a first attempt that begins its answer, or is given up."""
+        if (
+            held is not None
+            and held.work.service in self._limits
+            and held.attempt == 1
+            and held.first_token_at is None
+            and held.state in held_requests.RUNNING_STATES
+        ):
+            self._times.observe(
+                held.work.service,
+                held.work.prompt_tokens,
+                now - held.dispatched_at,
+                now,
+            )
+
+
+class OwnerHedges:
+    """Hedges and first attempts of the requests that one owner grants.
+
+    Attributes:
+        budget: What may still be granted.
+    """
+
+    def __init__(self):
+        self.budget = Budget()
+        # Workspace and tokens of the first attempts that have not ended.
+        self._firsts: collections.OrderedDict[
+            ids.RequestId, tuple[int, int]
+        ] = collections.OrderedDict()
+
+    def configure(self, service: declarations.Service | None) -> None:
+        """Applies the limit that the service declares now."""
+        self.budget.limit = limit_of(service)
+
+    def admits(
+        self, ask: messages.Ask, queued: int, free: int, places: int, now: float
+    ) -> bool:
+        """Returns whether an ask may be granted; only hedges may not.
+
+        Args:
+            ask: The ask.
+            queued: Requests that wait in the group.
+            free: Places of the group that are free.
+            places: All places of the group.
+            now: Current time in seconds.
+        """
+        tokens = ask.prompt_tokens + ask.output_tokens
+        if is_hedge(ask):
+            return self.budget.fits(queued, free, places) and self.budget.take(
+                ask.workspace, tokens, now
+            )
+        if self.budget.limit.quantile and (
+            ask.terms is None or ask.terms.attempt == 1
+        ):
+            self._firsts[ask.request] = ask.workspace, tokens
+            if len(self._firsts) > _MAX_UNENDED:
+                self._firsts.popitem(last=False)
+        return True
+
+    def ended(
+        self, request: ids.RequestId, outcome: states.Outcome, now: float
+    ) -> None:
+        """Records the end of an attempt that this owner granted."""
+        first = self._firsts.get(request)
+        if first is None or outcome in states.UNSENT_OUTCOMES:
+            return
+        del self._firsts[request]
+        if outcome is not states.Outcome.REJECTED:
+            self.budget.first_ended(*first, now)
+
+
+def is_hedge(ask: messages.Ask) -> bool:
+    """Returns whether an ask is for a second endpoint of a slow request."""
+    return ask.terms is not None and ask.terms.hedged
--- a/packages/baobabmux-core/src/baobabmux_core/held_requests.py
+++ b/packages/baobabmux-core/src/baobabmux_core/held_requests.py
@@ -80,6 +80,7 @@
             before its first event.
         dispatched_version: Version of the endpoint of the latest dispatch.
         backs_up: Request that it is a backup of, or None.
+        hedged: Whether it is a backup of a slow request, not of a silent one.
     """
 
     __slots__ = (
@@ -100,6 +101,7 @@
         "failures",
         "first_token_at",
         "group",
+        "hedged",
         "home",
         "lease_end",
         "next_ask_at",
@@ -154,6 +156,7 @@
         self.version = work.version
         self.dispatched_version = ""
         self.backs_up: Held | None = None
+        self.hedged = False
 
     def backup(self, request: ids.RequestId, now: float) -> "Held":
         """Returns a request for another endpoint beside the current one."""
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -73,6 +73,7 @@
             have changed while the grant was in transit.
         ended_before: Returns whether an endpoint had ended by a time under the
             content of a request or a part of its prompt.
+        knows_hedges: Returns whether an owner's build bounds hedges.
         version_of: Returns the version of an endpoint, or None if it is not
             declared.
         members_of: Returns the endpoints of a group.
@@ -114,6 +115,7 @@
         self.ended_before: Callable[[effects.Work, float], bool] = (
             lambda work, at: False
         )
+        self.knows_hedges: Callable[[ids.NodeId], bool] = lambda owner: True
         self.version_of: Callable[[ids.EndpointId], str | None] = (
             lambda endpoint: None
         )
@@ -143,7 +145,11 @@
         return self._ask(held, now)
 
     def ask_backup(
-        self, request: ids.RequestId, backup: ids.RequestId, now: float
+        self,
+        request: ids.RequestId,
+        backup: ids.RequestId,
+        now: float,
+        hedged: bool = False,
     ) -> list[effects.Effect]:
         """Asks for another endpoint while a request runs on.
 
@@ -152,6 +158,8 @@
             backup: Identifier under which the other endpoint is asked for. It
                 is dispatched, refused and cancelled like a request.
             now: Current time in seconds.
+            hedged: Whether it is only slow. Another endpoint is then granted
+                at once or not at all.
 
         Returns:
             Effects to carry out; none if the request may not run again.
@@ -163,9 +171,21 @@
             or not self._may_repeat(held, states.Outcome.BROKEN)
         ):
             return []
+        if hedged and not self._may_hedge(held):
+            return []
         self.held[backup] = held.backup(backup, now)
+        self.held[backup].hedged = hedged
         return self._ask(self.held[backup], now)
 
+    def _may_hedge(self, held: held_requests.Held) -> bool:
+        owner = self._owner_of(held.group)
+        return (
+            held.attempt == 1
+            and held.first_token_at is None
+            and owner is not None
+            and self.knows_hedges(owner)
+        )
+
     def cancel(
         self, request: ids.RequestId, now: float
     ) -> list[effects.Effect]:
@@ -402,6 +422,8 @@
         self, held: held_requests.Held, now: float
     ) -> list[effects.Effect]:
         """Grants from the node's own share; the owner is unresponsive."""
+        if held.hedged:
+            return []
         endpoint = self.fallback(held, now)
         if endpoint is None:
             return []
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -128,6 +128,8 @@
             no event of it was received.
         parts: Parts of its prompt that other requests may share.
         pauses: Endpoints that want nothing from the sender for a while.
+        hedged: Whether it is for a second endpoint beside a slow one; it is
+            granted at once or refused.
     """
 
     first_ms: int = -1
@@ -138,6 +140,7 @@
     version: str | None = None
     parts: tuple[ids.PartDigest, ...] = ()
     pauses: tuple[Pause, ...] = ()
+    hedged: bool = False
 
 
 class Ask(Message, frozen=True, tag=1):
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -23,6 +23,7 @@
     errors,
     grants,
     group_queries,
+    hedging,
     held_requests,
     holders,
     ids,
@@ -111,6 +112,7 @@
         self._local_nodes: set[ids.NodeId] = {node}
         self._quarantine = quarantine.Quarantine()
         self._origins = stream_origins.StreamOrigins(node)
+        self._hedges = hedging.HolderHedges()
         self.endpoints_age: Callable[[float], float] = lambda now: 0.0
         self._limits = request_limits.RequestLimits(node, seed)
         self.ends = end_watch.EndWatch(
@@ -223,7 +225,11 @@
         return self._submit(bound, now)
 
     def ask_backup(
-        self, request: ids.RequestId, backup: ids.RequestId, now: float
+        self,
+        request: ids.RequestId,
+        backup: ids.RequestId,
+        now: float,
+        hedged: bool = False,
     ) -> list[effects.Effect]:
         """Asks for another endpoint while a silent one runs a request.
 
@@ -233,7 +239,24 @@
         Returns:
             Effects to carry out; none if the request may not run again.
         """
-        return self._holder.ask_backup(request, backup, now)
+        return self._holder.ask_backup(request, backup, now, hedged)
+
+    def hedge_delay(self, request: ids.RequestId, now: float) -> float | None:
+        """Returns the seconds after which a request counts as slow.
+
+        It is None if the request may not be hedged, or if too few answers of
+        its service are known.
+        """
+        held = self._holder.held.get(request)
+        if held is None or held.attempt > 1:
+            return None
+        return self._hedges.delay(held.work, now)
+
+    def set_hedging_owners(
+        self, knows_hedges: Callable[[ids.NodeId], bool]
+    ) -> None:
+        """Sets which owners' builds bound hedges."""
+        self._holder.knows_hedges = knows_hedges
 
     def start_dispatch(self, request: ids.RequestId, now: float) -> bool:
         """Permits a dispatch; called immediately before the first byte.
@@ -248,6 +271,7 @@
         self, request: ids.RequestId, now: float
     ) -> list[effects.Effect]:
         """Records the first token of a request's answer."""
+        self._hedges.answered(self._holder.held.get(request), now)
         emitted = self._holder.first_token(request, now)
         held = self._holder.held.get(request)
         if (
@@ -303,6 +327,8 @@
         Returns:
             Effects to carry out.
         """
+        if superseded or outcome is states.Outcome.COMPLETED:
+            self._hedges.answered(self._holder.held.get(request), now)
         emitted = self.ends.record_outcome(request, outcome, succeeded, now)
         return emitted + self._holder.finished(
             request,
@@ -572,6 +598,7 @@
         self.ends.configure(configuration.endpoints)
         self._limits.endpoints_declared(configuration.endpoints, now)
         self._origins.history.configure(configuration, now)
+        self._hedges.configure(configuration)
         self.quotas.configure(now)
         for owner in self._owned.values():
             owner.configure(configuration, now)
--- a/packages/baobabmux-core/src/baobabmux_core/waits.py
+++ b/packages/baobabmux-core/src/baobabmux_core/waits.py
@@ -113,7 +113,7 @@
         waiting += len(own)
     ahead *= part
     waiting = math.ceil(waiting * part)
-    if 0 < waiting < _free_slots(usable_members, now):
+    if 0 < waiting < free_slots(usable_members, now):
         # Grants are withheld for a moment; each waiting request has a slot.
         return 0.0
     wait = _unreserved_wait(
@@ -133,7 +133,8 @@
     return min(wait, ahead / slots) if slots else wait
 
 
-def _free_slots(members: list[placement.GroupMember], now: float) -> int:
+def free_slots(members: list[placement.GroupMember], now: float) -> int:
+    """Returns the slots that are free now."""
     free = 0
     for member in members:
         slots = max(0, member.model.limit() - member.model.used(now))
--- a/packages/baobabmux-core/tests/hedging_test.py
+++ b/packages/baobabmux-core/tests/hedging_test.py
@@ -181,6 +181,9 @@
             hedges = [h for h in self.hedges if end - window < h[0] <= end]
             firsts = [f for f in self.firsts if end - 2 * window < f[0] <= end]
             assert len(hedges) <= 0.1 * len(firsts)
+            for workspace in (1, 2, 3):
+                own = [h for h in hedges if h[1] == workspace]
+                assert len(own) <= 0.25 * 0.1 * len(firsts)
             assert sum(h[2] for h in hedges) <= 0.1 * sum(f[2] for f in firsts)
 
 
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -152,7 +152,11 @@
         report_silence: Called with the seconds for which the endpoint has sent
             nothing, again while that lasts. If None, a silent endpoint ends
             the call.
-        report_progress: Called when the answer goes on after a silence.
+        report_progress: Called when the answer goes on after a silence, or
+            begins after it was slow.
+        slow_seconds: Returns the time after which the answer counts as slow if
+            it has not begun, or None.
+        report_slow: Called once with that time if it is slow.
         may_answer_failure: Returns whether a failure of the endpoint may be
             the caller's answer.
         connector: Opens the connections of the call.
@@ -176,6 +180,8 @@
     report_pause: Callable[[float], Awaitable[None]] = _ignore_pause
     report_silence: Callable[[float], Awaitable[None]] | None = None
     report_progress: Callable[[], Awaitable[None]] = _ignore_notice
+    slow_seconds: Callable[[], float | None] = lambda: None
+    report_slow: Callable[[float], Awaitable[None]] = _ignore_pause
     may_answer_failure: Callable[[], bool] = lambda: True
     connector: Connector = DirectConnector()
     started_at: float = 0.0
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -121,12 +121,18 @@
     ) -> bool:
         """Returns whether the scheduler will try another endpoint."""
 
+    def hedge_delay(self, request: held.HeldRequest) -> float | None:
+        """Returns the seconds after which a request is slow, or None."""
+        del request
+        return None
+
     @abc.abstractmethod
     async def ask_backup(
         self,
         request: held.HeldRequest,
         backup: held.HeldRequest,
         seconds: float,
+        hedged: bool = False,
     ) -> bool:
         """Asks for another endpoint while that of a request is silent.
 
@@ -134,6 +140,7 @@
             request: The request.
             backup: The same request for the scheduler, at another endpoint.
             seconds: Time for which the endpoint has been silent.
+            hedged: Whether it is only slow.
 
         Returns:
             Whether another endpoint may run the request.
@@ -190,6 +197,7 @@
         request: The request, under the identifier of its grant.
         task: Task that runs the attempt.
         silent: Whether the endpoint has been reported as silent.
+        slow: Whether its answer has not begun in the usual time.
         superseded: Whether another attempt has taken over.
     """
 
@@ -197,6 +205,7 @@
         self.request = request
         self.task: curio.Task | None = None
         self.silent = False
+        self.slow = False
         self.superseded = False
 
 
@@ -265,6 +274,8 @@
                 await self._handle_attempt_end(decision.result)
             case held.AnswerSilent():
                 await self._ask_backup(decision.seconds)
+            case held.AnswerSlow():
+                await self._ask_backup(decision.seconds, hedged=True)
             case held.AnswerResumed():
                 await self._cancel_backup()
             case held.CallerGone():
@@ -325,6 +336,8 @@
                 attempt, seconds
             ),
             report_progress=lambda: self._record_progress(attempt),
+            slow_seconds=lambda: self.host.hedge_delay(attempt.request),
+            report_slow=lambda seconds: self._record_slow(attempt, seconds),
             may_answer_failure=lambda: self._may_answer_failure(attempt),
             connector=self.host.connector,
             started_at=now,
@@ -383,17 +396,22 @@
         name = attempt.request.parsed.request
         await attempt.request.decide(held.AnswerSilent(name, seconds))
 
+    async def _record_slow(self, attempt: _Attempt, seconds: float) -> None:
+        attempt.slow = True
+        name = attempt.request.parsed.request
+        await attempt.request.decide(held.AnswerSlow(name, seconds))
+
     async def _record_progress(self, attempt: _Attempt) -> None:
-        """Records that a silent endpoint goes on."""
-        attempt.silent = False
+        """Records that a silent or slow endpoint goes on."""
+        attempt.silent = attempt.slow = False
         name = attempt.request.parsed.request
         await attempt.request.decide(held.AnswerResumed(name))
 
-    async def _ask_backup(self, seconds: float) -> None:
+    async def _ask_backup(self, seconds: float, hedged: bool = False) -> None:
         if not self._is_silent() or self._backup is not None:
             return
         backup = self.request.backup()
-        if await self.host.ask_backup(self.request, backup, seconds):
+        if await self.host.ask_backup(self.request, backup, seconds, hedged):
             self._backup = backup
 
     async def _handle_backup_decision(self, decision: held.Decision) -> None:
@@ -410,7 +428,7 @@
                             self._backup_attempt,
                             daemon=True,
                         )
-            case held.AnswerSilent() | held.AnswerResumed():
+            case held.AnswerSilent() | held.AnswerSlow() | held.AnswerResumed():
                 # It goes on until one of both endpoints answers.
                 return
             case held.OverlapEnded():
@@ -434,7 +452,10 @@
     async def _replace_silent(self) -> None:
         """Ends the silent attempt in favour of the one beside it."""
         silent = self._attempt
-        self._take_over(states.Outcome.BROKEN)
+        # An endpoint that is only slow is no reason to avoid it.
+        self._take_over(
+            states.Outcome.BROKEN if silent.silent else states.Outcome.CANCELLED
+        )
         await silent.task.cancel()
         await self.host.superseded_ended(silent.request)
 
@@ -479,8 +500,10 @@
         self.host.supersede(silent.request, self.request, outcome, tokens)
 
     def _is_silent(self) -> bool:
-        """Returns whether the attempt runs at a silent endpoint."""
-        return self._attempt is not None and self._attempt.silent
+        """Returns whether the attempt runs at a silent or slow endpoint."""
+        return self._attempt is not None and (
+            self._attempt.silent or self._attempt.slow
+        )
 
     def _is_backup_running(self) -> bool:
         return self._backup_attempt is not None and self._backup.dispatched
--- a/packages/baobabmux-node/src/baobabmux_node/held.py
+++ b/packages/baobabmux-node/src/baobabmux_node/held.py
@@ -100,8 +100,20 @@
     seconds: float
 
 
+class AnswerSlow(effects.Effect, frozen=True):
+    """The answer has not begun after a time within which most do.
+
+    Attributes:
+        request: Identifier of the attempt.
+        seconds: Time since its request was sent.
+    """
+
+    request: ids.RequestId
+    seconds: float
+
+
 class AnswerResumed(effects.Effect, frozen=True):
-    """The answer of a silent endpoint goes on.
+    """The answer of a silent or slow endpoint goes on.
 
     Attributes:
         request: Identifier of the attempt.
@@ -127,6 +139,7 @@
     | TimedOut
     | AttemptEnded
     | AnswerSilent
+    | AnswerSlow
     | AnswerResumed
     | OverlapEnded
     | Repeat
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -107,6 +107,11 @@
             "silent_answers",
             "Times at which the endpoint of an answer was found silent",
         )
+        self.hedges = self._counter(
+            "hedges",
+            "Slow requests for which a second endpoint was asked for, or not",
+            ["outcome"],
+        )
         self.takeovers = self._counter(
             "takeovers",
             "Answers that another endpoint took over from a silent one",
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -16,6 +16,7 @@
     catalogue,
     declarations,
     effects,
+    hedging,
     ids,
     membership,
     messages,
@@ -120,6 +121,7 @@
             node_settings.node, cell, self.membership, seed
         )
         self.scheduler.view.location = node_settings.data_centre
+        self.scheduler.set_hedging_owners(self._knows_hedges)
         self.scheduler.serves_while_leaving = node_settings.serve_while_draining
         self.cell = cell
         self.peers = peers.PeerTransport(
@@ -156,6 +158,13 @@
                 node_settings.tunnels, self.carrier.handle
             )
 
+    def _knows_hedges(self, owner: ids.NodeId) -> bool:
+        """Returns whether an owner's build bounds hedges."""
+        return (
+            owner == self.settings.node
+            or self.peers.revisions.of(owner) >= hedging.SINCE_REVISION
+        )
+
     # HTTP listeners.
 
     def _make_server(self, address: settings.Address, handler) -> server.Server:
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -261,7 +261,12 @@
             if call.repeatable:
                 first = self._dialect.answer_timeouts(call).first_seconds
                 watch = silence.SilenceWatch(
-                    connection, first, clock.now(), call.report_silence
+                    connection,
+                    first,
+                    clock.now(),
+                    call.report_silence,
+                    call.slow_seconds(),
+                    call.report_slow,
                 )
                 watch_task = await curio.spawn(watch.run, daemon=True)
             result = await self._exchange(
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -173,22 +173,36 @@
             request_id, tokens, now
         )
 
+    def hedge_delay(self, request: held.HeldRequest) -> float | None:
+        """Returns when a request is slow; see the base class."""
+        if request.parsed.key is not None:
+            return None
+        return self._host.scheduler.hedge_delay(
+            request.parsed.request, clock.now()
+        )
+
     async def ask_backup(
         self,
         request: held.HeldRequest,
         backup: held.HeldRequest,
         seconds: float,
+        hedged: bool = False,
     ) -> bool:
         """Asks for another endpoint; see the base class."""
         name = request.parsed.request
         emitted = []
         if request.parsed.key is None:
             emitted = self._host.scheduler.ask_backup(
-                name, backup.parsed.request, clock.now()
+                name, backup.parsed.request, clock.now(), hedged
             )
-        self._host.metrics.silent_answers.inc()
+        kind = Kind.ANSWER_SLOW if hedged else Kind.ANSWER_SILENT
+        if hedged:
+            outcome = "asked" if emitted else "not_asked"
+            self._host.metrics.hedges.labels(outcome).inc()
+        else:
+            self._host.metrics.silent_answers.inc()
         self._host.events.record(
-            Kind.ANSWER_SILENT,
+            kind,
             name,
             request.endpoint or "",
             silent_ms=round(seconds * 1000),
--- a/packages/baobabmux-node/src/baobabmux_node/silence.py
+++ b/packages/baobabmux-node/src/baobabmux_node/silence.py
@@ -32,6 +32,8 @@
         limit_seconds: float,
         now: float,
         report: Callable[[float], Awaitable[None]] | None,
+        slow_seconds: float | None = None,
+        report_slow: Callable[[float], Awaitable[None]] | None = None,
     ):
         """Starts to watch.
 
@@ -42,12 +44,18 @@
             report: Called with the time without progress in seconds, again
                 after each further limit. If None, a silent connection is
                 interrupted too.
+            slow_seconds: Time until its first progress after which the answer
+                counts as slow, or None.
+            report_slow: Called once with that time if it is slow.
         """
         self.expired = False
         self.is_bounded = False
         self._connection = connection
         self._limit_seconds = limit_seconds
         self._report = report
+        self._slow_seconds = slow_seconds
+        self._report_slow = report_slow
+        self._is_slow = False
         self._since: float | None = now
         self._longest_seconds = 0.0
         self._reports = 0
@@ -59,9 +67,11 @@
         """Records progress; the watch waits for `resume` then.
 
         Returns:
-            Whether the endpoint had been reported as silent.
+            Whether the endpoint had been reported as silent or slow.
         """
-        was_silent = self._reports > 0
+        was_silent = self._reports > 0 or self._is_slow
+        self._is_slow = False
+        self._slow_seconds = None
         self._longest_seconds = self.longest_seconds(now)
         self._since = None
         self._reports = 0
@@ -84,8 +94,11 @@
         """Watches until the connection is interrupted."""
         while True:
             now = clock.now()
+            if self._is_slow_due(now):
+                await self._report_slowness(now)
+                continue
             if (left := self._seconds_left(now)) > 0:
-                await curio.sleep(min(left, _CHECK_SECONDS))
+                await curio.sleep(min(left, self._check_seconds(now)))
                 self._count_check()
                 continue
             is_endless = (
@@ -98,6 +111,24 @@
             self._reports += 1
             await self._report(now - self._since)
 
+    def _is_slow_due(self, now: float) -> bool:
+        return (
+            self._slow_seconds is not None
+            and self._since is not None
+            and now - self._since >= self._slow_seconds
+        )
+
+    async def _report_slowness(self, now: float) -> None:
+        self._slow_seconds = None
+        self._is_slow = True
+        await self._report_slow(now - self._since)
+
+    def _check_seconds(self, now: float) -> float:
+        if self._slow_seconds is None or self._since is None:
+            return _CHECK_SECONDS
+        left = self._since + self._slow_seconds - now
+        return min(_CHECK_SECONDS, max(left, 0.0))
+
     def _count_check(self) -> None:
         received_at = self._connection.received_at
         is_busy = received_at > self._received_at
--- a/packages/baobabmux-node/tests/callers_test.py
+++ b/packages/baobabmux-node/tests/callers_test.py
@@ -80,7 +80,7 @@
     def may_repeat(self, request, result):
         return False
 
-    async def ask_backup(self, request, backup, seconds):
+    async def ask_backup(self, request, backup, seconds, hedged=False):
         return False
 
     def supersede(self, request, backup, outcome, tokens):
