--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,6 +1,7 @@
 """Starts the node from the checkout, without installing its packages."""
 
 import gc
+import os
 import pathlib
 import sys
 
@@ -15,6 +16,11 @@
 ):
     sys.path.insert(0, str(_ROOT / _source))
 
+# A deployment that hedges slow requests has this file.
+_HEDGING = pathlib.Path(__file__).with_name("hedging.toml")
+if _HEDGING.exists():
+    os.environ.setdefault("BAOBABMUX_HEDGING", str(_HEDGING))
+
 from baobabmux_platform import main  # noqa: E402
 
 main.run()
