--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -67,7 +67,7 @@
         " {backup}.",
     )
     ANSWER_SLOW = (
-        212,
+        213,
         "The answer of {endpoint} has not begun after {silent_ms} ms, longer"
         " than usual; another endpoint is asked for as {backup}.",
     )
