--- a/packages/baobabmux-core/src/baobabmux_core/declarations.py
+++ b/packages/baobabmux-core/src/baobabmux_core/declarations.py
@@ -98,6 +98,8 @@
             those that are allowed.
         hedge_free_share: Share of the places of a group that they leave free.
         hedge_window_seconds: Length of the window.
+        endpoint_tokens: Tokens of prompts and answers that each endpoint's
+            memory holds, or 0 if unknown.
     """
 
     kind: str
@@ -115,6 +117,7 @@
     hedge_workspace_share: float = 0.25
     hedge_free_share: float = 0.25
     hedge_window_seconds: float = 10.0
+    endpoint_tokens: int = 0
 
 
 class Endpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -415,6 +418,7 @@
     "short_tokens": (0, 10_000_000),
     "max_requests": (1, 100_000),
     "max_tokens": (1, 1_000_000_000),
+    "endpoint_tokens": (0, 1_000_000_000),
     "cache_tokens": (0, 1_000_000_000),
     "prefill_tokens_per_second": (0.001, 100_000_000),
     "decode_tokens_per_second": (0.001, 1_000_000),
