--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -190,6 +190,11 @@
 
     VM_LIST_REACHED = (801, "The VM list is reachable: {reachable}.")
     LOG_REACHED = (802, "The log service is reachable: {reachable}.")
+    READER_CHANGED = (
+        804,
+        "This node reads {topic} from the store as: {role}; no peer has"
+        " confirmed what it knows of the store for {silent_ms} ms.",
+    )
     STREAMS_READ = (
         803,
         "The store's records of streams were read for {requests} requests;"
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -136,6 +136,11 @@
         self.store_calls = self._counter(
             "store_calls", "Calls to the platform's store", ["kind"]
         )
+        self.store_reader = self._gauge(
+            "store_reader",
+            "Whether this node reads the configuration from the store for"
+            " others, 0 or 1",
+        )
         self.endpoint_connections = self._counter(
             "endpoint_connections",
             "Connections to endpoints, opened or used again",
