--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -470,6 +470,7 @@
         except h11.LocalProtocolError as error:
             raise PeerGoneError from error
         if isinstance(event, h11.Response):
+            self.buffer.held_seconds = 0.0
             self._is_chunked = self._sends_chunks(event)
             if self._ends_with_close(event):
                 self._reset_on_close(True)
@@ -501,8 +502,6 @@
     async def _write(self, data: bytes) -> None:
         if not data:
             return
-        if isinstance(event, h11.Response):
-            self.buffer.held_seconds = 0.0
         try:
             await self.buffer.send(
                 data,
