--- a/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/nodes.py
@@ -59,6 +59,7 @@
     held: int = 0
     timeline_events: int = 0
     revision: int = 0
+    ability: int = 0
 
 
 class NodeTimeline(msgspec.Struct, frozen=True):
--- a/packages/baobabmux-node/src/baobabmux_node/admin.py
+++ b/packages/baobabmux-node/src/baobabmux_node/admin.py
@@ -87,6 +87,7 @@
                 "node": host.settings.node,
                 "data_centre": host.settings.data_centre,
                 "revision": revisions.CURRENT,
+                "ability": host.settings.ability,
                 "state": "leaving" if host.draining else "live",
                 "ready": host.ready(),
                 "config_version": host.config.version,
