--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -441,7 +441,7 @@
         if run.holder != holder:
             return []
         self._runs.record_release(member, run, release, now)
-        self.hedges.ended(release.request, outcome, now)
+        self.hedges.ended(release, now)
         self._runs.end(release.request, now)
         changed = tuple(self.state.changed_contents)
         self.state.changed_contents.clear()
@@ -855,7 +855,12 @@
         self.state.first_events.slots_changed()
         self.estimates.record_wait(entry, now)
         self._runs.start(entry, member, now, isolated=isolated)
-        return _grant(entry.holder, ask.request, member.model.endpoint)
+        return _grant(
+            entry.holder,
+            ask.request,
+            member.model.endpoint,
+            self.hedges.slow_ms(ask, now),
+        )
 
     def _repeat_grant(
         self,
@@ -946,9 +951,12 @@
 
 
 def _grant(
-    holder: ids.NodeId, request: ids.RequestId, endpoint: ids.EndpointId
+    holder: ids.NodeId,
+    request: ids.RequestId,
+    endpoint: ids.EndpointId,
+    slow_ms: int = 0,
 ) -> effects.Effect:
+    lease_ms = round(LEASE_SECONDS * 1000)
     return effects.Send(
-        holder,
-        messages.Grant(request, endpoint, round(LEASE_SECONDS * 1000)),
+        holder, messages.Grant(request, endpoint, lease_ms, slow_ms)
     )
--- a/packages/baobabmux-core/src/baobabmux_core/hedging.py
+++ b/packages/baobabmux-core/src/baobabmux_core/hedging.py
@@ -1,8 +1,8 @@
 """Decides when a slow request is sent to a second endpoint, within a limit.
 
-A node learns how long first attempts of a service take until they answer, and
-hedges a request that may be repeated once it has waited longer than most. The
-owner that grants first attempts also grants hedges, only up to a share of the
+The owner of a group learns how long first attempts take until they answer, and
+tells with each grant when its request is slow. The node that holds the request
+asks for a hedge then. The owner grants hedges only up to a share of the
 first attempts that ended under its own grants. Owners therefore need to know
 nothing of each other: a new owner, each side of a cut and an owner that has
 started again begin without any hedges to grant.
@@ -10,13 +10,12 @@
 
 import bisect
 import collections
+import math
 
 import msgspec
 
 from baobabmux_core import (
     declarations,
-    effects,
-    held_requests,
     ids,
     messages,
     states,
@@ -34,7 +33,6 @@
 _MAX_SAMPLE_AGE_SECONDS = 120.0
 # Factor between the prompts of two classes of sizes.
 _SIZE_BASE_BITS = 2
-_MAX_CLASSES = 100
 
 
 class Limit(msgspec.Struct, frozen=True):
@@ -109,36 +107,27 @@
 
 
 class LearnedTimes:
-    """Times until answers begin at one node, by service and prompt size."""
+    """Times until the answers of one group begin, by the prompt's size."""
 
     def __init__(self):
-        self._samples: collections.OrderedDict[tuple[str, int], _Samples] = (
-            collections.OrderedDict()
-        )
+        self._samples: dict[int, _Samples] = {}
 
-    def observe(
-        self, service: str, prompt_tokens: int, seconds: float, now: float
-    ) -> None:
+    def observe(self, prompt_tokens: int, seconds: float, now: float) -> None:
         """Records a first attempt that answered, or was given up.
 
         An attempt that was given up for a hedge counts with the time that it
         had: without it, only fast answers would be learned.
 
         Args:
-            service: Service that ran it.
             prompt_tokens: Length of its prompt.
             seconds: Time from its dispatch to the beginning of its answer.
             now: Current time in seconds.
         """
-        key = _size_class(service, prompt_tokens)
-        if key not in self._samples and len(self._samples) >= _MAX_CLASSES:
-            self._samples.popitem(last=False)
-        samples = self._samples.setdefault(key, _Samples())
-        self._samples.move_to_end(key)
-        samples.add(seconds, now)
+        size = _size_class(prompt_tokens)
+        self._samples.setdefault(size, _Samples()).add(seconds, now)
 
     def delay(
-        self, service: str, prompt_tokens: int, quantile: float, now: float
+        self, prompt_tokens: int, quantile: float, now: float
     ) -> float | None:
         """Returns the time after which a request is slow, in seconds.
 
@@ -146,12 +135,12 @@
         """
         if not 0.0 < quantile < 1.0:
             return None
-        samples = self._samples.get(_size_class(service, prompt_tokens))
+        samples = self._samples.get(_size_class(prompt_tokens))
         return None if samples is None else samples.quantile(quantile, now)
 
 
-def _size_class(service: str, prompt_tokens: int) -> tuple[str, int]:
-    return service, prompt_tokens.bit_length() // _SIZE_BASE_BITS
+def _size_class(prompt_tokens: int) -> int:
+    return prompt_tokens.bit_length() // _SIZE_BASE_BITS
 
 
 class _Window:
@@ -238,45 +227,10 @@
         return not queued and free - 1 >= self.limit.free_share * places
 
 
-class HolderHedges:
-    """Decides at a node when its requests are slow."""
-
-    def __init__(self):
-        self._times = LearnedTimes()
-        self._limits: dict[ids.ServiceName, Limit] = {}
-
-    def configure(self, configuration: declarations.Configuration) -> None:
-        """Applies the limits that the services declare now."""
-        self._limits = {
-            name: limit
-            for name, service in configuration.services.items()
-            if (limit := limit_of(service)) is not OFF
-        }
-
-    def delay(self, work: effects.Work, now: float) -> float | None:
-        """Returns the seconds after which a request is slow, or None."""
-        limit = self._limits.get(work.service)
-        if limit is None:
-            return None
-        return self._times.delay(
-            work.service, work.prompt_tokens, limit.quantile, now
-        )
-
-    def answered(self, held: held_requests.Held | None, now: float) -> None:
-        """Records a first attempt that begins its answer, or is given up."""
-        if (
-            held is not None
-            and held.work.service in self._limits
-            and held.attempt == 1
-            and held.first_token_at is None
-            and held.state in held_requests.RUNNING_STATES
-        ):
-            self._times.observe(
-                held.work.service,
-                held.work.prompt_tokens,
-                now - held.dispatched_at,
-                now,
-            )
+class _First(msgspec.Struct, frozen=True):
+    workspace: int
+    prompt_tokens: int
+    tokens: int
 
 
 class OwnerHedges:
@@ -288,10 +242,11 @@
 
     def __init__(self):
         self.budget = Budget()
-        # Workspace and tokens of the first attempts that have not ended.
-        self._firsts: collections.OrderedDict[
-            ids.RequestId, tuple[int, int]
-        ] = collections.OrderedDict()
+        self._times = LearnedTimes()
+        # First attempts that have not ended.
+        self._firsts: collections.OrderedDict[ids.RequestId, _First] = (
+            collections.OrderedDict()
+        )
 
     def configure(self, service: declarations.Service | None) -> None:
         """Applies the limit that the service declares now."""
@@ -317,21 +272,40 @@
         if self.budget.limit.quantile and (
             ask.terms is None or ask.terms.attempt == 1
         ):
-            self._firsts[ask.request] = ask.workspace, tokens
+            self._firsts[ask.request] = _First(
+                ask.workspace, ask.prompt_tokens, tokens
+            )
             if len(self._firsts) > _MAX_UNENDED:
                 self._firsts.popitem(last=False)
         return True
 
-    def ended(
-        self, request: ids.RequestId, outcome: states.Outcome, now: float
-    ) -> None:
+    def slow_ms(self, ask: messages.Ask, now: float) -> int:
+        """Returns the milliseconds after which a request is slow, or 0."""
+        if self.budget.limit is OFF or is_hedge(ask):
+            return 0
+        seconds = self._delay(ask.prompt_tokens, now)
+        return 0 if seconds is None else max(1, round(1000 * seconds))
+
+    def ended(self, release: messages.Release, now: float) -> None:
         """Records the end of an attempt that this owner granted."""
-        first = self._firsts.get(request)
+        first = self._firsts.get(release.request)
+        outcome = states.Outcome.of_code(release.outcome)
         if first is None or outcome in states.UNSENT_OUTCOMES:
             return
-        del self._firsts[request]
-        if outcome is not states.Outcome.REJECTED:
-            self.budget.first_ended(*first, now)
+        del self._firsts[release.request]
+        if outcome is states.Outcome.REJECTED:
+            return
+        self.budget.first_ended(first.workspace, first.tokens, now)
+        seconds = release.prefill_ms / 1000
+        if outcome is states.Outcome.COMPLETED or (
+            outcome is states.Outcome.CANCELLED
+            and seconds >= (self._delay(first.prompt_tokens, now) or math.inf)
+        ):
+            self._times.observe(first.prompt_tokens, seconds, now)
+
+    def _delay(self, prompt_tokens: int, now: float) -> float | None:
+        quantile = self.budget.limit.quantile
+        return self._times.delay(prompt_tokens, quantile, now)
 
 
 def is_hedge(ask: messages.Ask) -> bool:
--- a/packages/baobabmux-core/src/baobabmux_core/held_requests.py
+++ b/packages/baobabmux-core/src/baobabmux_core/held_requests.py
@@ -80,6 +80,8 @@
             before its first event.
         dispatched_version: Version of the endpoint of the latest dispatch.
         backs_up: Request that it is a backup of, or None.
+        slow_seconds: Time from the dispatch after which it is slow if its
+            answer has not begun, 0.0 if that is not known.
         hedged: Whether it is a backup of a slow request, not of a silent one.
     """
 
@@ -111,6 +113,7 @@
         "progressed_at",
         "repeat_seconds",
         "returns_home",
+        "slow_seconds",
         "spilled",
         "state",
         "tokens",
@@ -156,6 +159,7 @@
         self.version = work.version
         self.dispatched_version = ""
         self.backs_up: Held | None = None
+        self.slow_seconds = 0.0
         self.hedged = False
 
     def backup(self, request: ids.RequestId, now: float) -> "Held":
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -474,6 +474,7 @@
         # lease counts from then.
         arrived = now if self._last_tick is None else self._last_tick
         held.lease_end = arrived + grant.lease_ms / 1000
+        held.slow_seconds = grant.slow_ms / 1000
         held.state = states.RequestState.GRANTED
         held.charged = True
         held.own_share = False
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -197,11 +197,14 @@
         endpoint: Endpoint to dispatch it to.
         lease_ms: Milliseconds after its arrival during which the grant may be
             used.
+        slow_ms: Milliseconds from its dispatch after which the request is slow
+            if its answer has not begun, 0 if that is not known.
     """
 
     request: ids.RequestId
     endpoint: ids.EndpointId
     lease_ms: int
+    slow_ms: int = 0
 
 
 class Refusal(Message, frozen=True, tag=4):
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -23,7 +23,6 @@
     errors,
     grants,
     group_queries,
-    hedging,
     held_requests,
     holders,
     ids,
@@ -112,7 +111,6 @@
         self._local_nodes: set[ids.NodeId] = {node}
         self._quarantine = quarantine.Quarantine()
         self._origins = stream_origins.StreamOrigins(node)
-        self._hedges = hedging.HolderHedges()
         self.endpoints_age: Callable[[float], float] = lambda now: 0.0
         self._limits = request_limits.RequestLimits(node, seed)
         self.ends = end_watch.EndWatch(
@@ -241,16 +239,16 @@
         """
         return self._holder.ask_backup(request, backup, now, hedged)
 
-    def hedge_delay(self, request: ids.RequestId, now: float) -> float | None:
-        """Returns the seconds after which a request counts as slow.
+    def hedge_delay(self, request: ids.RequestId) -> float | None:
+        """Returns the seconds after which a dispatched request is slow.
 
-        It is None if the request may not be hedged, or if too few answers of
-        its service are known.
+        It is None if the request may not be hedged, or if its owner knows too
+        few answers.
         """
         held = self._holder.held.get(request)
-        if held is None or held.attempt > 1:
+        if held is None or held.attempt > 1 or held.own_share:
             return None
-        return self._hedges.delay(held.work, now)
+        return held.slow_seconds or None
 
     def set_hedging_owners(
         self, knows_hedges: Callable[[ids.NodeId], bool]
@@ -271,7 +269,6 @@
         self, request: ids.RequestId, now: float
     ) -> list[effects.Effect]:
         """Records the first token of a request's answer."""
-        self._hedges.answered(self._holder.held.get(request), now)
         emitted = self._holder.first_token(request, now)
         held = self._holder.held.get(request)
         if (
@@ -327,8 +324,6 @@
         Returns:
             Effects to carry out.
         """
-        if superseded or outcome is states.Outcome.COMPLETED:
-            self._hedges.answered(self._holder.held.get(request), now)
         emitted = self.ends.record_outcome(request, outcome, succeeded, now)
         return emitted + self._holder.finished(
             request,
@@ -598,7 +593,6 @@
         self.ends.configure(configuration.endpoints)
         self._limits.endpoints_declared(configuration.endpoints, now)
         self._origins.history.configure(configuration, now)
-        self._hedges.configure(configuration)
         self.quotas.configure(now)
         for owner in self._owned.values():
             owner.configure(configuration, now)
--- a/packages/baobabmux-core/tests/hedged_requests_test.py
+++ b/packages/baobabmux-core/tests/hedged_requests_test.py
@@ -89,7 +89,7 @@
 
     def delay(self, request):
         node = self.holder_of[request]
-        return self.nodes[node].hedge_delay(request, self.now)
+        return self.nodes[node].hedge_delay(request)
 
 
 def test_slow_request_runs_at_a_second_endpoint():
--- a/packages/baobabmux-core/tests/hedging_test.py
+++ b/packages/baobabmux-core/tests/hedging_test.py
@@ -17,14 +17,14 @@
 def _learn(count, seconds=1.0, tokens=600, times=None):
     times = times or hedging.LearnedTimes()
     for number in range(count):
-        times.observe("pool", tokens, seconds, 100.0 + number * 0.01)
+        times.observe(tokens, seconds, 100.0 + number * 0.01)
     return times
 
 
 def test_no_request_is_hedged_without_a_declaration():
     """Guards against extra work that no operator asked for."""
     times = _learn(400)
-    assert times.delay("pool", 600, hedging.OFF.quantile, 105.0) is None
+    assert times.delay(600, hedging.OFF.quantile, 105.0) is None
     budget = hedging.Budget()
     for _ in range(1000):
         budget.first_ended(1, 100, 1.0)
@@ -37,10 +37,10 @@
     generator = random.Random(1)
     for number in range(300):
         now = 100.0 + number * 0.01
-        times.observe("pool", 600, generator.uniform(0.1, 0.3), now)
-        times.observe("pool", 6600, generator.uniform(1.0, 2.0), now)
-    short = times.delay("pool", 600, 0.9, 104.0)
-    long = times.delay("pool", 6600, 0.9, 104.0)
+        times.observe(600, generator.uniform(0.1, 0.3), now)
+        times.observe(6600, generator.uniform(1.0, 2.0), now)
+    short = times.delay(600, 0.9, 104.0)
+    long = times.delay(6600, 0.9, 104.0)
     assert 0.25 <= short <= 0.3
     assert 1.8 <= long <= 2.0
 
@@ -48,14 +48,14 @@
 @pytest.mark.parametrize("count", [0, 10, 49])
 def test_few_answers_teach_no_quantile(count):
     """Guards against hedges after a guess, just after a start."""
-    assert _learn(count).delay("pool", 600, 0.9, 104.0) is None
+    assert _learn(count).delay(600, 0.9, 104.0) is None
 
 
 def test_old_answers_are_forgotten():
     """Guards against hedges by the speed that endpoints once had."""
     times = _learn(200)
-    assert times.delay("pool", 600, 0.9, 104.0) == 1.0
-    assert times.delay("pool", 600, 0.9, 400.0) is None
+    assert times.delay(600, 0.9, 104.0) == 1.0
+    assert times.delay(600, 0.9, 400.0) is None
 
 
 def test_given_up_attempts_do_not_pull_the_quantile_down():
@@ -68,23 +68,23 @@
     generator = random.Random(1)
     for number in range(4000):
         now = 100.0 + number * 0.01
-        delay = times.delay("pool", 600, 0.9, now)
+        delay = times.delay(600, 0.9, now)
         seconds = generator.random()
         times.observe(
-            "pool",
             600,
             seconds if delay is None else min(seconds, delay + 0.05),
             now,
         )
-    assert times.delay("pool", 600, 0.9, now) >= 0.8
+    assert times.delay(600, 0.9, now) >= 0.8
 
 
 def test_memory_of_learned_times_is_bounded():
-    """Guards against memory that grows with services and answers."""
+    """Guards against memory that grows with sizes and answers."""
     times = hedging.LearnedTimes()
     for number in range(20_000):
-        times.observe(f"s{number % 300}", 1 << number % 20, 0.1, 100.0)
-    assert len(times._samples) <= 100
+        times.observe(1 << number % 40, 0.1, 100.0)
+    samples = times._samples.values()
+    assert sum(len(one._sorted) for one in samples) <= 21 * 400
 
 
 def test_hedges_leave_places_free_and_never_overtake_a_queue():
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -177,9 +177,7 @@
         """Returns when a request is slow; see the base class."""
         if request.parsed.key is not None:
             return None
-        return self._host.scheduler.hedge_delay(
-            request.parsed.request, clock.now()
-        )
+        return self._host.scheduler.hedge_delay(request.parsed.request)
 
     async def ask_backup(
         self,
