--- a/packages/baobabmux-core/src/baobabmux_core/first_events.py
+++ b/packages/baobabmux-core/src/baobabmux_core/first_events.py
@@ -166,7 +166,7 @@
             ):
                 return placement.NoPlacement.AFFINITY
             return best
-        if self._may_wait(entry, free, busy, fastest, now):
+        if self._may_wait(entry, fastest, now):
             return placement.NoPlacement.AFFINITY
         if entry.late and other is not None:
             return other
@@ -228,30 +228,19 @@
     def _may_wait(
         self,
         entry: fairness.QueueEntry,
-        free: list[placement.GroupMember],
-        busy: list[placement.GroupMember],
         fastest: placement.GroupMember,
         now: float,
     ) -> bool:
-        """Returns whether a fast endpoint will soon have a slot for it."""
+        """Returns whether an endpoint will soon suit the request better."""
         if entry.passed_over_at is None:
             entry.passed_over_at = now
         since = max(entry.passed_over_at, entry.on_time_start)
         if entry.late and now - since > _MAX_PATIENCE_SECONDS:
             return False
-        if any(not _is_slow(member, fastest) for member in free):
-            # It does not suit there, and others will not suit better.
-            start = now
-        else:
-            start = min(
-                member.model.next_free_at(now)
-                for member in busy
-                if not _is_slow(member, fastest)
-            )
         wanted_by = entry.first_by if entry.late else entry.target_by
         reading = fastest.model.prefill_seconds(entry.ask.prompt_tokens)
         overhead = fastest.model.speed.common.overhead(True)
-        return start > now and start + reading + overhead <= wanted_by
+        return now + reading + overhead <= wanted_by
 
 
 def _split(
