Keep to the token limit of endpoints in the placement by first events

Cause: only slots were counted, so that a service that declares the placement and max_tokens got more prompts at an endpoint than its memory holds. Found by reading; the test fails without the change.

--- a/packages/baobabmux-core/src/baobabmux_core/first_events.py
+++ b/packages/baobabmux-core/src/baobabmux_core/first_events.py
@@ -128,6 +128,10 @@
             now: Current time in seconds.
         """
         free, busy = self._usable_for(entry, members, reserved_share, now)
+        full = [m for m in free if not m.model.fits(entry.tokens, 0, now)]
+        if full:
+            free = [member for member in free if member not in full]
+            busy = busy + full
         if not free:
             has_any = busy or not members
             return placement.NoPlacement[("LATE", "CAPACITY")[bool(has_any)]]
--- a/packages/baobabmux-core/tests/first_events_test.py
+++ b/packages/baobabmux-core/tests/first_events_test.py
@@ -19,7 +19,9 @@
 class _Group:
     """A fast endpoint and a slow one, of which the speeds are known."""
 
-    def __init__(self, placement="first_event", slots=_SLOTS):
+    def __init__(
+        self, placement="first_event", slots=_SLOTS, max_tokens=1_000_000
+    ):
         self.now = 100.0
         self.granted = {}
         self.refused = {}
@@ -46,7 +48,7 @@
                         f"vm-{name}",
                         "127.0.0.1:1",
                         max_requests=slots,
-                        max_tokens=1_000_000,
+                        max_tokens=max_tokens,
                         prefill_tokens_per_second=_PREFILL[name],
                         decode_tokens_per_second=_DECODE[name],
                     )
@@ -200,6 +202,16 @@
     assert group.granted.get("r") == "slow"
 
 
+def test_token_limit_of_endpoints_holds():
+    """Guards against an endpoint that ends under prompts beyond its memory."""
+    group = _Group(max_tokens=12_000)
+    for number in range(4):
+        group.ask(f"r{number}", 7_000, target_ms=5000)
+    for endpoint in ("fast", "slow"):
+        assert group.owner.outstanding()[endpoint][1] <= 12_000
+    assert len(group.granted) == 2
+
+
 def test_other_placement_is_as_before():
     """Guards against a change for services that declare none."""
     group = _Group(placement="end")
