Let the owner of a group try a version that an order names

Orders and phases are known to all nodes by RolloutState; the owner's trial filters the endpoints of each request beside the versions of streams, and counts grants and releases by version. An ask states the route's hash while an order is in progress. Without an order nothing changes.

--- a/packages/baobabmux-core/src/baobabmux_core/asks.py
+++ b/packages/baobabmux-core/src/baobabmux_core/asks.py
@@ -3,6 +3,8 @@
 import math
 from collections.abc import Mapping
 
+import xxhash
+
 from baobabmux_core import fairness, held_requests, ids, messages
 
 
@@ -10,6 +12,8 @@
     held: held_requests.Held,
     paused: Mapping[ids.EndpointId, float],
     now: float,
+    *,
+    names_route: bool = False,
 ) -> messages.Ask:
     """Returns the whole `Ask` of a request.
 
@@ -18,6 +22,7 @@
         paused: Endpoints of its group that want nothing from this node, with
             the seconds left.
         now: Current time in seconds.
+        names_route: Whether the owner has to know the route.
     """
     work = held.work
     return messages.Ask(
@@ -32,7 +37,7 @@
         work.content,
         round((now - held.arrival) * 1000),
         held.spilled,
-        _terms(held, paused, now),
+        _terms(held, paused, now, names_route),
     )
 
 
@@ -40,8 +45,9 @@
     held: held_requests.Held,
     paused: Mapping[ids.EndpointId, float],
     now: float,
+    names_route: bool,
 ) -> messages.AskTerms | None:
-    if not held.has_terms() and not paused:
+    if not held.has_terms() and not paused and not names_route:
         return None
     return messages.AskTerms(
         _milliseconds_until(held.useful_by(), now),
@@ -56,6 +62,9 @@
             for endpoint, seconds in paused.items()
         ),
         held.hedged,
+        xxhash.xxh3_64_intdigest(held.work.route.encode()) & 0xFFFFFFFF
+        if names_route
+        else 0,
     )
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -181,6 +181,15 @@
         602,
         "Configuration {version} was taken over from node {peer}.",
     )
+    ROLLOUT_CHANGED = (
+        605,
+        "The roll-out of {service} to version {target} is {phase}. {reason}",
+    )
+    ROLLOUT_REJECTED = (
+        606,
+        "The order to move {service} to version {target} was turned away:"
+        " {reason}.",
+    )
     CONFIG_REJECTED = (604, "A configuration was not taken: {reason}.")
     SNAPSHOT_APPENDED = (603, "A snapshot through {through} was appended.")
 
--- a/packages/baobabmux-core/src/baobabmux_core/granted_runs.py
+++ b/packages/baobabmux-core/src/baobabmux_core/granted_runs.py
@@ -70,6 +70,8 @@
             parts=shared_parts(ask),
             crosses=first_events.crosses(entry, member),
         )
+        if self._state.trial is not None:
+            self._state.trial.granted(ask, member, now)
         member.model.start(run)
         member.breaker.record_grant(now)
         if member.allowance is not None:
@@ -186,6 +188,8 @@
         now: float,
     ) -> None:
         """Learns from the end of a run; does not free its slot."""
+        if self._state.trial is not None:
+            self._state.trial.released(release, member, now)
         outcome = states.Outcome.of_code(release.outcome)
         self._record_outcome(member, run, outcome, release.succeeded, now)
         self._update_margin(run, outcome, release)
--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -544,6 +544,8 @@
     def _admission(
         self, ask: messages.Ask, holder: ids.NodeId, now: float
     ) -> effects.Effect | None:
+        if self.state.trial is not None:
+            self.state.trial.reached(ask)
         if not any(member.open for member in self._members.values()):
             return _refusal(
                 holder,
@@ -555,6 +557,15 @@
             ask.terms.version
         ):
             return _version_gone(holder, ask.request)
+        if self.state.trial is not None and not any(
+            member.open for member in self.state.candidates(ask, now).values()
+        ):
+            return _refusal(
+                holder,
+                ask.request,
+                errors.ErrorKind.NO_ENDPOINT,
+                _NO_ENDPOINT_RETRY_SECONDS,
+            )
         if ask.tier in self._refused_ranks:
             return _refusal(
                 holder,
@@ -799,7 +810,11 @@
                 # In a large group slots are freed more often than a request's
                 # reasons to wait change.
                 entry.examine_at = now + _REEXAMINE_SECONDS
-            if entry.version is not None or entry.paused_until:
+            if (
+                entry.version is not None
+                or entry.paused_until
+                or self.state.trial is not None
+            ):
                 # Others may use the slots that this one may not.
                 continue
             if choice is placement.NoPlacement.CAPACITY:
--- a/packages/baobabmux-core/src/baobabmux_core/group_state.py
+++ b/packages/baobabmux-core/src/baobabmux_core/group_state.py
@@ -12,6 +12,7 @@
     placement,
     quarantine,
     queues,
+    rollout_trials,
     shortlists,
 )
 
@@ -34,6 +35,7 @@
         notices: Messages for all nodes.
         first_events: Choice of endpoints for a service that is placed by first
             events.
+        trial: Trial of a new version, or None.
         changed_contents: Contents whose quarantine status changed; their
             queued requests must be queued again or refused.
     """
@@ -49,6 +51,7 @@
         self.notices: list[messages.AnyMessage] = []
         self.changed_contents: list[ids.ContentDigest] = []
         self.first_events = first_events.Chooser()
+        self.trial: rollout_trials.Trial | None = None
         self._shortlist = shortlists.Shortlist()
         self._tier_seen_at: dict[int, float] = {}
         self._short_seen_at = float("-inf")
@@ -112,17 +115,19 @@
         members = placement.of_version(self.members, version)
         return any(member.open for member in members.values())
 
-    def members_for(
-        self, entry: fairness.QueueEntry
-    ) -> list[placement.GroupMember]:
-        """Returns the endpoints that may run a request."""
-        return list(placement.of_version(self.members, entry.version).values())
+    def candidates(self, ask: messages.Ask, now: float) -> shortlists.Members:
+        """Returns the endpoints of the versions that may run a request."""
+        version = None if ask.terms is None else ask.terms.version
+        members = placement.of_version(self.members, version)
+        if self.trial is None:
+            return members
+        return self.trial.candidates(ask, members, now)
 
     def examined_for(
         self, entry: fairness.QueueEntry, now: float
     ) -> shortlists.Members:
         """Returns the endpoints to examine for a decision about a request."""
-        members = placement.of_version(self.members, entry.version)
+        members = self.candidates(entry.ask, now)
         return self._shortlist.choose(members, entry, now)
 
     def choose(
@@ -137,8 +142,15 @@
         """
         reserved = self.reserved_share(entry, now)
         if first_events.applies(self.service):
+            if self.trial is not None:
+                # Each request has candidates of its own.
+                self.first_events.slots_changed()
             return self.first_events.choose(
-                entry, self.members, reserved, self.preset, now
+                entry,
+                self.candidates(entry.ask, now),
+                reserved,
+                self.preset,
+                now,
             )
         examined = self.examined_for(entry, now)
         return placement.choose(
@@ -155,7 +167,7 @@
         return min(
             (
                 entry.pause_left(member.model.endpoint, now)
-                for member in self.members_for(entry)
+                for member in self.candidates(entry.ask, now).values()
                 if member.open
             ),
             default=0.0,
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -77,6 +77,8 @@
         version_of: Returns the version of an endpoint, or None if it is not
             declared.
         members_of: Returns the endpoints of a group.
+        names_route: Returns whether owners have to know the routes of a
+            service's requests.
         pauses: Endpoints that want nothing from this node for a while.
         unreachable: Endpoints that could not be connected to, with the time
             until which they are not chosen from the node's own share.
@@ -106,6 +108,9 @@
         self._last_tick: float | None = None
         self.unreachable: dict[ids.EndpointId, float] = {}
         self.pauses = pauses.EndpointPauses()
+        self.names_route: Callable[[ids.ServiceName], bool] = lambda service: (
+            False
+        )
         self.members_of: Callable[[ids.GroupId], Set[ids.EndpointId]] = (
             lambda group: frozenset()
         )
@@ -714,7 +719,12 @@
             held.declined = False
             withdraw = messages.Withdraw(held.group, request)
             emitted.append(effects.Send(held.owner, withdraw))
-        ask = asks.build(held, self._paused_members(held.group, now), now)
+        ask = asks.build(
+            held,
+            self._paused_members(held.group, now),
+            now,
+            names_route=self.names_route(held.work.service),
+        )
         return [*emitted, effects.Send(held.owner, ask)]
 
     def _paused_members(
--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -130,6 +130,8 @@
         pauses: Endpoints that want nothing from the sender for a while.
         hedged: Whether it is for a second endpoint beside a slow one; it is
             granted at once or refused.
+        route: 32-bit hash of the route while the service's version is being
+            changed, else 0.
     """
 
     first_ms: int = -1
@@ -141,6 +143,7 @@
     parts: tuple[ids.PartDigest, ...] = ()
     pauses: tuple[Pause, ...] = ()
     hedged: bool = False
+    route: int = 0
 
 
 class Ask(Message, frozen=True, tag=1):
@@ -806,6 +809,30 @@
     charged: bool
 
 
+class RolloutState(Message, frozen=True, tag=40):
+    """Reports an order to move a service to another version.
+
+    Attributes:
+        service: The service.
+        target: Version that it is moved to.
+        number: Number of the order.
+        phase: Value of the `rollout_trials.Phase`.
+        age_ms: Milliseconds since the order.
+        seconds: Time from the order to its deadline.
+        reason: Why it is rolled back, or an empty text.
+    """
+
+    since: ClassVar[int] = 7
+
+    service: ids.ServiceName
+    target: str
+    number: int
+    phase: int
+    age_ms: int
+    seconds: float
+    reason: str = ""
+
+
 AnyMessage = (
     Ask
     | Withdraw
@@ -842,6 +869,7 @@
     | StreamsToStore
     | QuotaAsk
     | QuotaAnswer
+    | RolloutState
 )
 
 
--- a/packages/baobabmux-core/src/baobabmux_core/node_view.py
+++ b/packages/baobabmux-core/src/baobabmux_core/node_view.py
@@ -4,7 +4,14 @@
 
 import typing
 
-from baobabmux_core import declarations, effects, ids, messages, rendezvous
+from baobabmux_core import (
+    declarations,
+    effects,
+    ids,
+    messages,
+    rendezvous,
+    rollouts,
+)
 
 if typing.TYPE_CHECKING:
     from baobabmux_core import grants, membership
@@ -22,6 +29,7 @@
         owned: Owners of the groups that this node owns.
         reachable: Nodes that can be reached, this node included.
         leaving: Whether the node is shutting down.
+        rollouts: Roll-outs of new versions.
     """
 
     def __init__(
@@ -38,6 +46,7 @@
         self.owned: dict[ids.GroupId, grants.GroupOwner] = {}
         self.reachable: set[ids.NodeId] = set()
         self.leaving = False
+        self.rollouts = rollouts.Rollouts(self)
 
     def owner(self, group: ids.GroupId) -> ids.NodeId | None:
         """Returns the owner of a group, or None if there is none."""
--- a/packages/baobabmux-core/src/baobabmux_core/own_shares.py
+++ b/packages/baobabmux-core/src/baobabmux_core/own_shares.py
@@ -152,6 +152,7 @@
             name
             for name, endpoint in members.items()
             if self._is_open(name)
+            and self._view.rollouts.in_own_share(endpoint)
             and name not in held.avoided
             and versions.may_go_on(held.version, endpoint.version, known)
             and self._holder.unreachable.get(name, 0.0) <= now
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -105,6 +105,7 @@
         )
         self._holder.version_of = self._version_of
         self._holder.members_of = self._members_of
+        self._holder.names_route = self.view.rollouts.in_progress
         self._attempt_budget: tuple[float, float, float] | None = None
         self._owned = self.view.owned
         self._owners: dict[ids.GroupId, ids.NodeId | None] = {}
@@ -496,6 +497,9 @@
                 emitted = self._submit_at_origin(
                     self._origins.answered(message, sender, now), now
                 )
+            case messages.RolloutState():
+                self.view.rollouts.receive(message, now)
+                emitted = []
             case messages.DrainEndpoint():
                 self._set_drained(message.endpoint, message.drain)
                 emitted = []
@@ -560,6 +564,7 @@
             *self.ends.state(now),
             *self._limits.state(now),
             *self._leaving_endpoints.state(),
+            *self.view.rollouts.state(now),
         ]
         return [effects.Send(to, r) for to in others for r in reports]
 
@@ -646,8 +651,13 @@
         self._reset_after_pause(now)
         self._update_shares(now)
         self._last_tick = now
+        emitted = [
+            effect
+            for message in self.view.rollouts.tick(now)
+            for effect in self.view.broadcast(message)
+        ]
         self._update_endpoints()
-        emitted = self._holder.tick(
+        emitted += self._holder.tick(
             now, lambda held: self._move_target(held, now)
         )
         if self.view.configuration is not None:
@@ -971,6 +981,7 @@
             declared is not None
             and endpoint not in self._drained
             and endpoint not in self._leaving_endpoints
+            and not self.view.rollouts.closes(endpoint, declared)
             and self.view.members.endpoint_vm_state(declared.vm)
             is states.EndpointState.LIVE
         )
