Give plain services beside engines a larger part of a quota

Cause: the plain group's part was a sixth of the tolerated excess, a third of that for new owners: 54 calls a second of 200 tokens. The workspace asked for about three times as many.

Change: a third of the excess, nine tenths of it for the owner in place. Overdrafts get a ninth instead of a sixth, each new owner a quarter and a bit instead of a third; a deputy may use nine tenths of it at once.

Test: 157 calls a second for 6.4 s are served (384 of 1,005 before). The sum over all owners holds as before (hypothesis).

--- a/packages/baobabmux-core/src/baobabmux_core/quota_parts.py
+++ b/packages/baobabmux-core/src/baobabmux_core/quota_parts.py
@@ -13,12 +13,15 @@
 _CHANGES_IN_WINDOW = 2
 # Shares of the tolerated excess: groups beside engines, overdrafts, and the
 # rest for changes of owners.
-_SIDE_SHARE = 1 / 6
-_OVERDRAFT_SHARE = 1 / 6
+_SIDE_SHARE = 1 / 3
+_OVERDRAFT_SHARE = 1 / 9
 # Without a tolerated excess, this share of the limit is kept for them.
 _MIN_RESERVE_SHARE = 0.08
 # A successor may use most of its start at once, before it is the owner.
-_STANDBY_BURST_SHARE = 0.75
+_STANDBY_BURST_SHARE = 0.9
+# Part of a side group for each new owner. Its tokens are few, so that most is
+# for the owner in place.
+_SIDE_START_SHARE = 0.05
 
 
 class Tolerance(msgspec.Struct, frozen=True):
@@ -141,8 +144,8 @@
 
 def _side_part(units: float, window: float) -> Part:
     """Returns the part of a side group that may use units in a window."""
-    burst = units / 3
-    start = units / (3 * _CHANGES_IN_WINDOW)
+    start = _SIDE_START_SHARE * units
+    burst = (units - _CHANGES_IN_WINDOW * start) / 2
     return Part(
         rate=burst / window,
         burst=burst,
--- a/packages/baobabmux-core/tests/quota_parts_test.py
+++ b/packages/baobabmux-core/tests/quota_parts_test.py
@@ -182,6 +182,23 @@
     assert granted >= 0.95 * usual
 
 
+def test_plain_calls_of_a_hot_workspace_are_served():
+    """Callers of plain services are owed what the limit of tokens allows.
+
+    At six times its usual, a large workspace made 157 calls a second for 6.4 s
+    beside its streams; two of three were refused, far below its limit.
+    """
+    quota, share, units = _LIMITS[0]
+    tolerance = quota_parts.Tolerance(_WINDOW, share, units)
+    side = _Group(quota, tolerance, quota_parts.Division(1, 1, True))
+    calls = round(157 * 6.4)
+    served = sum(
+        side.take(quota.plain_tokens, 20.0 + number / 157) > 0
+        for number in range(calls)
+    )
+    assert served >= 0.99 * calls
+
+
 def test_requests_larger_than_the_burst_are_granted_by_a_settled_owner():
     quota, share, units = _LIMITS[1]
     tolerance = quota_parts.Tolerance(_WINDOW, share, units)
