--- a/packages/baobabmux-core/src/baobabmux_core/rollout_judgement.py
+++ b/packages/baobabmux-core/src/baobabmux_core/rollout_judgement.py
@@ -52,7 +52,7 @@
 _MIN_ENDPOINTS = 3
 _KNOWN_HARDWARE_ENDPOINTS = 8
 _BUSY_LOAD = 0.7
-_LOAD_SECONDS = 1.0
+_LOAD_SECONDS = 3.0
 # Share of bad answers from which on an endpoint may be at fault itself.
 _TROUBLED_SHARE = 0.15
 # With fewer endpoints of the new version only one may be at fault itself.
@@ -330,7 +330,9 @@
         if answer.failed:
             if not self._is_same_end(answer, now):
                 self.bad_answers += answer.is_new
-                self._failures.record(answer, self._share(answer), elapsed)
+                # Runs break off where links or whole places fail.
+                share = answer.place_share if answer.broken else answer.share
+                self._failures.record(answer, share, elapsed)
             return
         if answer.seconds is None:
             return
@@ -356,8 +358,7 @@
 
     def _share(self, answer: Answer) -> float:
         """Returns the share of the new version in requests at such a load."""
-        # Runs break off where links or whole places fail.
-        share = answer.place_share if answer.broken else answer.share
+        share = answer.share
         is_busy = answer.load >= _BUSY_LOAD
         new = share * self._load_share(True, is_busy)
         old = (1.0 - share) * self._load_share(False, is_busy)
