Keep a part of a new owner's quota for streams that are taken up

Change: during an owner's first window, half of its start is granted only to take-ups with a record. The sum of all grants is as before.

Test: fails before (the start was used up to the last unit).

--- a/packages/baobabmux-core/src/baobabmux_core/grants.py
+++ b/packages/baobabmux-core/src/baobabmux_core/grants.py
@@ -603,7 +603,12 @@
                 _NO_ENDPOINT_RETRY_SECONDS,
             )
         self.budget.record_first(now)
-        wait = self.quotas.take(ask.workspace, terms.cost, now)
+        wait = self.quotas.take(
+            ask.workspace,
+            terms.cost,
+            now,
+            resumes=ask.tier == held_requests.RESUMED_RANK,
+        )
         if wait is None:
             return None
         return _refusal(holder, ask.request, errors.ErrorKind.OVER_QUOTA, wait)
--- a/packages/baobabmux-core/src/baobabmux_core/quotas.py
+++ b/packages/baobabmux-core/src/baobabmux_core/quotas.py
@@ -11,6 +11,9 @@
 Tolerance = quota_parts.Tolerance
 NO_TOLERANCE = quota_parts.NO_TOLERANCE
 
+# Share of a new owner's start that is kept for streams that are taken up: their
+# callers have part of the answer, and come back just after owners have ended.
+_RESUMED_SHARE = 0.5
 # Units are indivisible, so a bucket of less than one must still grant one.
 _MIN_OVERDRAFT = 1.0
 
@@ -113,13 +116,16 @@
             self._refill_all(now)
             self.share = share
 
-    def take(self, workspace: int, cost: int, now: float) -> float | None:
+    def take(
+        self, workspace: int, cost: int, now: float, *, resumes: bool = False
+    ) -> float | None:
         """Charges a workspace.
 
         Args:
             workspace: Hash of the workspace.
             cost: Units of the request.
             now: Current time in seconds.
+            resumes: Whether the request takes up a stream.
 
         Returns:
             None if the level sufficed and was charged, or if the workspace has
@@ -133,6 +139,9 @@
         # full bucket and makes the level negative.
         overdraft = self._overdraft(bucket, now)
         needed = max(min(cost, self._ceiling(bucket)), cost - overdraft)
+        if not resumes:
+            kept = self._kept_for_resumed(bucket, now)
+            needed = max(needed, min(needed + kept, self._ceiling(bucket)))
         if bucket.level >= needed:
             bucket.level -= cost
             return None
@@ -162,6 +171,15 @@
             return _MIN_OVERDRAFT
         return max(self.share * bucket.part.overdraft, _MIN_OVERDRAFT)
 
+    def _kept_for_resumed(self, bucket: _Bucket, now: float) -> float:
+        acting_seconds = now - self._acting_since
+        if (
+            not self.is_acting
+            or acting_seconds >= self.tolerance.window_seconds
+        ):
+            return 0.0
+        return self.share * _RESUMED_SHARE * bucket.part.start
+
     def _ceiling(self, bucket: _Bucket) -> float:
         part = bucket.part
         burst = part.burst if self.is_acting else part.standby_burst
--- a/packages/baobabmux-core/tests/quotas_test.py
+++ b/packages/baobabmux-core/tests/quotas_test.py
@@ -78,3 +78,22 @@
     assert ledger.level(_HASH) == 100.0
     # Without a tolerance, two changes of owners cost 0.08 of the limit.
     assert 30.0 < _ledger().level(_HASH) < 0.08 * (100.0 * 10.0 + 100.0) / 2
+
+
+def test_new_owner_keeps_units_for_streams_that_are_taken_up():
+    """Guards against new requests that use up what interrupted callers need.
+
+    Their streams broke off because all nodes ended, and come back at once.
+    """
+    wide = quotas.Tolerance(window_seconds=8.0, share=0.1, units=200.0)
+    ledger = quotas.QuotaLedger(wide, is_acting=False)
+    ledger.configure(_workspaces(), 0.0)
+    ledger.act(0.0)
+    start = ledger.level(_HASH)
+    while ledger.take(_HASH, 1, 0.0) is None:
+        pass
+    left = ledger.level(_HASH)
+    assert left >= 0.4 * start
+    assert ledger.take(_HASH, round(left) - 1, 0.0, resumes=True) is None
+    # A settled owner keeps nothing back.
+    assert ledger.take(_HASH, 90, 9.0) is None
