--- a/packages/baobabmux-ctl/src/baobabmux_ctl/findings.py
+++ b/packages/baobabmux-ctl/src/baobabmux_ctl/findings.py
@@ -38,6 +38,7 @@
         *_unused_entries(configuration),
         *_unreachable_workspaces(configuration),
         *_route_limits(configuration),
+        *_service_policies(configuration),
         *_endpoint_limits(configuration),
         *_preset_limits(configuration),
         *_workspace_limits(configuration),
@@ -229,6 +230,42 @@
         )
 
 
+def _service_policies(
+    configuration: declarations.Configuration,
+) -> Iterator[Finding]:
+    for name, service in configuration.services.items():
+        routes = [
+            route
+            for route in configuration.routes.values()
+            if name in route.services()
+        ]
+        if not routes:
+            continue
+        if service.hedge_quantile > 0 and not any(map(_may_repeat, routes)):
+            yield Finding(
+                "service",
+                name,
+                "hedge_quantile has no effect: no request of its routes may "
+                "run at a second endpoint",
+                "allow two attempts on a route whose requests may be repeated",
+            )
+        if service.placement == "first_event" and all(
+            route.target_seconds is None for route in routes
+        ):
+            yield Finding(
+                "service",
+                name,
+                'placement "first_event" has no effect: no route states when '
+                "its first event is late",
+                "set target_seconds on its routes",
+            )
+
+
+def _may_repeat(route: declarations.Route) -> bool:
+    is_repeatable = route.resumable if route.streaming else route.idempotent
+    return route.max_attempts > 1 and is_repeatable
+
+
 def _endpoint_limits(
     configuration: declarations.Configuration,
 ) -> Iterator[Finding]:
--- a/packages/baobabmux-ctl/tests/check_test.py
+++ b/packages/baobabmux-ctl/tests/check_test.py
@@ -129,6 +129,18 @@
         {"short_share": 0.5, "high_tier_share": 0.4},
         "never start",
     ),
+    "hedges of requests that run once": (
+        "service/engine",
+        {"hedge_quantile": 0.9},
+        {"hedge_quantile": 0.0},
+        "no request of its routes",
+    ),
+    "placement without a target": (
+        "service/engine",
+        {"placement": "first_event"},
+        {"placement": "end"},
+        "has no effect",
+    ),
     "burst below a request's tokens": (
         "workspace/bank",
         {"quota": {"rate": 9.0, "burst": 255.0, "unit": "tokens"}},
@@ -268,3 +280,22 @@
         # Nothing was published.
         assert log.counts()["streams"]["config"] == 1
     assert main.main(["check", new, "--against", "nowhere"]) != 0
+
+
+def test_hedges_of_a_route_with_two_attempts_are_no_finding():
+    """Guards against a finding about hedges that can be made."""
+    tables = _with("service/engine", {"hedge_quantile": 0.9})
+    tables["route"]["draft"]["max_attempts"] = 2
+    tables["endpoint"]["e2"] = dict(
+        tables["endpoint"]["e1"], address="192.0.2.2:1"
+    )
+    assert not _review(tables)
+    tables["route"]["draft"]["idempotent"] = False
+    assert _review(tables)
+
+
+def test_placement_by_first_events_with_a_target_is_no_finding():
+    """Guards against a finding about a placement that has an effect."""
+    tables = _with("service/engine", {"placement": "first_event"})
+    tables["route"]["draft"]["target_seconds"] = 1.0
+    assert not _review(tables)
