Show share, counts and times of a roll-out by version

Cause: events tell the phases of a roll-out; what decides between them could not be followed.

Change: three gauges, at the owner that tries the version; gone once the order is decided.

--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -5,7 +5,9 @@
 """
 
 import functools
+from collections.abc import Iterable
 
+from baobabmux_core import rollout_trials
 from baobabmux_node import instruments, status
 
 
@@ -220,6 +222,21 @@
             "Messages withheld from nodes of older builds, or replaced",
             ["message"],
         )
+        self.rollout_share = self._gauge(
+            "rollout_share",
+            "Share of requests that a new version gets at its owner",
+            ["service", "target"],
+        )
+        self.rollout_requests = self._gauge(
+            "rollout_requests",
+            "Requests of a roll-out at its owner, by version and outcome",
+            ["service", "version", "outcome"],
+        )
+        self.rollout_seconds = self._gauge(
+            "rollout_answer_seconds",
+            "Mean time of answers that did not fail, by version",
+            ["service", "version"],
+        )
         self.unread_bytes = self._gauge(
             "unread_bytes", "Bytes of answers that callers have not read"
         )
@@ -275,6 +292,36 @@
         self._set_total(self.peer_reconnects, transport.reconnects)
         self.endpoints_age.set(ports.endpoints_age_ms(now) / 1000)
 
+    def update_rollouts(
+        self, trials: Iterable[rollout_trials.Trial], now: float
+    ) -> None:
+        """Replaces the metrics of roll-outs that this node tries."""
+        for gauge in (
+            self.rollout_share,
+            self.rollout_requests,
+            self.rollout_seconds,
+        ):
+            gauge.clear()
+        for trial in trials:
+            service = trial.order.service
+            share = self.rollout_share.labels(service, trial.order.target)
+            share.set(trial.share(now))
+            for is_new, counts in trial.counts.items():
+                version = "new" if is_new else "old"
+                for outcome, count in (
+                    ("granted", counts.granted),
+                    ("answered", counts.answers),
+                    ("failed", counts.failed),
+                ):
+                    self.rollout_requests.labels(service, version, outcome).set(
+                        count
+                    )
+                sound = counts.answers - counts.failed
+                if sound:
+                    self.rollout_seconds.labels(service, version).set(
+                        counts.seconds / sound
+                    )
+
     def update_unread(self, used: int, cut_off: int) -> None:
         """Copies what is kept for slow readers, and how many were cut off."""
         self.unread_bytes.set(used)
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -439,6 +439,8 @@
         self.metrics.update_platform(self.ports, self.peers, now)
         unread = self._caller_server.unread
         self.metrics.update_unread(unread.used, unread.cut_off)
+        trials = self.scheduler.view.rollouts.trials.values()
+        self.metrics.update_rollouts(trials, now)
         if self.configuration is not None:
             self.metrics.endpoints.set(len(self.configuration.endpoints))
         for group, budget in self.scheduler.groups.attempt_budgets(now).items():
