--- a/packages/baobabmux-core/src/baobabmux_core/first_events.py
+++ b/packages/baobabmux-core/src/baobabmux_core/first_events.py
@@ -133,8 +133,9 @@
             free = [member for member in free if member not in full]
             busy = busy + full
         if not free:
-            has_any = busy or not members
-            return placement.NoPlacement[("LATE", "CAPACITY")[bool(has_any)]]
+            if busy or not members:
+                return placement.NoPlacement.CAPACITY
+            return placement.NoPlacement.LATE
         cached = [
             member.prefixes.cached_tokens(entry.ask.prefixes) for member in free
         ]
