Record revision 7, and give new messages revision 8

Test: with the row, recorded_messages_test fails in three cases for messages that state 7, and passes for 8.

--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -749,7 +749,7 @@
         handovers: Number of nodes that could not record them.
     """
 
-    since: ClassVar[int] = 7
+    since: ClassVar[int] = 8
 
     service: ids.ServiceName
     version: str
@@ -787,7 +787,7 @@
         cost: Units to charge to the workspace's quota.
     """
 
-    since: ClassVar[int] = 7
+    since: ClassVar[int] = 8
 
     request: ids.RequestId
     group: ids.GroupId
@@ -803,7 +803,7 @@
         charged: Whether its cost was charged.
     """
 
-    since: ClassVar[int] = 7
+    since: ClassVar[int] = 8
 
     request: ids.RequestId
     charged: bool
@@ -822,7 +822,7 @@
         reason: Why it is rolled back, or an empty text.
     """
 
-    since: ClassVar[int] = 7
+    since: ClassVar[int] = 8
 
     service: ids.ServiceName
     target: str
--- a/packages/baobabmux-core/src/baobabmux_core/revisions.py
+++ b/packages/baobabmux-core/src/baobabmux_core/revisions.py
@@ -19,6 +19,7 @@
     4: "bf1d953",
     5: "ed2b6de",
     6: "00d2576",
+    7: "ec307ef",
 }
 """Last commit of each landed revision."""
 
