Let streams that are taken up wait although they will be late

For a caller that has part of its answer a late rest is worth more than none.

Change: the check against the target leaves out take-ups with a record; the time after which the caller has given up still binds them.

Test: fails before.

--- a/packages/baobabmux-core/src/baobabmux_core/start_estimates.py
+++ b/packages/baobabmux-core/src/baobabmux_core/start_estimates.py
@@ -13,6 +13,7 @@
     fairness,
     first_events,
     group_state,
+    held_requests,
     placement,
     shortlists,
     waits,
@@ -99,8 +100,11 @@
                 entry.latest_start, entry.first_by - fastest
             )
             is_first_attempt = ask.terms is not None and ask.terms.attempt == 1
+            # A caller that takes a stream up has part of the answer.
+            resumes = ask.tier == held_requests.RESUMED_RANK
             if (
                 is_first_attempt
+                and not resumes
                 and now + wait > on_time_start
                 and not entry.late
             ):
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import msgspec
 import pytest
 
 from baobabmux_core import (
@@ -154,6 +155,25 @@
     assert refusal.kind == errors.ErrorKind.DEADLINE_UNREACHABLE.value
 
 
+def test_stream_that_is_taken_up_waits_although_it_will_be_late():
+    """Guards against callers who lose an answer of which they have a part.
+
+    After all nodes have ended, every slot is taken for some tenths of a second
+    by new requests.
+    """
+    owner = _owner(endpoints=1)
+    for number in range(2):
+        owner.ask(_ask(f"r{number}"), "n1", 100.0)
+    late = {"first_ms": 8000, "target_ms": 200}
+    (refusal,) = _messages(owner.ask(_ask("new", **late), "n1", 100.0))
+    assert refusal.kind == errors.ErrorKind.DEADLINE_UNREACHABLE.value
+    resumed = _ask("resumed", **late)
+    resumed = msgspec.structs.replace(resumed, tier=held_requests.RESUMED_RANK)
+    assert _messages(owner.ask(resumed, "n1", 100.0)) == [
+        messages.Queued("resumed")
+    ]
+
+
 def _work(request="r", **fields):
     values = {
         "route": "wording",
