Log whom a node takes for owners, and asks that reach another node

Change: event 307 when a node's idea of an owner changes, with whether it acts as the owner; event 308 and baobabmux_misdirected_asks_total for asks of groups that it does not own. The kept early messages are a module of their own now; what is kept and for how long is unchanged.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -90,6 +90,16 @@
         "Node {holder} reports the end at {endpoint}: {outcome}.",
     )
     REFUSAL_SENT = (306, "The owner refuses the request: {error}.")
+    OWNER_CHANGED = (
+        307,
+        "This node takes node {owner} for the owner of group {group}, before:"
+        " {previous}; it acts as the owner itself: {acts}.",
+    )
+    ASKS_MISDIRECTED = (
+        308,
+        "{count} asks arrived for group {group}, which this node does not own;"
+        " it takes node {owner} for the owner.",
+    )
 
     ENDPOINT_DRAINED = (401, "Drain of {endpoint} is set to {drain}.")
     BREAKER_CHANGED = (402, "The breaker of {endpoint} is {state}.")
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -18,6 +18,7 @@
 
 from baobabmux_core import (
     declarations,
+    early_messages,
     effects,
     end_watch,
     errors,
@@ -51,11 +52,6 @@
 _DRAIN_REPEAT_SECONDS = 1.0
 _SHUTDOWN_RETRY_SECONDS = 1.0
 _UNKNOWN_STREAM_RETRY_SECONDS = 0.5
-# A message for a group that this node does not own yet is kept for this time.
-# Nodes detect a change of membership at different times, at most about three
-# heartbeat intervals apart.
-_MAX_EARLY_AGE_SECONDS = 3.0
-_MAX_EARLY_MESSAGES = 1000
 # After a longer gap between ticks other nodes may have suspected this one.
 # Another node may have owned its groups then, so its own counts are out of
 # date.
@@ -77,6 +73,7 @@
         ends: Contents and parts under which endpoints have ended.
         spills: Waits of other groups.
         groups: Queries about the owned groups.
+        early: Messages for groups that this node does not own.
         registration_seconds: Longest time that a new owner waits for the
             `Register` messages of holders.
         serves_while_leaving: Whether requests are taken during a shutdown.
@@ -132,11 +129,7 @@
         self.groups = group_queries.GroupQueries(self.view)
         self._last_tick: float | None = None
         self._home_prefix_selector = prefixes.HomePrefixSelector()
-        # `Ask` and `Register` messages for groups that this node does not own
-        # yet, with the time and the sender.
-        self._early_messages: collections.deque[
-            tuple[float, ids.NodeId, messages.Ask | messages.Register]
-        ] = collections.deque(maxlen=_MAX_EARLY_MESSAGES)
+        self.early = early_messages.EarlyMessages()
         self._drained: set[ids.EndpointId] = set()
         self._leaving_endpoints = leaving.LeavingEndpoints()
         self._drain_repeats: dict[ids.EndpointId, tuple[int, float]] = {}
@@ -826,7 +819,7 @@
         owner = self._owned.get(ask.group)
         if owner is not None:
             return owner.ask(ask, sender, now)
-        self._early_messages.append((now, sender, ask))
+        self.early.add(ask, sender, now)
         return []
 
     def _handle_reminder(
@@ -843,7 +836,7 @@
         owner = self._owned.get(register.group)
         if owner is not None:
             return owner.register(register, sender, now)
-        self._early_messages.append((now, sender, register))
+        self.early.add(register, sender, now)
         return []
 
     def _replay_early_messages(
@@ -851,12 +844,7 @@
     ) -> list[effects.Effect]:
         """Handles messages that arrived before this node owned the group."""
         emitted = []
-        for received_at, sender, message in self._early_messages:
-            if (
-                message.group != group
-                or now - received_at > _MAX_EARLY_AGE_SECONDS
-            ):
-                continue
+        for sender, message in self.early.of_group(group, now):
             if isinstance(message, messages.Register):
                 emitted += self._handle_register(message, sender, now)
             else:
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -159,6 +159,10 @@
             "Requests that this node was asked to charge for a silent owner",
             ["charged"],
         )
+        self.misdirected_asks = self._counter(
+            "misdirected_asks",
+            "Asks that arrived for groups that this node did not own",
+        )
         self.attempt_budget = self._gauge(
             "attempt_budget",
             "Repeated attempts left in the window of an owned group",
@@ -327,6 +331,10 @@
         self.unread_bytes.set(used)
         self._set_total(self.slow_readers, cut_off)
 
+    def update_misdirected(self, asks: int) -> None:
+        """Copies the count of asks for groups that are not owned here."""
+        self._set_total(self.misdirected_asks, asks)
+
     def update_logs(self, counted: int, dropped: int) -> None:
         """Copies the counts of log lines that were not written.
 
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -450,6 +450,7 @@
         deputies = self.scheduler.quotas
         self.metrics.deputy_charges.labels("true").set(deputies.charged)
         self.metrics.deputy_charges.labels("false").set(deputies.refused)
+        self.metrics.update_misdirected(self.scheduler.early.asks)
         dropped = 0 if self.line_writer is None else self.line_writer.dropped
         self.metrics.update_logs(self.events.unwritten, dropped)
         self._record_unwritten()
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -13,6 +13,7 @@
 _MAX_CONTENT_LINES = 100
 _MAX_LIMIT_LINES = 50
 _MAX_UNKNOWN_LINES = 20
+_MAX_GROUP_LINES = 20
 _MIN_RECORDED_PART_ENDS = 2
 
 Kind = catalogue.EventKind
@@ -21,7 +22,7 @@
 class StateWatch:
     """Compares the node's state with the last recorded one.
 
-    Covers group ownership, circuit breakers, contents and parts of prompts
+    Covers owners of groups, circuit breakers, contents and parts of prompts
     under which endpoints ended, request limits of endpoints, reachability of
     the log, rejected frames and what other builds sent that is unknown here.
     """
@@ -29,6 +30,7 @@
     def __init__(self, host: "node.Node"):
         self._host = host
         self._owned_groups: set[ids.GroupId] = set()
+        self._owners: dict[ids.GroupId, ids.NodeId | None] = {}
         self._breakers: dict[ids.EndpointId, str] = {}
         self._end_counts: dict[ids.ContentDigest, int] = {}
         # Parts of prompts whose count was recorded, and whether they are
@@ -46,6 +48,8 @@
             groups: States of the groups that the node owns.
         """
         self._check_ownership({group.group for group in groups})
+        self._check_owners()
+        self._check_early()
         self._check_breakers(
             {
                 endpoint.endpoint: endpoint.breaker
@@ -71,6 +75,39 @@
             record(Kind.OWNERSHIP_LEFT, group=group)
         self._owned_groups = owned
 
+    def _check_owners(self) -> None:
+        """Records which nodes this one takes for the owners of groups."""
+        view = self._host.scheduler.view
+        owners = {
+            group: view.owner(group)
+            for group in self._host.scheduler.local_groups()
+        }
+        changed = [
+            group
+            for group, owner in owners.items()
+            if owner != self._owners.get(group)
+        ]
+        for group in sorted(changed)[:_MAX_GROUP_LINES]:
+            self._host.events.record(
+                Kind.OWNER_CHANGED,
+                group=group,
+                owner=owners[group],
+                previous=self._owners.get(group),
+                acts=group in view.owned,
+            )
+        self._owners = owners
+
+    def _check_early(self) -> None:
+        """Records asks of nodes that take this one for an owner."""
+        asked = self._host.scheduler.early.take_asked()
+        for group, count in itertools.islice(asked.items(), _MAX_GROUP_LINES):
+            self._host.events.record(
+                Kind.ASKS_MISDIRECTED,
+                group=group,
+                count=count,
+                owner=self._host.scheduler.view.owner(group),
+            )
+
     def _check_breakers(self, breakers: dict[ids.EndpointId, str]) -> None:
         for endpoint, state in breakers.items():
             if state != self._breakers.get(endpoint, "closed"):
--- a/packages/baobabmux-node/tests/node_test.py
+++ b/packages/baobabmux-node/tests/node_test.py
@@ -5,7 +5,7 @@
 import curio
 import pytest
 
-from baobabmux_core import messages, revisions
+from baobabmux_core import catalogue, declarations, messages, revisions
 from baobabmux_node import node, settings
 
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -99,3 +99,44 @@
         "revision": 1,
         "count": 1,
     }
+
+
+def _logged(host, kind):
+    return [
+        event.fields
+        for event in host.events.timeline.select(kinds=frozenset({kind.number}))
+    ]
+
+
+def test_asks_for_a_group_of_another_owner_are_logged_and_counted():
+    """Guards against a group without an owner that no log shows."""
+    new_node = _make_node()
+    for number in range(3):
+        ask = messages.Ask("pool@col-a", f"r{number}", 0, 1, -1, 1, 1, (), 7)
+        new_node.scheduler.early.add(ask, "n2", 10.0)
+    new_node._update_gauges(11.0)
+    new_node._update_gauges(12.0)
+    logged = _logged(new_node, catalogue.EventKind.ASKS_MISDIRECTED)
+    assert [(e["group"], e["count"]) for e in logged] == [("pool@col-a", 3)]
+    page = new_node.metrics.render()
+    assert b"baobabmux_misdirected_asks_total 3.0" in page
+
+
+def test_owner_that_a_node_names_is_logged_once():
+    """Guards against nodes that disagree about an owner unnoticed."""
+    new_node = _make_node()
+    endpoint = declarations.Endpoint("pool", "col-a", "vm", "127.0.0.1:1")
+    new_node.scheduler.view.configuration = declarations.Configuration(
+        tiers={},
+        services={"pool": declarations.Service("engine")},
+        endpoints={"e": endpoint},
+        routes={},
+        presets={},
+        active="p",
+    )
+    new_node._watch.check([])
+    new_node._watch.check([])
+    logged = _logged(new_node, catalogue.EventKind.OWNER_CHANGED)
+    assert logged == [
+        {"group": "pool@col-a", "owner": "n1", "previous": None, "acts": False}
+    ]
