--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -644,7 +644,8 @@
         self._reset_after_pause(now)
         self._update_shares(now)
         self._last_tick = now
-        emitted = [
+        emitted = self._follow_owners(now)
+        emitted += [
             effect
             for message in self.view.rollouts.tick(now)
             for effect in self.view.broadcast(message)
@@ -899,8 +900,23 @@
             if owner != self._owners.get(group):
                 self._owners[group] = owner
                 emitted += self._holder.owner_changed(group, now)
+        for group in self._owners.keys() - groups - self._holder.groups():
+            del self._owners[group]
         return emitted
 
+    def _follow_owners(self, now: float) -> list[effects.Effect]:
+        """Takes and gives up groups if this node names other owners now.
+
+        Owners also change without a change of membership, e.g. when a peer
+        states its ability or the VM list shows this node as leaving.
+        """
+        if all(
+            self.view.owner(group) == owner
+            for group, owner in self._owners.items()
+        ):
+            return []
+        return self._update_owners(now)
+
     def _reset_after_pause(self, now: float) -> None:
         """Discards the queues and counts of owned groups after a pause."""
         last = self._last_tick
