--- a/standins/src/baobabmux_standins/relay.py
+++ b/standins/src/baobabmux_standins/relay.py
@@ -22,11 +22,14 @@
         cut: Connections are reset and new ones refused.
         stall: Connections stay open, but no bytes are forwarded.
         silent: As `stall`, and new connections are not established.
+        mute: The connections that are open now forward nothing any more,
+            without a reset; new ones work.
     """
 
     cut: bool = False
     stall: bool = False
     silent: bool = False
+    mute: bool = False
 
 
 class Relay(standin.StandIn):
@@ -42,6 +45,8 @@
         super().__init__()
         self._target = target
         self._forwarding = curio.Event()
+        # Connections of a former epoch are mute.
+        self._epoch = 0
         self._totals: collections.Counter[str] = collections.Counter()
         self._listener = listener.Listener(self._forward)
 
@@ -75,6 +80,8 @@
     async def set_faults(self, values: dict[str, Any]) -> None:
         """Replaces the faults: cuts, stalls or restores the link."""
         self.faults = standin.convert_faults(values, self.faults_type)
+        if self.faults.mute:
+            self._epoch += 1
         if self.faults.stall or self.faults.silent:
             self._forwarding.clear()
         else:
@@ -99,9 +106,12 @@
     async def _pump(
         self, source: curio.io.Socket, sink: curio.io.Socket
     ) -> None:
+        epoch = self._epoch
         try:
             while data := await source.recv(_READ_BYTES):
                 await self._forwarding.wait()
+                if epoch != self._epoch:
+                    await standin.wait_forever()
                 self._totals["bytes"] += len(data)
                 await sink.sendall(data)
         except OSError:
