Give up held reads of the store that nobody would make good for (CONFIG)

Callers would see: requests handled by an older configuration for up to 26 s after a change, by nodes that have been undisturbed for long.

Cause: a reader of a data centre waits 25 s at the store for a new record. Its connection may go silent without a reset; that is harmless while the readers of the cell tell it of records, but the wait went on when they had ended, were cut off, or when this node itself had become a reader of the cell. A connection that had been idle was used again however old it was. Class: a wait that outlives the reason why it may be long.

Evidence: silent_store_test.py, three real nodes behind a relay whose open connections go silent while two readers are killed: version not in force after 12 s.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -214,6 +214,11 @@
         "This node reads {topic} from the store as: {role}; no peer has"
         " confirmed what it knows of the store for {silent_ms} ms.",
     )
+    READ_GIVEN_UP = (
+        805,
+        "A read of {topic} was given up after {waited_ms} ms: its connection"
+        " may be dead, and no peer would tell of a new record.",
+    )
     STREAMS_READ = (
         803,
         "The store's records of streams were read for {requests} requests;"
