Count only peers' confirmations as news of peers (CONFIG)

Callers would see: requests handled by an older configuration at a node that is cut off from its peers and reaches the store.

Cause: nodes that read the configuration for nobody begin to read once no peer has confirmed the endpoint directory for 1.5 s. Their own reads of the directory, each 1.2 to 2.4 s, confirmed it as well, so that the first ranks never noticed a silence before their membership did. Class: a guard that measures its own action.

Evidence: by reading; directory_test.py has the sequence of reads.

--- a/packages/baobabmux-core/src/baobabmux_core/directory.py
+++ b/packages/baobabmux-core/src/baobabmux_core/directory.py
@@ -29,6 +29,7 @@
         self.entries: dict[str, messages.DirectoryEntry] = {}
         self.version = -1
         self.confirmed_at: float | None = None
+        self._confirmed_by_peer_at: float | None = None
         self._keep_missing_until = 0.0
         # Entries that are missing after an outage, with the time until which
         # they are kept.
@@ -115,11 +116,22 @@
         confirmed = now - age_ms / 1000
         if self.confirmed_at is None or confirmed > self.confirmed_at:
             self.confirmed_at = confirmed
+        by_peer = self._confirmed_by_peer_at
+        if by_peer is None or confirmed > by_peer:
+            self._confirmed_by_peer_at = confirmed
 
     def age(self, now: float) -> float | None:
         """Returns the seconds since the entries were known to be current."""
         return None if self.confirmed_at is None else now - self.confirmed_at
 
+    def peers_silent(self, now: float) -> float | None:
+        """Returns the seconds since a peer has known the entries as current.
+
+        Reads of this node do not count. It is None if no peer ever has.
+        """
+        by_peer = self._confirmed_by_peer_at
+        return None if by_peer is None else now - by_peer
+
     def state(self, now: float) -> messages.EndpointsState:
         """Returns the message that sends the entries to a peer."""
         return messages.EndpointsState(
--- a/packages/baobabmux-core/tests/directory_test.py
+++ b/packages/baobabmux-core/tests/directory_test.py
@@ -98,3 +98,28 @@
     """Guards against keeping the counts of a former incarnation."""
     endpoints = _listed("a")
     assert endpoints.update({"a": _entry("a", born=2)}, 6, 101.0)
+
+
+def test_own_reads_do_not_hide_that_peers_are_silent():
+    """Guards against changes that a node cut off from peers misses (CONFIG).
+
+    It read the directory by itself each 1.2 s, and took that for news of its
+    peers, who were to tell it of other topics.
+    """
+    endpoints = _listed("a")
+    assert endpoints.peers_silent(100.0) is None
+    endpoints.confirm(5, 300, 100.5)
+    for second in range(1, 6):
+        endpoints.update({}, 5, 100.5 + 1.2 * second)
+    assert endpoints.age(106.6) < 0.5
+    assert round(endpoints.peers_silent(106.6), 3) == 6.4
+
+
+def test_older_news_of_a_peer_does_not_count():
+    """Guards against a silence that a late heartbeat shortens or prolongs."""
+    endpoints = _listed("a")
+    endpoints.confirm(5, 100, 101.0)
+    endpoints.confirm(5, 900, 101.1)
+    endpoints.confirm(4, 0, 103.0)
+    endpoints.confirm(5, -1, 103.0)
+    assert round(endpoints.peers_silent(103.0), 3) == 2.1
