--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -189,7 +189,8 @@
     )
     CONFIG_FROM_PEER = (
         602,
-        "Configuration {version} was taken over from node {peer}.",
+        "Configuration {version} was taken over from node {peer}, {waited_ms}"
+        " ms after this node first asked for it.",
     )
     ROLLOUT_CHANGED = (
         605,
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -266,11 +266,13 @@
                 if answer is not None:
                     self.peers.enqueue(sender, answer)
             case messages.ConfigState():
+                waited = self._config_asks.waited_seconds(clock.now())
                 if await self.config.adopt(message):
                     self.events.record(
                         Kind.CONFIG_FROM_PEER,
                         version=self.config.version,
                         peer=sender,
+                        waited_ms=round(1000 * waited),
                     )
             case (
                 messages.ClaimAsk()
