--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -7,6 +7,7 @@
 """
 
 import functools
+from collections.abc import Sequence
 
 import msgspec
 
@@ -407,6 +408,10 @@
         """Returns the nodes of a data centre that may own groups, sorted."""
         return list(self._live(data_centre))
 
+    def able(self, nodes: Sequence[ids.NodeId]) -> Sequence[ids.NodeId]:
+        """Returns the nodes whose VMs can work for others, see `Abilities`."""
+        return self.abilities.able(nodes)
+
     def reachable(self) -> list[ids.NodeId]:
         """Returns all live and leaving nodes, this one included, sorted."""
         usable = (states.MemberState.LIVE, states.MemberState.LEAVING)
