Keep silent nodes that no list has shown yet as suspects (RECOVER)

Callers would see: a node that restarts during an outage of the store answers 503 until the store is back.

Cause: a member that is known from its frames only was gone as soon as it was silent for three heartbeats, 0.75 s on the platform. Its peers then sent it no heartbeats, and without the store it heard of nobody.

--- a/packages/baobabmux-core/src/baobabmux_core/membership.py
+++ b/packages/baobabmux-core/src/baobabmux_core/membership.py
@@ -679,7 +679,7 @@
         timely = member.silent_seconds(now) <= self._silence_limit(
             member, expected
         )
-        if not member.listed and not timely:
+        if not member.listed and self._has_ended(member, timely, now):
             return states.MemberState.GONE
         if in_own_centre:
             alive = (
@@ -698,6 +698,16 @@
             return states.MemberState.LEAVING
         return states.MemberState.LIVE
 
+    def _has_ended(self, member: _Member, timely: bool, now: float) -> bool:
+        """Returns whether a node that is not listed has most likely ended.
+
+        One that this node has only heard of restarts at the same address, and
+        may reach nobody but the peers that still send it heartbeats.
+        """
+        if member.data_centre != self.data_centre or member.is_leaving():
+            return not timely
+        return member.silent_seconds(now) > _PRESUMED_ENDED_SECONDS
+
     def _is_remote_suspected(self, member: _Member, now: float) -> bool:
         """Returns whether a member of another data centre is suspected.
 
