Open sockets to suspected peers anew (RECOVER)

Callers would see: after connections between nodes have gone silent for good, without a reset, each node goes on alone: every node owns every group.

Cause: a socket was opened anew only when a heartbeat of its peer showed that it had acknowledged nothing for 1.5 s. Where both directions are silent no heartbeat arrives. Class: a repair that waits for news over what is broken.

Evidence: silent_peers_test.py: two transports and a relay whose open connections go silent; no frame arrives any more.

Change: before each heartbeat to a suspected peer, a socket that was opened or acknowledged more than 1.5 s ago is closed, and the heartbeat opens another.

Measured: the four cases pass, frames arrive after the first renewal.

--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -378,6 +378,8 @@
     def _send_heartbeats(self, targets: list[ids.NodeId]) -> None:
         now = clock.now()
         for target in targets:
+            if self.membership.state(target) is states.MemberState.SUSPECT:
+                self.peers.renew(target, now)
             heartbeat = messages.Heartbeat(
                 self.draining,
                 self.config.version,
--- a/packages/baobabmux-node/src/baobabmux_node/peers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -186,6 +186,25 @@
             self.reconnects += 1
             self.forget(node)
 
+    def renew(self, node: ids.NodeId, now: float) -> None:
+        """Closes the socket to a node that is silent; the next frame opens one.
+
+        A connection that has died without a reset carries nothing any more in
+        either direction, so that no acknowledgement shows it. A socket that
+        was opened, or acknowledged, a moment ago is kept.
+
+        Args:
+            node: Node that has sent no frames for too long.
+            now: Current time in seconds.
+        """
+        unacknowledged = self._unacknowledged.get(node)
+        if unacknowledged is None:
+            return
+        age = now - unacknowledged.confirmed_at
+        if age > _ACKNOWLEDGEMENT_TIMEOUT_SECONDS:
+            self.reconnects += 1
+            self.forget(node)
+
     def forget(self, node: ids.NodeId) -> None:
         """Closes the socket to a node."""
         self._unacknowledged.pop(node, None)
