--- a/packages/baobabmux-node/tests/packed_records_test.py
+++ b/packages/baobabmux-node/tests/packed_records_test.py
@@ -33,15 +33,15 @@
                 {
                     "name": f"r-{_name(generator)}",
                     "hostname": f"{_name(generator)}.example",
-                    "pathPrefix": f"/{_name(generator)}/",
-                    "routeType": "stream",
+                    "path": f"/{_name(generator)}/",
+                    "kind": "streaming",
                     "service": generator.choice(services),
                     "timeoutMs": 15000,
-                    "targetLatencyMs": 800,
+                    "target_ms": 800,
                     "priority": 1,
                     "maxAttempts": 2,
                     "anonymous": False,
-                    "streamResume": True,
+                    "resumable": True,
                     "gapTargetMs": 400,
                 }
                 for _ in range(routes)
