Send crowds of clients that do not behave to each listener

These tests start two real nodes with small machines (150 MB, 700 descriptors; 300 MB and 4,100 for heads) and check life, peak memory, descriptors and ordinary requests afterwards. They check no times and no shares.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+CROWDS := platform/tests/crowds_test.py
 PACKAGES := packages/baobabmux-core packages/baobabmux-node \
 	packages/baobabmux-ctl standins bench platform
 
@@ -26,9 +27,12 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
-# The tests of one file share a process: process tests keep their nodes.
+# The tests of one file share a process: process tests keep their nodes. Tests
+# with crowds of clients run one at a time, with nothing beside them.
 test: check
-	$(BIN)/python -m pytest --numprocesses 4 --dist loadfile
+	$(BIN)/python -m pytest --numprocesses 4 --dist loadfile \
+		--ignore $(CROWDS)
+	$(BIN)/python -m pytest $(CROWDS)
 
 demo: $(STAMP)
 	$(BIN)/python -m baobabmux_standins.demo
--- a/standins/src/baobabmux_standins/process.py
+++ b/standins/src/baobabmux_standins/process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import time
@@ -113,6 +114,19 @@
         statm = pathlib.Path(f"/proc/{self.pid}/statm").read_text()
         return int(statm.split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
+    def peak_resident_bytes(self) -> int:
+        """Returns the largest size that its resident memory has had.
+
+        It is 0 after the end of the process.
+        """
+        status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+        found = re.search(r"^VmHWM:\s+(\d+) kB$", status, re.MULTILINE)
+        return int(found[1]) * 1024 if found else 0
+
+    def open_descriptors(self) -> int:
+        """Returns the number of its open descriptors."""
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
     def exit_code(self) -> int | None:
         """Returns the exit code, or None while it runs."""
         return self._child.poll()
