Bound what is read of requests that callers send ahead

Callers saw a node end: while a request was served, the task that waits for its caller's close read whatever the caller sent and passed it to h11, which kept it. 16 connections with requests ahead of valid streams, of lookups or of an anonymous route took a node from 33 to over 150 MB within seconds; requests that are refused at once never wait, so their crowd stayed at 39 MB.

A connection now keeps received bytes in a `ReceiveBuffer` and reads at most `limits.max_ahead_bytes` (16 KiB) beside a request that is served; the rest waits in the kernel and at the caller. h11 gets a head, and the parts of its body, only. The end of a caller that sends further ahead is noticed by the state of its TCP connection. After each request other tasks get their turn if more has been received.

New: event 906, baobabmux_sent_ahead_total, the setting.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -255,6 +255,11 @@
         " attempts to accept one, {closed} idle ones closed in favour of"
         " others; {open} are open, {limit} may be.",
     )
+    REQUESTS_SENT_AHEAD = (
+        906,
+        "Callers sent more than {limit} bytes ahead while {count} of their"
+        " requests were served; the rest is read later.",
+    )
     UNKNOWN_RECEIVED = (
         903,
         "Node {peer}, of revision {revision} at least, sent what this build"
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -268,6 +268,10 @@
             "closed_idle_connections",
             "Idle connections of callers closed in favour of others",
         )
+        self.sent_ahead = self._counter(
+            "sent_ahead",
+            "Requests beside which a caller sent further ahead than is read",
+        )
         self.stray_answers = self._counter(
             "stray_answers", "Answers that matched no request"
         )
@@ -359,6 +363,7 @@
         self.caller_connections.set(callers.connections)
         self._set_total(self.accept_failures, callers.accept_failures)
         self._set_total(self.closed_idle, callers.idle_connections.closed)
+        self._set_total(self.sent_ahead, callers.ahead.reached)
 
     def update_misdirected(self, asks: int) -> None:
         """Copies the count of asks for groups that are not owned here."""
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -180,6 +180,7 @@
     ) -> server.Server:
         limits = server.Limits(
             max_header_bytes=self.settings.max_header_bytes,
+            max_ahead_bytes=self.settings.max_ahead_bytes,
             receive_timeout_seconds=self.settings.receive_timeout_seconds,
             send_timeout_seconds=self.settings.send_timeout_seconds,
             idle_timeout_seconds=self.settings.idle_timeout_seconds,
@@ -364,6 +365,7 @@
         return server.Limits(
             max_header_bytes=declared.max_header_bytes,
             max_body_bytes=declared.max_body_bytes,
+            max_ahead_bytes=self.settings.max_ahead_bytes,
             receive_timeout_seconds=declared.header_timeout_seconds,
             send_timeout_seconds=self.settings.send_timeout_seconds,
             idle_timeout_seconds=declared.idle_timeout_seconds,
--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/receive_buffers.py
@@ -0,0 +1,87 @@
+"""Bytes that callers have sent, until a request takes them.
+
+Callers may send requests ahead of the answers to earlier ones. Only a bounded
+part of that is read: what follows waits in the kernel and, through TCP's flow
+control, at the caller.
+"""
+
+import curio
+
+from baobabmux_node import sockets
+
+_CLOSE_CHECK_SECONDS = 1.0
+
+
+class AheadCounter:
+    """Counts callers that send further ahead than the node reads.
+
+    Attributes:
+        reached: How often a connection reached its bound while a request of
+            it was being served.
+    """
+
+    def __init__(self):
+        self.reached = 0
+
+
+class ReceiveBuffer:
+    """Received bytes of one connection.
+
+    Args:
+        client: Socket of the connection.
+        counter: Counter that all connections of a listener share.
+
+    Attributes:
+        data: Bytes that no request has taken.
+        ended: Whether the caller has ended its side of the connection.
+    """
+
+    def __init__(self, client: curio.io.Socket, counter: AheadCounter):
+        self.data = bytearray()
+        self.ended = False
+        self._client = client
+        self._counter = counter
+
+    async def receive(self, max_bytes: int) -> bool:
+        """Adds bytes that arrive; returns whether there were any.
+
+        Without any, the caller has ended its side of the connection.
+
+        Raises:
+            OSError: The connection was reset.
+        """
+        data = await self._client.recv(max_bytes)
+        self.data += data
+        self.ended = not data
+        return bool(data)
+
+    def take(self, max_bytes: int) -> bytes:
+        """Removes and returns the first bytes."""
+        taken = bytes(self.data[:max_bytes])
+        del self.data[:max_bytes]
+        return taken
+
+    def put_back(self, data: bytes) -> None:
+        """Adds bytes that were taken before the others."""
+        if data:
+            self.data[:0] = data
+
+    async def wait_for_end(self, max_ahead_bytes: int) -> None:
+        """Returns when the caller closes the connection.
+
+        Beyond the bound nothing more is read. The end of a connection is then
+        noticed once the kernel reports it: after a reset, or when the rest of
+        what was sent fits into the kernel's buffer.
+
+        Args:
+            max_ahead_bytes: Most bytes that are kept for later requests.
+
+        Raises:
+            OSError: The connection was reset.
+        """
+        while (room := max_ahead_bytes - len(self.data)) > 0:
+            if not await self.receive(room):
+                return
+        self._counter.reached += 1
+        while sockets.is_established(self._client):
+            await curio.sleep(_CLOSE_CHECK_SECONDS)
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -7,6 +7,7 @@
 import contextlib
 import errno
 import http
+import itertools
 import logging
 import resource
 import socket
@@ -23,6 +24,7 @@
     body_budget,
     clock,
     idle_connections,
+    receive_buffers,
     responses,
     send_buffers,
     sockets,
@@ -33,6 +35,8 @@
 # Parts of a body after which other tasks get their turn. A caller may send a
 # chunk for each byte.
 _STEPS_PER_TURN = 100
+# Requests of one connection after which other tasks get their turn.
+_REQUESTS_PER_TURN = 8
 # Time after which a server without descriptors tries to accept again.
 _ACCEPT_PAUSE_SECONDS = 0.05
 # Idle connections that are closed at once if descriptors are lacking.
@@ -51,6 +55,8 @@
     Attributes:
         max_header_bytes: Longest header section.
         max_body_bytes: Longest body that any handler accepts.
+        max_ahead_bytes: Most bytes that are read of a caller's next requests
+            while a request of the same connection is served.
         receive_timeout_seconds: Longest time to receive a header section, and
             again to receive a body.
         send_timeout_seconds: Longest time to send a part of an answer.
@@ -63,6 +69,7 @@
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 1_000_000
+    max_ahead_bytes: int = 16_384
     receive_timeout_seconds: float = 10.0
     send_timeout_seconds: float = 20.0
     idle_timeout_seconds: float = 60.0
@@ -205,6 +212,7 @@
         finishing: Whether the server accepts no further request.
         unread: Answers that callers have not read yet.
         bodies: Bodies of requests that are not answered yet.
+        ahead: Callers that send further ahead than the server reads.
         max_connections: Most connections that are open at a time.
         accept_failures: How often no connection could be accepted.
         idle_connections: Connections that wait for a request.
@@ -238,6 +246,7 @@
         self.finishing = False
         self.unread = send_buffers.SendBudget(limits.max_unread_bytes)
         self.bodies = body_budget.BodyBudget()
+        self.ahead = receive_buffers.AheadCounter()
         self.max_connections = (
             _default_max_connections()
             if max_connections is None
@@ -336,7 +345,7 @@
     def __init__(self, client, server: Server):
         self.client = client
         self.server = server
-        self.received = bytearray()
+        self.received = receive_buffers.ReceiveBuffer(client, server.ahead)
         self.http = self._new_http()
         self.buffer = send_buffers.SendBuffer(client, server.unread)
         self._room = body_budget.Reservation(server.bodies)
@@ -349,7 +358,7 @@
 
     def has_received(self) -> bool:
         """Returns whether bytes of the next request have arrived."""
-        if self.received:
+        if self.received.data:
             return True
         try:
             return bool(self.client._socket.recv(1, socket.MSG_PEEK))
@@ -375,7 +384,7 @@
         )
 
     async def run(self, handler: Handler) -> None:
-        while True:
+        for served in itertools.count(1):
             self.server.idle_connections.add(self, clock.now())
             exchange = await self._next_exchange()
             if exchange is None:
@@ -389,6 +398,9 @@
                 # An answer whose head was sent before the shutdown began has
                 # no `connection: close`; the peer's next request is not read.
                 return
+            if self.received.data or served % _REQUESTS_PER_TURN == 0:
+                # Requests that were sent ahead must not hold up the others.
+                await curio.sleep(0)
 
     async def _handle(self, handler: Handler, exchange: Exchange) -> bool:
         """Handles a request; returns whether the connection may go on."""
@@ -423,8 +435,7 @@
         if head is None:
             return None
         _check_framing(head)
-        self.http.receive_data(head + bytes(self.received))
-        self.received.clear()
+        self.http.receive_data(head)
         try:
             event = self.http.next_event()
         except h11.RemoteProtocolError as error:
@@ -445,49 +456,47 @@
         """
         deadline: float | None = None
         limit = self.limits.max_header_bytes
+        received = self.received.data
         while True:
             # Empty lines before a request line are allowed (RFC 9112, 2.2).
-            while self.received.startswith(b"\r\n"):
-                del self.received[:2]
-            end = self.received.find(b"\r\n\r\n")
+            while received.startswith(b"\r\n"):
+                del received[:2]
+            end = received.find(b"\r\n\r\n")
             if end >= 0 and end + 4 <= limit:
-                head = bytes(self.received[: end + 4])
-                del self.received[: end + 4]
-                return head
-            if len(self.received) > limit:
+                return self.received.take(end + 4)
+            if len(received) > limit:
                 raise RequestError(
                     errors.ErrorKind.HEADERS_TOO_LARGE,
                     f"the header section exceeds {limit} bytes",
                 )
-            if b"\n\n" in self.received:
+            if b"\n\n" in received:
                 raise _bare_line_feed()
             now = await curio.clock()
             # The first byte starts the timeout for the complete header section.
-            if deadline is None and self.received:
+            if deadline is None and received:
                 deadline = now + self.limits.receive_timeout_seconds
             timeout = (
                 self.limits.idle_timeout_seconds
                 if deadline is None
                 else max(deadline - now, 0.001)
             )
-            data = await self._receive(timeout)
-            if data == b"":
+            arrived = await self._receive(limit + 1 - len(received), timeout)
+            if arrived is False:
                 return None
-            if data is None:
+            if arrived is None:
                 if deadline is None:
                     return None
                 raise RequestError(
                     errors.ErrorKind.REQUEST_TIMEOUT,
                     "the header section did not arrive in time",
                 )
-            self.received += data
 
     async def read_body(self, exchange: Exchange, max_bytes: int) -> bytes:
-        content_length = exchange.headers.get("content-length", "0")
-        if content_length.isdigit():
-            if int(content_length) > max_bytes:
+        length = _declared_length(exchange)
+        if length is not None:
+            if length > max_bytes:
                 raise _too_large(max_bytes)
-            await self._reserve_room(int(content_length))
+            await self._reserve_room(length)
         if self.http.they_are_waiting_for_100_continue:
             await self.send(
                 h11.InformationalResponse(status_code=100, headers=[])
@@ -506,14 +515,23 @@
                     errors.ErrorKind.BAD_REQUEST, _violation_text(error)
                 ) from error
             if event is h11.NEED_DATA:
+                if self._parse_received():
+                    continue
+                # Bytes of a body have room; those after it do not.
+                wanted = (
+                    self.limits.max_ahead_bytes
+                    if length is None
+                    else min(length - len(body), _READ_BYTES)
+                )
                 left = deadline - await curio.clock()
-                data = await self._receive(max(left, 0.001))
-                if data is None:
+                arrived = await self._receive(wanted, max(left, 0.001))
+                if arrived is None:
                     raise RequestError(
                         errors.ErrorKind.REQUEST_TIMEOUT,
                         "the body did not arrive in time",
                     )
-                self.http.receive_data(data)
+                if not arrived:
+                    self.http.receive_data(b"")
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > max_bytes:
@@ -527,6 +545,13 @@
             else:
                 raise PeerGoneError
 
+    def _parse_received(self) -> bool:
+        """Passes received bytes to h11; returns whether there were any."""
+        data = self.received.take(self.limits.max_ahead_bytes)
+        if data:
+            self.http.receive_data(data)
+        return bool(data)
+
     async def _reserve_room(self, size: int) -> None:
         try:
             await self._room.extend(size)
@@ -537,19 +562,15 @@
             ) from error
 
     def take_over(self) -> tuple[curio.io.Socket, bytes]:
-        return self.client, self.http.trailing_data[0] + bytes(self.received)
+        self.received.put_back(self.http.trailing_data[0])
+        return self.client, bytes(self.received.data)
 
     async def wait_for_close(self) -> None:
-        while True:
-            data = await self.client.recv(_READ_BYTES)
-            if not data and self._reading_stopped:
-                # `stop_reading` shut the socket's read side down, so the end of
-                # input does not show whether the peer closed the connection.
-                await curio.sleep(_CLOSE_CHECK_SECONDS)
-                continue
-            self.http.receive_data(data)
-            if not data:
-                return
+        await self.received.wait_for_end(self.limits.max_ahead_bytes)
+        # `stop_reading` shuts the socket's read side down, so the end of input
+        # does not show whether the peer closed the connection.
+        while self._reading_stopped and sockets.is_established(self.client):
+            await curio.sleep(_CLOSE_CHECK_SECONDS)
 
     async def send(self, *events: h11.Event) -> None:
         """Sends events with one write."""
@@ -626,7 +647,10 @@
         """
         while self.http.their_state is h11.SEND_BODY:
             try:
-                if self.http.next_event() is h11.NEED_DATA:
+                if (
+                    self.http.next_event() is h11.NEED_DATA
+                    and not self._parse_received()
+                ):
                     return False
             except h11.RemoteProtocolError:
                 return False
@@ -646,11 +670,20 @@
             self._resets = enabled
             sockets.set_reset_on_close(self.client, enabled)
 
-    async def _receive(self, timeout: float) -> bytes | None:
-        """Returns the next bytes, or None after `timeout` seconds."""
+    async def _receive(self, max_bytes: int, timeout: float) -> bool | None:
+        """Receives bytes.
+
+        Args:
+            max_bytes: Most bytes to receive.
+            timeout: Longest time in seconds.
+
+        Returns:
+            Whether bytes arrived before the end of the connection, or None if
+            neither came in time.
+        """
         try:
             async with curio.timeout_after(timeout):
-                return await self.client.recv(_READ_BYTES)
+                return await self.received.receive(max_bytes)
         except curio.TaskTimeout:
             return None
         except OSError as error:
@@ -688,10 +721,17 @@
             return False
         if (self.http.our_state, self.http.their_state) != (h11.DONE, h11.DONE):
             return False
-        self.received += self.http.trailing_data[0]
-        closed = self.http.trailing_data[1]
+        self.received.put_back(self.http.trailing_data[0])
         self.http = self._new_http()
-        return not closed or bool(self.received)
+        return not self.received.ended or bool(self.received.data)
+
+
+def _declared_length(exchange: Exchange) -> int | None:
+    """Returns the length of a body, or None if it comes in chunks."""
+    if "transfer-encoding" in exchange.headers:
+        return None
+    text = exchange.headers.get("content-length", "0")
+    return int(text) if text.isdigit() else None
 
 
 def _default_max_connections() -> int:
--- a/packages/baobabmux-node/src/baobabmux_node/settings.py
+++ b/packages/baobabmux-node/src/baobabmux_node/settings.py
@@ -51,6 +51,8 @@
         max_held_requests: Most requests that the node holds at a time.
         max_caller_connections: Most connections of callers at a time, or None
             for three quarters of the process's descriptors.
+        max_ahead_bytes: Most bytes that are read of a caller's next requests
+            while a request of the same connection is served.
         receive_timeout_seconds: Longest time to receive a header section, and
             again to receive a body.
         send_timeout_seconds: Longest time a caller may stop reading.
@@ -85,6 +87,7 @@
     max_header_bytes: int = 16_384
     max_held_requests: int = 2_000
     max_caller_connections: int | None = None
+    max_ahead_bytes: int = 16_384
     receive_timeout_seconds: float = 10.0
     send_timeout_seconds: float = 20.0
     idle_timeout_seconds: float = 60.0
@@ -141,6 +144,7 @@
         "max_header_bytes": "count",
         "max_held_requests": "count",
         "max_caller_connections": "count",
+        "max_ahead_bytes": "count",
         "receive_timeout_seconds": "seconds",
         "send_timeout_seconds": "seconds",
         "idle_timeout_seconds": "seconds",
--- a/packages/baobabmux-node/src/baobabmux_node/sockets.py
+++ b/packages/baobabmux-node/src/baobabmux_node/sockets.py
@@ -14,6 +14,8 @@
         errno.EADDRNOTAVAIL,  # `connect` found no free port.
     }
 )
+# First byte of TCP_INFO on Linux.
+_TCP_ESTABLISHED = 1
 
 
 def is_exhaustion(error: OSError) -> bool:
@@ -36,6 +38,20 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def is_established(connection) -> bool:
+    """Returns whether neither side has closed or reset a connection.
+
+    Args:
+        connection: Socket of curio or of the standard library. Where the
+            state cannot be read, its connection counts as established.
+    """
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return True
+    return info[0] == _TCP_ESTABLISHED
+
+
 def connections_for(descriptors: int) -> int:
     """Returns how many connections of callers leave room for the others.
 
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -243,6 +243,13 @@
                 open=callers.connections,
                 limit=callers.max_connections,
             )
+        ahead = self._increase("ahead", callers.ahead.reached)
+        if ahead:
+            self._host.events.record(
+                Kind.REQUESTS_SENT_AHEAD,
+                count=ahead,
+                limit=callers.limits.max_ahead_bytes,
+            )
 
     def _increase(self, name: str, total: int) -> int:
         """Returns by how much a total has grown since the last check."""
--- /dev/null
+++ b/packages/baobabmux-node/tests/receive_buffers_test.py
@@ -0,0 +1,190 @@
+"""Tests of requests that callers send ahead of the answers."""
+
+import contextlib
+
+import curio
+import pytest
+
+from baobabmux_node import receive_buffers, server, sockets
+
+_MAX_AHEAD_BYTES = 2_000
+_SENT_BYTES = 4_000_000
+
+
+def _request(path, body=b""):
+    length = f"Content-Length: {len(body)}"
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\n{length}\r\n\r\n"
+    return head.encode() + body
+
+
+class _Server:
+    """A server that answers a request once the gate of its path is open.
+
+    Attributes:
+        paths: Paths of the requests in the order of their answers.
+        gone: Paths of the requests whose callers left.
+    """
+
+    def __init__(self):
+        self.paths = []
+        self.gone = []
+        self.gates = {}
+        self.server = server.Server(
+            "127.0.0.1",
+            0,
+            self._handle,
+            server.Limits(
+                max_header_bytes=_MAX_AHEAD_BYTES - 1,
+                max_ahead_bytes=_MAX_AHEAD_BYTES,
+            ),
+        )
+
+    async def _handle(self, exchange):
+        await exchange.read_body(100_000)
+        if gate := self.gates.get(exchange.path):
+            watcher = await curio.spawn(
+                self._watch, exchange, gate, daemon=True
+            )
+            await gate.wait()
+            await watcher.cancel()
+        self.paths.append(exchange.path)
+        await exchange.respond(200, {}, exchange.body)
+
+    async def _watch(self, exchange, gate):
+        with contextlib.suppress(OSError):
+            await exchange.wait_for_close()
+        self.gone.append(exchange.path)
+        await gate.set()
+
+    async def __aenter__(self):
+        self.server.start()
+        self._task = await curio.spawn(self.server.serve, daemon=True)
+        return self
+
+    async def __aexit__(self, *_):
+        await self._task.cancel()
+
+    async def connect(self):
+        return await curio.open_connection("127.0.0.1", self.server.port)
+
+    def received_bytes(self):
+        return sum(len(each.received.data) for each in self.server._open)
+
+
+async def _read(peer, count):
+    """Reads until so many answers have arrived whole."""
+    data = b""
+    async with curio.timeout_after(20):
+        while data.count(b"HTTP/1.1 ") < count or not data.endswith(
+            b"\r\n\r\n"
+        ):
+            data += await peer.recv(65_536)
+    return data
+
+
+async def _until(condition):
+    async with curio.timeout_after(20):
+        while not condition():
+            await curio.sleep(0.01)
+
+
+def test_bytes_sent_ahead_are_bounded():
+    async def run():
+        async with _Server() as served:
+            served.gates["/slow"] = curio.Event()
+            peer = await served.connect()
+            ahead = _request("/next") * (_SENT_BYTES // len(_request("/next")))
+            sender = await curio.spawn(
+                peer.sendall, _request("/slow") + ahead, daemon=True
+            )
+            await _until(lambda: served.server.ahead.reached)
+            await curio.sleep(0.1)
+            assert served.received_bytes() <= _MAX_AHEAD_BYTES
+            await sender.cancel()
+            await peer.close()
+
+    curio.run(run)
+
+
+def test_requests_beyond_the_bound_are_served_in_order():
+    async def run():
+        async with _Server() as served:
+            gate = served.gates["/slow"] = curio.Event()
+            peer = await served.connect()
+            paths = [f"/{number}" for number in range(300)]
+            data = b"".join(map(_request, ["/slow", *paths]))
+            assert len(data) > 4 * _MAX_AHEAD_BYTES
+            await peer.sendall(data)
+            await _until(lambda: served.server.ahead.reached)
+            await gate.set()
+            await _read(peer, len(paths) + 1)
+            assert served.paths == ["/slow", *paths]
+            assert served.gone == []
+            await peer.close()
+
+    curio.run(run)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_bodies_and_requests_after_them_are_kept_apart(framing):
+    body = b"b" * 3 * _MAX_AHEAD_BYTES
+    sent = _request("/first", body)
+    if framing == "chunks":
+        head = b"POST /first HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked"
+        chunk = b"%x\r\n%b\r\n" % (len(body) // 3, body[: len(body) // 3])
+        sent = head + b"\r\n\r\n" + 3 * chunk + b"0\r\n\r\n"
+
+    async def run():
+        async with _Server() as served:
+            peer = await served.connect()
+            await peer.sendall(sent + _request("/second") + _request("/third"))
+            data = await _read(peer, 3)
+            assert data.count(body) == 1
+            assert served.paths == ["/first", "/second", "/third"]
+            await peer.close()
+
+    curio.run(run)
+
+
+@pytest.mark.parametrize("ahead", [0, 10, 10_000])
+def test_reset_of_a_caller_that_sends_ahead_is_noticed(ahead):
+    """Guards against a request that goes on for a caller that has left."""
+
+    async def run():
+        async with _Server() as served:
+            served.gates["/slow"] = curio.Event()
+            peer = await served.connect()
+            await peer.sendall(_request("/slow") + b"x" * ahead)
+            await _until(lambda: served.received_bytes() >= min(ahead, 2_000))
+            sockets.set_reset_on_close(peer, True)
+            await peer.close()
+            await _until(lambda: served.gone)
+            assert served.gone == ["/slow"]
+
+    curio.run(run)
+
+
+def test_requests_sent_ahead_let_other_callers_be_served():
+    """Guards against a loop that one connection keeps to itself."""
+
+    async def run():
+        async with _Server() as served:
+            first, second = await served.connect(), await served.connect()
+            await _until(lambda: served.server.connections == 2)
+            ahead = 30
+            await first.sendall(_request("/a") * ahead)
+            await second.sendall(_request("/b"))
+            await _read(second, 1)
+            assert served.paths.index("/b") < ahead - 1
+            await first.close()
+            await second.close()
+
+    curio.run(run)
+
+
+def test_bytes_that_are_put_back_come_first():
+    buffer = receive_buffers.ReceiveBuffer(None, receive_buffers.AheadCounter())
+    buffer.data += b"cd"
+    buffer.put_back(b"ab")
+    assert buffer.take(3) == b"abc"
+    assert buffer.take(3) == b"d"
