Count a connection when it is accepted, not when its task begins

The count now grows with `accept`. It was one short while `accept` waited, which hid that idle connections were closed at the limit with no caller waiting; they are now closed once the listener is readable.

--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -18,6 +18,7 @@
 import curio.io
 import h11
 import msgspec
+from curio.traps import _read_wait
 
 from baobabmux_core import errors
 from baobabmux_node import (
@@ -273,6 +274,9 @@
                 if self.finishing:
                     await client.close()
                     continue
+                # Counted before its task begins: further connections may be
+                # accepted until then.
+                self.connections += 1
                 await curio.spawn(self._serve_connection, client, daemon=True)
 
     async def _accept(self) -> curio.io.Socket:
@@ -295,6 +299,8 @@
                         # The caller closed its connection meanwhile.
                         continue
                     excess = _MAX_CLOSED_AT_ONCE
+            # Idle connections stay open until a caller waits for their place.
+            await _read_wait(self._socket.fileno())
             self.idle_connections.close_oldest(excess, clock.now())
             await curio.sleep(_ACCEPT_PAUSE_SECONDS)
 
@@ -314,7 +320,6 @@
         return self.finishing and not self._open
 
     async def _serve_connection(self, client) -> None:
-        self.connections += 1
         connection = _Connection(client, self)
         self._open.add(connection)
         try:
--- a/packages/baobabmux-node/tests/receive_buffers_test.py
+++ b/packages/baobabmux-node/tests/receive_buffers_test.py
@@ -1,6 +1,7 @@
 """Tests of requests that callers send ahead of the answers."""
 
 import contextlib
+import socket
 
 import curio
 import pytest
@@ -182,6 +183,28 @@
     curio.run(run)
 
 
+def test_each_connection_is_counted_once_it_is_accepted():
+    """Guards against callers beyond the limit that arrive all at once."""
+
+    async def run():
+        served = _Server()
+        served.server.max_connections = 5
+        served.server.start()
+        callers = []
+        for _ in range(20):
+            caller = socket.socket()
+            caller.connect(("127.0.0.1", served.server.port))
+            callers.append(caller)
+        task = await curio.spawn(served.server.serve, daemon=True)
+        await curio.sleep(0.3)
+        assert served.server.connections == 5
+        await task.cancel()
+        for caller in callers:
+            caller.close()
+
+    curio.run(run)
+
+
 def test_bytes_that_are_put_back_come_first():
     buffer = receive_buffers.ReceiveBuffer(None, receive_buffers.AheadCounter())
     buffer.data += b"cd"
