Bound the connections of each listener, not only of callers

The listeners for operators, readiness checks and tunnels each took up to three quarters of the process's descriptors, whatever the machine had, and that for peers any number: 900 unfinished requests at one of them gave 825 to 924 descriptors on (bound 700), so that callers and endpoints had none.

Each has a bound of its own now: 64 for operators and for readiness checks, 320 for tunnels, 512 for peers, and no more than a sixteenth (peers: an eighth) of the descriptors that the machine has. HTTP listeners let further connections wait, as that for callers does; peers' ones are closed before they are used.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -260,6 +260,11 @@
         "Callers sent more than {limit} bytes ahead while {count} of their"
         " requests were served; the rest is read later.",
     )
+    LISTENER_FULL = (
+        907,
+        "The listener for {listener} has no room for connections: {count} times"
+        " one had to wait or was refused; {open} are open, {limit} may be.",
+    )
     UNKNOWN_RECEIVED = (
         903,
         "Node {peer}, of revision {revision} at least, sent what this build"
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -261,6 +261,16 @@
         self.caller_connections = self._gauge(
             "caller_connections", "Connections of callers that are open"
         )
+        self.listener_connections = self._gauge(
+            "listener_connections",
+            "Connections that are open at a listener that is not for callers",
+            ["listener"],
+        )
+        self.listener_waits = self._counter(
+            "listener_waits",
+            "Times at which a connection had to wait for room, or was refused",
+            ["listener"],
+        )
         self.accept_failures = self._counter(
             "accept_failures", "Attempts to accept a connection that failed"
         )
@@ -365,6 +375,16 @@
         self._set_total(self.closed_idle, callers.idle_connections.closed)
         self._set_total(self.sent_ahead, callers.ahead.reached)
 
+    def update_listeners(self, listeners, peers) -> None:
+        """Copies the counts of the listeners that are not for callers."""
+        for name, listener in listeners.items():
+            self.listener_connections.labels(name).set(listener.connections)
+            self._set_total(self.listener_waits.labels(name), listener.waits)
+        self.listener_connections.labels("peers").set(peers.connections)
+        self._set_total(
+            self.listener_waits.labels("peers"), peers.refused_connections
+        )
+
     def update_misdirected(self, asks: int) -> None:
         """Copies the count of asks for groups that are not owned here."""
         self._set_total(self.misdirected_asks, asks)
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -44,6 +44,7 @@
     server,
     serving,
     settings,
+    sockets,
     status,
     tunnels,
     watch,
@@ -65,6 +66,11 @@
 # Shorter delays are normal on a busy VM and are not recorded.
 _MIN_PAUSE_SECONDS = 1.0
 
+# Parts of the descriptors that the connections of peers, and those of another
+# listener that is not for callers, may take.
+_PEERS_SHARE = 1 / 8
+_LISTENER_SHARE = 1 / 16
+
 Kind = catalogue.EventKind
 
 
@@ -88,6 +94,7 @@
         paths: Opens connections to endpoints.
         carrier: Carries connections to endpoints for other nodes.
         caller_server: Listener for callers.
+        listeners: Other HTTP listeners by their names in events and metrics.
         endpoint_ends: Detects the ends of endpoints.
     """
 
@@ -131,7 +138,11 @@
             node_settings.secret,
             self.membership.peer_address,
             self.events.stamp,
+            self._spare_connections(
+                node_settings.max_peer_connections, _PEERS_SHARE
+            ),
         )
+        self.listeners: dict[str, server.Server] = {}
         self.ports = make_ports(self)
         self.config = self.ports.config
         self.answers = answers.AnswerService(self)
@@ -155,13 +166,21 @@
             node_settings.max_caller_connections,
         )
         self._admin_server = self._make_server(
-            node_settings.admin, admin.Admin(self).handle
+            node_settings.admin,
+            admin.Admin(self).handle,
+            self.admin_connections,
         )
+        self.listeners["admin"] = self._admin_server
         self._tunnel_server: server.Server | None = None
         if node_settings.tunnels is not None:
             self._tunnel_server = self._make_server(
-                node_settings.tunnels, self.carrier.handle
+                node_settings.tunnels,
+                self.carrier.handle,
+                self._spare_connections(
+                    node_settings.max_tunnel_connections, _LISTENER_SHARE
+                ),
             )
+            self.listeners["tunnels"] = self._tunnel_server
 
     def _knows_hedges(self, owner: ids.NodeId) -> bool:
         """Returns whether an owner's build bounds hedges."""
@@ -172,6 +191,19 @@
 
     # HTTP listeners.
 
+    @property
+    def admin_connections(self) -> int:
+        """Most connections of a listener for operators or the platform."""
+        return self._spare_connections(
+            self.settings.max_admin_connections, _LISTENER_SHARE
+        )
+
+    def _spare_connections(self, limit: int, share: float) -> int:
+        descriptors = self.settings.descriptors
+        if descriptors is None:
+            descriptors = sockets.usable_descriptors()
+        return sockets.spare_connections(limit, descriptors, share)
+
     def _make_server(
         self,
         address: settings.Address,
@@ -479,6 +511,7 @@
         unread = self.caller_server.unread
         self.metrics.update_unread(unread.used, unread.cut_off)
         self.metrics.update_connections(self.caller_server)
+        self.metrics.update_listeners(self.listeners, self.peers)
         trials = self.scheduler.view.rollouts.trials.values()
         self.metrics.update_rollouts(trials, now)
         if self.configuration is not None:
--- a/packages/baobabmux-node/src/baobabmux_node/peers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -16,6 +16,7 @@
 from baobabmux_core import ids, messages, revisions
 from baobabmux_node import clock, wall_clock
 
+MAX_CONNECTIONS = 512
 _LOG = logging.getLogger(__name__)
 # Failures of a kind that are logged one by one; event 904 counts all.
 _MAX_LOGGED = 20
@@ -70,6 +71,8 @@
         revisions: Revisions of the peers.
         unencodable: Numbers of messages that no frame can carry, by type.
         failed_frames: Frames whose handling ended with an unexpected error.
+        max_connections: Most connections of other nodes at a time.
+        refused_connections: Connections closed at once for that bound.
         reconnects: Connections closed because the peer acknowledged no frames;
             the next frame opens a new one.
     """
@@ -80,6 +83,7 @@
         secret: bytes,
         address_of: Callable[[ids.NodeId], str | None],
         stamp: Callable[[], int],
+        max_connections: int = MAX_CONNECTIONS,
     ):
         self.node = node
         self.incarnation = wall_clock.unix_ms()
@@ -96,6 +100,8 @@
         self._address_of = address_of
         self._stamp = stamp
         self._sequence = 0
+        self.max_connections = max_connections
+        self.refused_connections = 0
         self._pull_socket = None
         self.reconnects = 0
         self._newest_frames: dict[ids.NodeId, tuple[int, int]] = {}
@@ -110,9 +116,21 @@
             recv_buffer_size=_RECEIVE_BUFFER_FRAMES,
             recv_max_size=_MAX_FRAME_BYTES,
         )
+        self._pull_socket.add_pre_pipe_connect_cb(self._limit_connections)
         self._pull_socket.listen(f"tcp://{host}:{port}")
         self.address = str(self._pull_socket.listeners[0].local_address)
 
+    @property
+    def connections(self) -> int:
+        """Number of connections of other nodes."""
+        return 0 if self._pull_socket is None else len(self._pull_socket.pipes)
+
+    def _limit_connections(self, pipe: pynng.Pipe) -> None:
+        # nng calls this on a thread of its own, before the connection is used.
+        if self.connections > self.max_connections:
+            self.refused_connections += 1
+            pipe.close()
+
     def enqueue(self, to: ids.NodeId, message: messages.AnyMessage) -> None:
         """Queues a message for the next frame to a node."""
         self._outbox.setdefault(to, []).append(message)
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -9,9 +9,7 @@
 import http
 import itertools
 import logging
-import resource
 import socket
-import sys
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -216,6 +214,7 @@
         ahead: Callers that send further ahead than the server reads.
         max_connections: Most connections that are open at a time.
         accept_failures: How often no connection could be accepted.
+        waits: How often a caller had to wait until there was room for it.
         idle_connections: Connections that wait for a request.
     """
 
@@ -249,11 +248,12 @@
         self.bodies = body_budget.BodyBudget()
         self.ahead = receive_buffers.AheadCounter()
         self.max_connections = (
-            _default_max_connections()
+            sockets.connections_for(sockets.usable_descriptors())
             if max_connections is None
             else max_connections
         )
         self.accept_failures = 0
+        self.waits = 0
         self.idle_connections = idle_connections.IdleConnections()
         self._open: set[_Connection] = set()
         self._handler = handler
@@ -301,6 +301,7 @@
                     excess = _MAX_CLOSED_AT_ONCE
             # Idle connections stay open until a caller waits for their place.
             await _read_wait(self._socket.fileno())
+            self.waits += 1
             self.idle_connections.close_oldest(excess, clock.now())
             await curio.sleep(_ACCEPT_PAUSE_SECONDS)
 
@@ -739,13 +740,6 @@
     return int(text) if text.isdigit() else None
 
 
-def _default_max_connections() -> int:
-    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if descriptors == resource.RLIM_INFINITY:
-        return sys.maxsize
-    return sockets.connections_for(descriptors)
-
-
 def _check_framing(head: bytes) -> None:
     """Rejects header sections that HTTP parsers interpret differently.
 
--- a/packages/baobabmux-node/src/baobabmux_node/settings.py
+++ b/packages/baobabmux-node/src/baobabmux_node/settings.py
@@ -51,6 +51,13 @@
         max_held_requests: Most requests that the node holds at a time.
         max_caller_connections: Most connections of callers at a time, or None
             for three quarters of the process's descriptors.
+        max_admin_connections: Most connections of operators, and of checks of
+            the node's readiness, at a time.
+        max_tunnel_connections: Most connections of nodes that ask for tunnels
+            at a time.
+        max_peer_connections: Most connections of nodes at a time.
+        descriptors: Descriptors that sockets may use, or None for those of the
+            process.
         max_ahead_bytes: Most bytes that are read of a caller's next requests
             while a request of the same connection is served.
         receive_timeout_seconds: Longest time to receive a header section, and
@@ -87,6 +94,10 @@
     max_header_bytes: int = 16_384
     max_held_requests: int = 2_000
     max_caller_connections: int | None = None
+    max_admin_connections: int = 64
+    max_tunnel_connections: int = 320
+    max_peer_connections: int = 512
+    descriptors: int | None = None
     max_ahead_bytes: int = 16_384
     receive_timeout_seconds: float = 10.0
     send_timeout_seconds: float = 20.0
@@ -144,6 +155,9 @@
         "max_header_bytes": "count",
         "max_held_requests": "count",
         "max_caller_connections": "count",
+        "max_admin_connections": "count",
+        "max_tunnel_connections": "count",
+        "max_peer_connections": "count",
         "max_ahead_bytes": "count",
         "receive_timeout_seconds": "seconds",
         "send_timeout_seconds": "seconds",
--- a/packages/baobabmux-node/src/baobabmux_node/sockets.py
+++ b/packages/baobabmux-node/src/baobabmux_node/sockets.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import errno
+import resource
 import socket
 import struct
+import sys
 
 _EXHAUSTION = frozenset(
     {
@@ -59,3 +61,21 @@
         descriptors: Descriptors that sockets may use.
     """
     return descriptors * 3 // 4
+
+
+def spare_connections(limit: int, descriptors: int, share: float) -> int:
+    """Returns the connections of a listener that is not for callers.
+
+    Args:
+        limit: Connections that are enough for it.
+        descriptors: Descriptors that sockets may use.
+        share: Part of them that is not exceeded, so that some are left to
+            endpoints if all listeners are full.
+    """
+    return max(1, min(limit, int(descriptors * share)))
+
+
+def usable_descriptors() -> int:
+    """Returns how many descriptors the process may open."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if descriptors == resource.RLIM_INFINITY else descriptors
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -69,6 +69,7 @@
         self._check_log()
         self._check_frames()
         self._check_connections()
+        self._check_listeners()
         self._check_unknown()
 
     def _check_ownership(self, owned: set[ids.GroupId]) -> None:
@@ -251,6 +252,32 @@
                 limit=callers.limits.max_ahead_bytes,
             )
 
+    def _check_listeners(self) -> None:
+        peers = self._host.peers
+        counts = {
+            name: (
+                listener.waits,
+                listener.connections,
+                listener.max_connections,
+            )
+            for name, listener in self._host.listeners.items()
+        }
+        counts["peers"] = (
+            peers.refused_connections,
+            peers.connections,
+            peers.max_connections,
+        )
+        for name, (waits, connections, limit) in counts.items():
+            increase = self._increase(f"waits at {name}", waits)
+            if increase:
+                self._host.events.record(
+                    Kind.LISTENER_FULL,
+                    listener=name,
+                    count=increase,
+                    open=connections,
+                    limit=limit,
+                )
+
     def _increase(self, name: str, total: int) -> int:
         """Returns by how much a total has grown since the last check."""
         increase = total - self._totals[name]
--- a/packages/baobabmux-node/tests/peers_test.py
+++ b/packages/baobabmux-node/tests/peers_test.py
@@ -111,3 +111,23 @@
         receiver.close()
 
     curio.run(run)
+
+
+def test_connections_of_other_nodes_are_bounded():
+    """Guards against clients that take the descriptors of a node."""
+    receiver = peers.PeerTransport(
+        "n2", b"", lambda name: None, lambda: 1, max_connections=2
+    )
+    receiver.start("127.0.0.1", 0)
+    dialed = []
+    try:
+        for _ in range(5):
+            socket = pynng.Push0()
+            dialed.append(socket)
+            socket.dial(f"tcp://{receiver.address}", block=True)
+        assert receiver.connections <= 2
+        assert receiver.refused_connections >= 1
+    finally:
+        for socket in dialed:
+            socket.close()
+        receiver.close()
