Keep one account of the bodies of requests and whole answers

A node held the answers to callers that read nothing beyond its memory: 800 lookups of 500 KB took it over 150 MB on. Answers being read had a bound of 32 MB and a share of 256 KB each beside it, counted until they were read only; three copies of each lived until the caller had taken it.

`MemoryAccount` holds both kinds of bodies, from the first byte until the request has been answered: 64 MB (`limits.max_held_bytes`), on the users' platform a fifth of the machine's memory. One policy: beyond it a body waits unread for a second and is then given up, a request's as not run (503), an answer's as interrupted, which never looks complete; before, an answer was interrupted at once. Small bodies need no room (requests 16 KiB, answers 64 KiB). A whole answer is joined once and sent without a copy.

body_budget.py is memory_account.py now; its tests are as they were, with two more. endless_answers_test.py asks the account instead of a number. The unread answers of `SendBudget` stay apart: they bound how far an endpoint runs ahead.

--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from baobabmux_core import rollout_trials
-from baobabmux_node import instruments, status
+from baobabmux_node import instruments, memory_account, status
 
 
 class Metrics:
@@ -258,6 +258,13 @@
         self.refused_bodies = self._counter(
             "refused_bodies", "Bodies that found no room beside others"
         )
+        self.answer_bytes = self._gauge(
+            "answer_bytes",
+            "Bytes of whole answers that are read or not sent yet",
+        )
+        self.refused_answers = self._counter(
+            "refused_answers", "Answers given up as they found no room"
+        )
         self.caller_connections = self._gauge(
             "caller_connections", "Connections of callers that are open"
         )
@@ -368,8 +375,12 @@
 
     def update_connections(self, callers) -> None:
         """Copies the counts of the callers' `server.Server`."""
-        self.body_bytes.set(callers.bodies.used)
-        self._set_total(self.refused_bodies, callers.bodies.refused)
+        request, answer = memory_account.Use.REQUEST, memory_account.Use.ANSWER
+        memory = callers.memory
+        self.body_bytes.set(memory.used[request])
+        self._set_total(self.refused_bodies, memory.refused[request])
+        self.answer_bytes.set(memory.used[answer])
+        self._set_total(self.refused_answers, memory.refused[answer])
         self.caller_connections.set(callers.connections)
         self._set_total(self.accept_failures, callers.accept_failures)
         self._set_total(self.closed_idle, callers.idle_connections.closed)
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -35,6 +35,7 @@
     endpoint_ends,
     events,
     logs,
+    memory_account,
     metrics,
     packed_records,
     paths,
@@ -94,6 +95,7 @@
         paths: Opens connections to endpoints.
         carrier: Carries connections to endpoints for other nodes.
         caller_server: Listener for callers.
+        memory: Account of the bodies that the node holds.
         listeners: Other HTTP listeners by their names in events and metrics.
         endpoint_ends: Detects the ends of endpoints.
     """
@@ -143,6 +145,7 @@
             ),
         )
         self.listeners: dict[str, server.Server] = {}
+        self.memory = memory_account.MemoryAccount(node_settings.max_held_bytes)
         self.ports = make_ports(self)
         self.config = self.ports.config
         self.answers = answers.AnswerService(self)
@@ -218,7 +221,12 @@
             idle_timeout_seconds=self.settings.idle_timeout_seconds,
         )
         return server.Server(
-            address.host, address.port, handler, limits, max_connections
+            address.host,
+            address.port,
+            handler,
+            limits,
+            max_connections,
+            self.memory,
         )
 
     # Messages from other nodes.
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -21,6 +21,7 @@
     client,
     clock,
     event_streams,
+    memory_account,
     silence,
     whole_answers,
 )
@@ -235,9 +236,21 @@
         answers: Reader of the answers that are no streams.
     """
 
-    def __init__(self, dialect: Dialect):
+    def __init__(
+        self,
+        dialect: Dialect,
+        account: memory_account.MemoryAccount | None = None,
+    ):
+        """Creates the adapter.
+
+        Args:
+            dialect: Header fields and classes of answers.
+            account: Account of the node's memory, or None for one of its own.
+        """
         self.pool = ConnectionPool()
-        self.answers = whole_answers.AnswerReader()
+        self.answers = whole_answers.AnswerReader(
+            account or memory_account.MemoryAccount()
+        )
         self._dialect = dialect
 
     async def run(
@@ -328,7 +341,7 @@
             verdict = self._dialect.classify(call, head)
             if verdict is not Verdict.STRAY:
                 break
-            await self.answers.read(connection)
+            await self.answers.discard(connection)
             connection.skip_answer()
         await self._report_statements(call, connection, head, verdict)
         if verdict is Verdict.GARBAGE:
@@ -364,10 +377,15 @@
             # caller never takes a broken answer for a complete one.
             if watch is not None:
                 watch.is_bounded = True
-            body = await self.answers.read(connection)
-            await _record_progress(call, watch)
-            await sink.head(head.status, self._dialect.answer_headers(head))
-            await sink.data(body)
+            holding = self.answers.holding()
+            try:
+                body = await self.answers.read(connection, holding)
+                await _record_progress(call, watch)
+                await sink.head(head.status, self._dialect.answer_headers(head))
+                await sink.data(body)
+            finally:
+                # A sink that keeps the body counts it itself.
+                holding.release()
             sink.progress(1)
         await self._return_to_pool(call, connection, head)
         return adapters.Result(
@@ -403,7 +421,7 @@
     async def _discard_body(self, call, connection, head) -> None:
         """Reads an answer to its end, so that its connection can be reused."""
         with contextlib.suppress(client.ClientError):
-            await self.answers.read(connection)
+            await self.answers.discard(connection)
             await self._return_to_pool(call, connection, head)
 
     async def _return_to_pool(self, call, connection, head) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -20,9 +20,9 @@
 
 from baobabmux_core import errors
 from baobabmux_node import (
-    body_budget,
     clock,
     idle_connections,
+    memory_account,
     receive_buffers,
     responses,
     send_buffers,
@@ -34,6 +34,8 @@
 # Parts of a body after which other tasks get their turn. A caller may send a
 # chunk for each byte.
 _STEPS_PER_TURN = 100
+# Longest body that is sent with its head in one write.
+_MAX_JOINED_BYTES = 65_536
 # Requests of one connection after which other tasks get their turn.
 _REQUESTS_PER_TURN = 8
 # Time after which a server without descriptors tries to accept again.
@@ -161,7 +163,12 @@
         events = [head, h11.Data(data=body), h11.EndOfMessage()]
         if self.method == "HEAD":
             del events[1]
-        await self._connection.send(*events)
+        if len(body) <= _MAX_JOINED_BYTES:
+            await self._connection.send(*events)
+            return
+        # Joined to the head, a large body would be copied once more.
+        for event in events:
+            await self._connection.send(event)
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Sends the status line and the headers of an answer."""
@@ -176,6 +183,10 @@
         """Ends the answer."""
         await self._connection.send(h11.EndOfMessage())
 
+    def hold(self, size: int) -> None:
+        """Counts bytes of the answer that are held until it has been sent."""
+        self._connection.hold(size)
+
     def take_over(self) -> tuple[curio.io.Socket, bytes]:
         """Returns the socket after a successful answer to CONNECT.
 
@@ -210,7 +221,7 @@
         closing: Whether each connection closes after its next answer.
         finishing: Whether the server accepts no further request.
         unread: Answers that callers have not read yet.
-        bodies: Bodies of requests that are not answered yet.
+        memory: Account of the bodies of requests and answers.
         ahead: Callers that send further ahead than the server reads.
         max_connections: Most connections that are open at a time.
         accept_failures: How often no connection could be accepted.
@@ -225,6 +236,7 @@
         handler: Handler,
         limits: Limits,
         max_connections: int | None = None,
+        memory: memory_account.MemoryAccount | None = None,
     ):
         """Makes a server that does not listen yet.
 
@@ -236,6 +248,7 @@
             max_connections: Most connections that are open at a time, or None
                 for three quarters of the process's descriptors: each request
                 may need a connection of its own to an endpoint.
+            memory: Account of the node's memory, or None for one of its own.
         """
         self.host = host
         self.port = port
@@ -245,7 +258,7 @@
         self.closing = False
         self.finishing = False
         self.unread = send_buffers.SendBudget(limits.max_unread_bytes)
-        self.bodies = body_budget.BodyBudget()
+        self.memory = memory or memory_account.MemoryAccount()
         self.ahead = receive_buffers.AheadCounter()
         self.max_connections = (
             sockets.connections_for(sockets.usable_descriptors())
@@ -354,7 +367,12 @@
         self.received = receive_buffers.ReceiveBuffer(client, server.ahead)
         self.http = self._new_http()
         self.buffer = send_buffers.SendBuffer(client, server.unread)
-        self._room = body_budget.Reservation(server.bodies)
+        self._request_body = memory_account.Holding(
+            server.memory, memory_account.Use.REQUEST
+        )
+        self._answer_body = memory_account.Holding(
+            server.memory, memory_account.Use.ANSWER
+        )
         self._reading_stopped = False
         self._resets = False
         # Whether the answer to the request may have a body, and whether h11
@@ -423,7 +441,8 @@
                 return False
             await self._refuse(errors.ErrorKind.INTERNAL, None)
         finally:
-            self._room.release()
+            self._request_body.release()
+            self._answer_body.release()
         return True
 
     async def _next_exchange(self) -> Exchange | None:
@@ -542,7 +561,7 @@
                 body += event.data
                 if len(body) > max_bytes:
                     raise _too_large(max_bytes)
-                if len(body) > self._room.size:
+                if len(body) > self._request_body.size:
                     # Few steps, however many chunks there are.
                     ahead = min(len(body), _READ_BYTES)
                     await self._reserve_room(len(body) + ahead)
@@ -560,13 +579,16 @@
 
     async def _reserve_room(self, size: int) -> None:
         try:
-            await self._room.extend(size)
-        except body_budget.NoRoomError as error:
+            await self._request_body.extend(size)
+        except memory_account.NoRoomError as error:
             raise RequestError(
                 errors.ErrorKind.OVERLOADED,
                 "the node holds as many bytes of other bodies as it may",
             ) from error
 
+    def hold(self, size: int) -> None:
+        self._answer_body.add(size)
+
     def take_over(self) -> tuple[curio.io.Socket, bytes]:
         self.received.put_back(self.http.trailing_data[0])
         return self.client, bytes(self.received.data)
--- a/packages/baobabmux-node/src/baobabmux_node/settings.py
+++ b/packages/baobabmux-node/src/baobabmux_node/settings.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from baobabmux_core import abilities, claims, ids
+from baobabmux_node import memory_account
 
 _DEFAULT_RETENTION_SECONDS = 86_400.0
 _DEFAULT_CLAIM_WINDOW_SECONDS = 3600.0
@@ -58,6 +59,8 @@
         max_peer_connections: Most connections of nodes at a time.
         descriptors: Descriptors that sockets may use, or None for those of the
             process.
+        max_held_bytes: Bytes of requests' and answers' bodies that the node
+            holds at a time.
         max_ahead_bytes: Most bytes that are read of a caller's next requests
             while a request of the same connection is served.
         receive_timeout_seconds: Longest time to receive a header section, and
@@ -98,6 +101,7 @@
     max_tunnel_connections: int = 320
     max_peer_connections: int = 512
     descriptors: int | None = None
+    max_held_bytes: int = memory_account.MAX_HELD_BYTES
     max_ahead_bytes: int = 16_384
     receive_timeout_seconds: float = 10.0
     send_timeout_seconds: float = 20.0
@@ -158,6 +162,7 @@
         "max_admin_connections": "count",
         "max_tunnel_connections": "count",
         "max_peer_connections": "count",
+        "max_held_bytes": "count",
         "max_ahead_bytes": "count",
         "receive_timeout_seconds": "seconds",
         "send_timeout_seconds": "seconds",
--- a/packages/baobabmux-node/src/baobabmux_node/sinks.py
+++ b/packages/baobabmux-node/src/baobabmux_node/sinks.py
@@ -197,18 +197,22 @@
         super().__init__(request, exchange, on_progress)
         self._status = 0
         self._endpoint_headers: dict[str, str] = {}
-        self._body = bytearray()
+        self._parts: list[bytes] = []
+        self._length = 0
 
     async def head(self, status: int, headers: dict[str, str]) -> None:
         """Stores the status and the headers and empties the buffer."""
-        self._body.clear()
+        self._parts.clear()
+        self._length = 0
         self._status = status
         self._endpoint_headers = headers
 
     async def data(self, data: bytes) -> None:
         """Adds a part to the buffer."""
-        self._body += data
-        if len(self._body) > _MAX_BUFFERED_BYTES:
+        self._parts.append(data)
+        self._length += len(data)
+        self.exchange.hold(len(data))
+        if self._length > _MAX_BUFFERED_BYTES:
             raise AnswerTooLargeError(
                 f"the answer exceeds {_MAX_BUFFERED_BYTES} bytes"
             )
@@ -216,6 +220,7 @@
     async def end(self) -> None:
         """Sends the complete answer."""
         content_type, body = self._final_body()
+        self._parts.clear()
         headers = {**self._endpoint_headers}
         if content_type:
             headers["content-type"] = content_type
@@ -230,7 +235,8 @@
         )
 
     def _final_body(self) -> tuple[str, bytes]:
-        return self._endpoint_headers.get("content-type", ""), bytes(self._body)
+        content_type = self._endpoint_headers.get("content-type", "")
+        return content_type, b"".join(self._parts)
 
 
 class CompletionSink(BufferedSink):
@@ -241,7 +247,7 @@
             return super()._final_body()
         texts: list[str] = []
         usage = None
-        for line in bytes(self._body).split(b"\n"):
+        for line in b"".join(self._parts).split(b"\n"):
             data = line.removeprefix(b"data: ")
             if data == line or data == b"[DONE]":
                 continue
--- a/packages/baobabmux-node/tests/caller_orders_test.py
+++ b/packages/baobabmux-node/tests/caller_orders_test.py
@@ -56,6 +56,9 @@
         self.closed = curio.Event()
         self._generator = generator
 
+    def hold(self, size):
+        assert size >= 0
+
     async def wait_for_close(self):
         await self.closed.wait()
 
--- a/packages/baobabmux-node/tests/endless_answers_test.py
+++ b/packages/baobabmux-node/tests/endless_answers_test.py
@@ -12,6 +12,7 @@
     client,
     clock,
     event_streams,
+    memory_account,
     relay,
     whole_answers,
 )
@@ -159,11 +160,14 @@
 
 def test_answers_of_usual_size_arrive_beside_endless_ones():
     """Guards against a bound that ends the answers of sound endpoints."""
-    reader = whole_answers.AnswerReader()
-    reader.held_bytes = 1_000_000_000
+    account = memory_account.MemoryAccount()
+    account.used[memory_account.Use.REQUEST] = 1_000_000_000
+    reader = whole_answers.AnswerReader(account)
+    holding = reader.holding()
     connection = _Connection(100, b"xxxx")
-    assert len(curio.run(reader.read, connection)) == 402
-    assert reader.held_bytes == 1_000_000_000
+    assert len(curio.run(reader.read, connection, holding)) == 402
+    holding.release()
+    assert account.used.total() == 1_000_000_000
 
 
 class _Counter:
--- a/packages/baobabmux-node/tests/body_budget_test.py
+++ b/packages/baobabmux-node/tests/memory_account_test.py
@@ -3,7 +3,7 @@
 import curio
 import pytest
 
-from baobabmux_node import body_budget, server
+from baobabmux_node import memory_account, server
 
 _LARGE = 40_000
 _ROOM = 50_000
@@ -16,7 +16,7 @@
         self.server = server.Server(
             "127.0.0.1", 0, self._handle, server.Limits()
         )
-        self.server.bodies.max_bytes = _ROOM
+        self.server.memory.max_bytes = _ROOM
         self.released = curio.Event()
 
     async def _handle(self, exchange):
@@ -66,7 +66,7 @@
         async with curio.timeout_after(20.0):
             await scenario(served)
             # Each connection returns its room when it has been served.
-            while served.server.bodies.used:
+            while served.server.memory.used.total():
                 await curio.sleep(0.01)
 
     curio.run(run)
@@ -74,7 +74,7 @@
 
 async def _hold_one(served):
     first = await served.send(b"/held", _LARGE)
-    while served.server.bodies.used < _LARGE:
+    while served.server.memory.used.total() < _LARGE:
         await curio.sleep(0.01)
     return first
 
@@ -87,8 +87,8 @@
         first = await _hold_one(served)
         second = await served.send(b"/", _LARGE, chunked)
         assert await _read_status(second) == b"503"
-        assert served.server.bodies.used <= _ROOM
-        assert served.server.bodies.refused == 1
+        assert served.server.memory.used.total() <= _ROOM
+        assert served.server.memory.refused.total() == 1
         await served.released.set()
         assert await _read_status(first) == b"200"
 
@@ -97,17 +97,17 @@
 
 def test_body_waits_for_room(monkeypatch):
     """Guards against a refusal where there is room a moment later."""
-    monkeypatch.setattr(body_budget, "_MAX_WAIT_SECONDS", 10.0)
+    monkeypatch.setattr(memory_account, "_MAX_WAIT_SECONDS", 10.0)
 
     async def scenario(served):
         first = await _hold_one(served)
         second = await served.send(b"/", _LARGE)
         await curio.sleep(0.1)
-        assert served.server.bodies.used == _LARGE
+        assert served.server.memory.used.total() == _LARGE
         await served.released.set()
         for peer in (first, second):
             assert await _read_status(peer) == b"200"
-        assert served.server.bodies.refused == 0
+        assert served.server.memory.refused.total() == 0
 
     _play(scenario)
 
@@ -118,7 +118,7 @@
 
     async def scenario(served):
         first = await _hold_one(served)
-        served.server.bodies.max_bytes = _LARGE
+        served.server.memory.max_bytes = _LARGE
         small = await served.send(b"/", 2_000, chunked)
         assert await _read_status(small) == b"200"
         await served.released.set()
@@ -136,7 +136,51 @@
             "127.0.0.1", served.server.port
         ) as peer:
             await peer.sendall(request[: len(request) // 2])
-            while not served.server.bodies.used:
+            while not served.server.memory.used.total():
                 await curio.sleep(0.01)
 
     _play(scenario)
+
+
+def test_requests_and_answers_share_the_account():
+    """Guards against bounds whose sum exceeds the memory of a node (LOST)."""
+    account = memory_account.MemoryAccount(1_000_000)
+    request = memory_account.Holding(account, memory_account.Use.REQUEST)
+    answer = memory_account.Holding(account, memory_account.Use.ANSWER)
+
+    async def run():
+        await request.extend(900_000)
+        with pytest.raises(memory_account.NoRoomError):
+            await answer.extend(200_000)
+        assert account.refused[memory_account.Use.ANSWER] == 1
+        request.release()
+        await answer.extend(200_000)
+        assert account.used.total() == 200_000
+
+    curio.run(run)
+
+
+def test_answer_is_counted_until_its_caller_has_it():
+    """Guards against answers that are in memory but in no account."""
+
+    async def handle(exchange):
+        await exchange.read_body(0)
+        exchange.hold(_LARGE)
+        held.append(served.memory.used[memory_account.Use.ANSWER])
+        await exchange.respond(200, {}, b"x" * _LARGE)
+
+    async def run():
+        served.start()
+        await curio.spawn(served.serve, daemon=True)
+        peer = await curio.open_connection("127.0.0.1", served.port)
+        await peer.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        async with curio.timeout_after(20.0):
+            assert await _read_status(peer) == b"200"
+            while served.memory.used.total():
+                await curio.sleep(0.01)
+        await peer.close()
+
+    held = []
+    served = server.Server("127.0.0.1", 0, handle, server.Limits())
+    curio.run(run)
+    assert held == [_LARGE]
