Bound the unread answers that an empty buffer takes

A caller's empty buffer took an answer of any size, however many callers read nothing: 150 connections to the admin listener that asked for the time line eleven times each took a node to 351 MB on (bound 150 MB). Every listener had this fault; the time line is the largest answer.

An empty buffer now takes a part above 16 KiB only while the listener's budget of unread bytes has room, and parts that wait are counted. An operator who asks for more than the health of a node whose budget is used up gets 503.

New test in send_buffers_test.py.

--- a/packages/baobabmux-node/src/baobabmux_node/admin.py
+++ b/packages/baobabmux-node/src/baobabmux_node/admin.py
@@ -12,6 +12,7 @@
     from baobabmux_node import node
 
 _MAX_BODY_BYTES = 10_000
+_SMALL_ANSWERS = frozenset({"/healthz", "/readyz"})
 
 
 class DrainOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -54,6 +55,10 @@
             kind = errors.ErrorKind.METHOD_NOT_ALLOWED
             await exchange.respond(*responses.problem(kind, ""))
             return
+        if exchange.is_congested and exchange.path not in _SMALL_ANSWERS:
+            kind = errors.ErrorKind.OVERLOADED
+            await exchange.respond(*responses.problem(kind, ""))
+            return
         await exchange.respond(*query(exchange))
 
     def _health(self, exchange: server.Exchange) -> responses.Response:
--- a/packages/baobabmux-node/src/baobabmux_node/send_buffers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/send_buffers.py
@@ -13,6 +13,8 @@
 # Part of a node's bound that one connection may use.
 _CONNECTION_SHARE = 1 / 32
 _WAIT_SECONDS = 0.05
+# Part that an empty buffer keeps whatever the others hold.
+_ASSURED_BYTES = 16_384
 
 
 class SlowReaderError(Exception):
@@ -25,6 +27,7 @@
     Attributes:
         max_bytes: Bound on all bytes together.
         used: Bytes that are kept now.
+        waiting: Bytes that wait until they may be kept.
         cut_off: Number of callers that were cut off because they held up
             their answers.
     """
@@ -32,8 +35,14 @@
     def __init__(self, max_bytes: int):
         self.max_bytes = max_bytes
         self.used = 0
+        self.waiting = 0
         self.cut_off = 0
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether further answers would have to wait for slow readers."""
+        return self.used + self.waiting >= self.max_bytes
+
     @property
     def connection_bytes(self) -> int:
         """Bound on the bytes of one connection."""
@@ -81,16 +90,11 @@
         """
         self._raise_error()
         if not self._unsent:
-            data = data[self._send_now(data) :]
+            data = memoryview(data)[self._send_now(data) :]
         if not data:
             return
-        while not self._admits(len(data)):
-            if self.held_seconds >= max_held_seconds:
-                self._budget.cut_off += 1
-                raise SlowReaderError
-            await curio.sleep(_WAIT_SECONDS)
-            self.held_seconds += _WAIT_SECONDS
-            self._raise_error()
+        if not self._admits(len(data)):
+            await self._wait_for_room(len(data), max_held_seconds)
         self._unsent += data
         self._budget.used += len(data)
         if self._flusher is None:
@@ -98,6 +102,19 @@
                 self._flush, timeout_seconds, daemon=True
             )
 
+    async def _wait_for_room(self, size: int, max_held_seconds: float) -> None:
+        self._budget.waiting += size
+        try:
+            while not self._admits(size):
+                if self.held_seconds >= max_held_seconds:
+                    self._budget.cut_off += 1
+                    raise SlowReaderError
+                await curio.sleep(_WAIT_SECONDS)
+                self.held_seconds += _WAIT_SECONDS
+                self._raise_error()
+        finally:
+            self._budget.waiting -= size
+
     async def drain(self) -> None:
         """Waits until everything is sent.
 
@@ -126,10 +143,14 @@
     def _admits(self, size: int) -> bool:
         """Returns whether more may be kept.
 
-        An empty buffer takes any part: it is in memory already.
+        An empty buffer takes any part while there is room for a byte, because
+        a part may be a whole answer.
         """
         if not self._unsent:
-            return True
+            return (
+                size <= _ASSURED_BYTES
+                or self._budget.used < self._budget.max_bytes
+            )
         return (
             len(self._unsent) + size <= self._budget.connection_bytes
             and self._budget.used + size <= self._budget.max_bytes
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -129,6 +129,11 @@
         """The target without its query."""
         return self.target.partition("?")[0]
 
+    @property
+    def is_congested(self) -> bool:
+        """Whether other callers have left too many answers unread."""
+        return self._connection.server.unread.is_exhausted
+
     async def read_body(self, max_bytes: int) -> None:
         """Reads the complete body.
 
--- a/packages/baobabmux-node/tests/send_buffers_test.py
+++ b/packages/baobabmux-node/tests/send_buffers_test.py
@@ -231,3 +231,22 @@
         return budget.used, buffer.is_empty
 
     assert curio.run(run) == (0, True)
+
+
+def test_empty_buffer_takes_large_parts_only_while_there_is_room():
+    """Guards against memory that grows with callers that read nothing."""
+
+    async def run():
+        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        budget = send_buffers.SendBudget(100_000)
+        budget.used = 100_000
+        async with await curio.open_connection(*listener.getsockname()) as peer:
+            buffer = send_buffers.SendBuffer(peer, budget)
+            # More than the kernel takes.
+            with pytest.raises(send_buffers.SlowReaderError):
+                await buffer.send(b"x" * 20_000_000, 5.0, 0.1)
+            assert budget.waiting == 0
+            assert budget.is_exhausted
+        await listener.close()
+
+    curio.run(run)
