Count the names of requests in the time line's bytes

The bound of 8 MB on the time line left out the identifier of a request, which a caller chooses and which is as long as a header section may be: 5,000 events of requests with identifiers of 7 KB held 35 MB beside it (a crowd of them took a node to 79 MB on, within the test's bound of 150 MB). The new test keeps 10 such events for a bound of two before.

--- a/packages/baobabmux-core/src/baobabmux_core/timeline.py
+++ b/packages/baobabmux-core/src/baobabmux_core/timeline.py
@@ -13,7 +13,7 @@
 from baobabmux_core import hlc as clock
 from baobabmux_core import ids
 
-# Estimated memory of an event without its fields.
+# Estimated memory of an event without its names and fields.
 _EVENT_BYTES = 300
 
 
@@ -38,7 +38,7 @@
 
     def size_bytes(self) -> int:
         """Returns the estimated memory of the event in bytes."""
-        values = self.fields.values()
+        values = (self.request, self.endpoint, *self.fields.values())
         return _EVENT_BYTES + sum(len(str(value)) for value in values)
 
 
--- a/packages/baobabmux-core/tests/timeline_test.py
+++ b/packages/baobabmux-core/tests/timeline_test.py
@@ -19,6 +19,14 @@
     assert len(events) == 1
 
 
+def test_long_names_of_requests_count():
+    """Guards against names that callers choose and no bound counts."""
+    events = timeline.Timeline(max_events=100, max_bytes=20_000)
+    for stamp in range(10):
+        events.add(_event(stamp, request="x" * 8_000))
+    assert len(events) == 2
+
+
 def test_request_is_found_by_its_callers_identifier():
     """Guards against a search by the caller's identifier that finds nothing."""
     events = timeline.Timeline(max_events=10)
