Let a node accept as many tunnels as it may carry

A sixteenth of 3,900 descriptors (243) is less than the 256 tunnels that a node carries for others; a twelfth is not.

The count of requests sent ahead is an attribute of the server instead of a class of its own.

--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -384,7 +384,7 @@
         self.caller_connections.set(callers.connections)
         self._set_total(self.accept_failures, callers.accept_failures)
         self._set_total(self.closed_idle, callers.idle_connections.closed)
-        self._set_total(self.sent_ahead, callers.ahead.reached)
+        self._set_total(self.sent_ahead, callers.sent_ahead)
 
     def update_listeners(self, listeners, peers) -> None:
         """Copies the counts of the listeners that are not for callers."""
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -67,10 +67,11 @@
 # Shorter delays are normal on a busy VM and are not recorded.
 _MIN_PAUSE_SECONDS = 1.0
 
-# Parts of the descriptors that the connections of peers, and those of another
-# listener that is not for callers, may take.
+# Parts of the descriptors that the connections of listeners which are not for
+# callers may take.
 _PEERS_SHARE = 1 / 8
-_LISTENER_SHARE = 1 / 16
+_TUNNELS_SHARE = 1 / 12
+_ADMIN_SHARE = 1 / 16
 
 Kind = catalogue.EventKind
 
@@ -180,7 +181,7 @@
                 node_settings.tunnels,
                 self.carrier.handle,
                 self._spare_connections(
-                    node_settings.max_tunnel_connections, _LISTENER_SHARE
+                    node_settings.max_tunnel_connections, _TUNNELS_SHARE
                 ),
             )
             self.listeners["tunnels"] = self._tunnel_server
@@ -198,7 +199,7 @@
     def admin_connections(self) -> int:
         """Most connections of a listener for operators or the platform."""
         return self._spare_connections(
-            self.settings.max_admin_connections, _LISTENER_SHARE
+            self.settings.max_admin_connections, _ADMIN_SHARE
         )
 
     def _spare_connections(self, limit: int, share: float) -> int:
--- a/packages/baobabmux-node/src/baobabmux_node/receive_buffers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/receive_buffers.py
@@ -5,6 +5,8 @@
 control, at the caller.
 """
 
+from collections.abc import Callable
+
 import curio
 
 from baobabmux_node import sockets
@@ -12,35 +14,25 @@
 _CLOSE_CHECK_SECONDS = 1.0
 
 
-class AheadCounter:
-    """Counts callers that send further ahead than the node reads.
-
-    Attributes:
-        reached: How often a connection reached its bound while a request of
-            it was being served.
-    """
-
-    def __init__(self):
-        self.reached = 0
-
-
 class ReceiveBuffer:
     """Received bytes of one connection.
 
     Args:
         client: Socket of the connection.
-        counter: Counter that all connections of a listener share.
+        report_bound: Called when the caller has sent as far ahead as is read.
 
     Attributes:
         data: Bytes that no request has taken.
         ended: Whether the caller has ended its side of the connection.
     """
 
-    def __init__(self, client: curio.io.Socket, counter: AheadCounter):
+    def __init__(
+        self, client: curio.io.Socket, report_bound: Callable[[], None]
+    ):
         self.data = bytearray()
         self.ended = False
         self._client = client
-        self._counter = counter
+        self._report_bound = report_bound
 
     async def receive(self, max_bytes: int) -> bool:
         """Adds bytes that arrive; returns whether there were any.
@@ -82,6 +74,6 @@
         while (room := max_ahead_bytes - len(self.data)) > 0:
             if not await self.receive(room):
                 return
-        self._counter.reached += 1
+        self._report_bound()
         while sockets.is_established(self._client):
             await curio.sleep(_CLOSE_CHECK_SECONDS)
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -227,7 +227,8 @@
         finishing: Whether the server accepts no further request.
         unread: Answers that callers have not read yet.
         memory: Account of the bodies of requests and answers.
-        ahead: Callers that send further ahead than the server reads.
+        sent_ahead: Requests beside which a caller sent further ahead than is
+            read.
         max_connections: Most connections that are open at a time.
         accept_failures: How often no connection could be accepted.
         waits: How often a caller had to wait until there was room for it.
@@ -264,7 +265,7 @@
         self.finishing = False
         self.unread = send_buffers.SendBudget(limits.max_unread_bytes)
         self.memory = memory or memory_account.MemoryAccount()
-        self.ahead = receive_buffers.AheadCounter()
+        self.sent_ahead = 0
         self.max_connections = (
             sockets.connections_for(sockets.usable_descriptors())
             if max_connections is None
@@ -369,7 +370,9 @@
     def __init__(self, client, server: Server):
         self.client = client
         self.server = server
-        self.received = receive_buffers.ReceiveBuffer(client, server.ahead)
+        self.received = receive_buffers.ReceiveBuffer(
+            client, self._count_sent_ahead
+        )
         self.http = self._new_http()
         self.buffer = send_buffers.SendBuffer(client, server.unread)
         self._request_body = memory_account.Holding(
@@ -385,6 +388,9 @@
         self._has_body = True
         self._is_chunked = False
 
+    def _count_sent_ahead(self) -> None:
+        self.server.sent_ahead += 1
+
     def has_received(self) -> bool:
         """Returns whether bytes of the next request have arrived."""
         if self.received.data:
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -244,7 +244,7 @@
                 open=callers.connections,
                 limit=callers.max_connections,
             )
-        ahead = self._increase("ahead", callers.ahead.reached)
+        ahead = self._increase("sent ahead", callers.sent_ahead)
         if ahead:
             self._host.events.record(
                 Kind.REQUESTS_SENT_AHEAD,
--- a/packages/baobabmux-node/tests/receive_buffers_test.py
+++ b/packages/baobabmux-node/tests/receive_buffers_test.py
@@ -98,7 +98,7 @@
             sender = await curio.spawn(
                 peer.sendall, _request("/slow") + ahead, daemon=True
             )
-            await _until(lambda: served.server.ahead.reached)
+            await _until(lambda: served.server.sent_ahead)
             await curio.sleep(0.1)
             assert served.received_bytes() <= _MAX_AHEAD_BYTES
             await sender.cancel()
@@ -116,7 +116,7 @@
             data = b"".join(map(_request, ["/slow", *paths]))
             assert len(data) > 4 * _MAX_AHEAD_BYTES
             await peer.sendall(data)
-            await _until(lambda: served.server.ahead.reached)
+            await _until(lambda: served.server.sent_ahead)
             await gate.set()
             await _read(peer, len(paths) + 1)
             assert served.paths == ["/slow", *paths]
@@ -206,7 +206,7 @@
 
 
 def test_bytes_that_are_put_back_come_first():
-    buffer = receive_buffers.ReceiveBuffer(None, receive_buffers.AheadCounter())
+    buffer = receive_buffers.ReceiveBuffer(None, lambda: None)
     buffer.data += b"cd"
     buffer.put_back(b"ab")
     assert buffer.take(3) == b"abc"
