--- a/packages/baobabmux-node/tests/receive_buffers_test.py
+++ b/packages/baobabmux-node/tests/receive_buffers_test.py
@@ -1,6 +1,7 @@
 """Tests of requests that callers send ahead of the answers."""
 
 import contextlib
+import random
 import socket
 
 import curio
@@ -147,6 +148,73 @@
     curio.run(run)
 
 
+def _random_requests(generator):
+    """Returns the bytes of some requests, and their paths and bodies."""
+    data, expected = b"", []
+    for number in range(generator.randrange(1, 12)):
+        path = f"/{number}"
+        body = generator.randbytes(generator.choice((0, 1, 500, 5_000)))
+        expected.append((path, body))
+        if generator.random() < 0.5:
+            data += _request(path, body)
+            continue
+        data += f"POST {path} HTTP/1.1\r\nHost: x\r\n".encode()
+        data += b"Transfer-Encoding: chunked\r\n\r\n"
+        while body:
+            size = generator.randrange(1, len(body) + 1)
+            data += b"%x\r\n%b\r\n" % (size, body[:size])
+            body = body[size:]
+        data += b"0\r\n\r\n"
+    return data, expected
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_requests_are_the_same_however_they_arrive(seed):
+    """Guards against bytes that are lost, doubled or taken by another request.
+
+    The handler lets some requests wait, so that bytes arrive at each moment.
+    """
+    generator = random.Random(seed)
+    data, expected = _random_requests(generator)
+    handled = []
+
+    async def handle(exchange):
+        if generator.random() < 0.3:
+            await curio.sleep(0.002)
+        await exchange.read_body(100_000)
+        watcher = await curio.spawn(exchange.wait_for_close, daemon=True)
+        await curio.sleep(generator.choice((0, 0, 0.002)))
+        await watcher.cancel()
+        handled.append((exchange.path, exchange.body))
+        await exchange.respond(200, {}, b"")
+
+    async def run():
+        served = server.Server(
+            "127.0.0.1",
+            0,
+            handle,
+            server.Limits(
+                max_header_bytes=_MAX_AHEAD_BYTES - 1,
+                max_ahead_bytes=_MAX_AHEAD_BYTES,
+            ),
+        )
+        served.start()
+        task = await curio.spawn(served.serve, daemon=True)
+        peer = await curio.open_connection("127.0.0.1", served.port)
+        rest = data
+        while rest:
+            size = generator.choice((1, 7, 100, 3_000, len(rest)))
+            await peer.sendall(rest[:size])
+            rest = rest[size:]
+            await curio.sleep(generator.choice((0, 0, 0.001)))
+        await _until(lambda: len(handled) == len(expected))
+        await peer.close()
+        await task.cancel()
+
+    curio.run(run)
+    assert handled == expected
+
+
 @pytest.mark.parametrize("ahead", [0, 10, 10_000])
 def test_reset_of_a_caller_that_sends_ahead_is_noticed(ahead):
     """Guards against a request that goes on for a caller that has left."""
