Read frames of other nodes without nng, and bound their connections

Whoever reached the port of peers could take the descriptors of a node: nng accepts each connection before the process is asked, and one that the process refuses counts until nng has closed it. 900 connections took a node to 921 descriptors on (bound 700; x86-64, alone).

The receiving side is `FrameListener` now. It speaks the published protocol (SP over TCP, PULL), accepts connections on curio's loop and closes those beyond its bound at once; nodes still send by pynng. Frames are handled one at a time, as before. The listener is one of the node's listeners, so that metrics and events no longer treat peers as a special case.

--- /dev/null
+++ b/packages/baobabmux-node/src/baobabmux_node/frame_listener.py
@@ -0,0 +1,157 @@
+"""Accepts connections of other nodes and reads their frames.
+
+Nodes send by PUSH sockets of pynng. The receiving side is read here, because a
+PULL socket of nng accepts connections, and reads whole frames, before it asks
+the process: whoever reaches the port could take its descriptors and memory.
+
+Source: SP over TCP (Scalability Protocols, mapping for TCP), protocols PUSH and
+PULL version 0. Both sides send a preamble of 8 bytes; each message follows its
+length, 8 bytes in network byte order.
+"""
+
+import contextlib
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import curio
+import curio.io
+
+from baobabmux_node import sockets
+
+MAX_CONNECTIONS = 512
+_MAX_FRAME_BYTES = 4_000_000
+_READ_BYTES = 65_536
+_BACKLOG = 512
+_PUSH_PREAMBLE = b"\x00SP\x00\x00\x50\x00\x00"
+_PULL_PREAMBLE = b"\x00SP\x00\x00\x51\x00\x00"
+_LENGTH = struct.Struct(">Q")
+# Time after which a listener without descriptors tries to accept again.
+_ACCEPT_PAUSE_SECONDS = 0.05
+
+# Handles a frame; returns whether it was one.
+FrameHandler = Callable[[bytes], Awaitable[bool]]
+
+
+class FrameListener:
+    """Listener for other nodes.
+
+    Attributes:
+        address: "HOST:PORT" on which it listens, set by `start`.
+        max_connections: Most connections that are open at a time.
+        waits: Connections that were closed at once, as there was no room.
+    """
+
+    def __init__(self, max_connections: int = MAX_CONNECTIONS):
+        self.address = ""
+        self.max_connections = max_connections
+        self.waits = 0
+        self._open: set[_Connection] = set()
+        self._socket: curio.io.Socket | None = None
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._open)
+
+    def start(self, host: str, port: int) -> None:
+        """Binds the listener; the address is known afterwards."""
+        is_ipv6 = ":" in host
+        self._socket = curio.tcp_server_socket(
+            host,
+            port,
+            family=socket.AF_INET6 if is_ipv6 else socket.AF_INET,
+            backlog=_BACKLOG,
+        )
+        port = self._socket.getsockname()[1]
+        self.address = f"[{host}]:{port}" if is_ipv6 else f"{host}:{port}"
+
+    async def serve(self, handle: FrameHandler) -> None:
+        """Passes the frames of all connections to a handler until cancelled."""
+        async with self._socket:
+            while True:
+                client = await self._accept()
+                if self.connections >= self.max_connections:
+                    self.waits += 1
+                    await client.close()
+                    continue
+                connection = _Connection(client)
+                self._open.add(connection)
+                await curio.spawn(self._serve, connection, handle, daemon=True)
+                # A crowd of connections must not hold up those that are open.
+                await curio.sleep(0)
+
+    def close(self) -> None:
+        """Closes the connections."""
+        for connection in self._open:
+            connection.close()
+
+    async def _accept(self) -> curio.io.Socket:
+        while True:
+            try:
+                client, _ = await self._socket.accept()
+                return client
+            except OSError as error:
+                if sockets.is_listener_error(error):
+                    raise
+                if sockets.is_exhaustion(error):
+                    await curio.sleep(_ACCEPT_PAUSE_SECONDS)
+
+    async def _serve(
+        self, connection: "_Connection", handle: FrameHandler
+    ) -> None:
+        try:
+            async with connection.client:
+                await connection.run(handle)
+        except (OSError, EOFError):
+            pass
+        finally:
+            self._open.discard(connection)
+
+
+class _Connection:
+    """One connection of a node.
+
+    Attributes:
+        client: Its socket.
+    """
+
+    def __init__(self, client: curio.io.Socket):
+        self.client = client
+        self._received = bytearray()
+
+    def close(self) -> None:
+        """Ends the connection; a frame that is complete is still handled."""
+        with contextlib.suppress(OSError):
+            self.client._socket.shutdown(socket.SHUT_RDWR)
+
+    async def run(self, handle: FrameHandler) -> None:
+        """Reads frames until the connection ends.
+
+        Raises:
+            EOFError: The peer closed the connection.
+            OSError: The connection was reset.
+        """
+        await self.client.sendall(_PULL_PREAMBLE)
+        if await self._take(len(_PUSH_PREAMBLE)) != _PUSH_PREAMBLE:
+            return
+        while True:
+            (size,) = _LENGTH.unpack(await self._take(_LENGTH.size))
+            if size > _MAX_FRAME_BYTES:
+                return
+            await handle(await self._take(size))
+
+    async def _take(self, size: int) -> bytes:
+        """Removes and returns bytes, once so many have arrived."""
+        received = self._received
+        while len(received) < size:
+            data = await self.client.recv(_READ_BYTES)
+            if not data:
+                raise EOFError
+            received += data
+            if len(data) == _READ_BYTES:
+                # `recv` does not give other tasks a turn if more has arrived.
+                await curio.sleep(0)
+        taken = bytes(received[:size])
+        del received[:size]
+        return taken
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -386,15 +386,11 @@
         self._set_total(self.closed_idle, callers.idle_connections.closed)
         self._set_total(self.sent_ahead, callers.sent_ahead)
 
-    def update_listeners(self, listeners, peers) -> None:
+    def update_listeners(self, listeners) -> None:
         """Copies the counts of the listeners that are not for callers."""
         for name, listener in listeners.items():
             self.listener_connections.labels(name).set(listener.connections)
             self._set_total(self.listener_waits.labels(name), listener.waits)
-        self.listener_connections.labels("peers").set(peers.connections)
-        self._set_total(
-            self.listener_waits.labels("peers"), peers.refused_connections
-        )
 
     def update_misdirected(self, asks: int) -> None:
         """Copies the count of asks for groups that are not owned here."""
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -34,6 +34,7 @@
     driver,
     endpoint_ends,
     events,
+    frame_listener,
     logs,
     memory_account,
     metrics,
@@ -97,7 +98,8 @@
         carrier: Carries connections to endpoints for other nodes.
         caller_server: Listener for callers.
         memory: Account of the bodies that the node holds.
-        listeners: Other HTTP listeners by their names in events and metrics.
+        listeners: Listeners that are not for callers, by their names in events
+            and metrics.
         endpoint_ends: Detects the ends of endpoints.
     """
 
@@ -141,11 +143,15 @@
             node_settings.secret,
             self.membership.peer_address,
             self.events.stamp,
-            self._spare_connections(
-                node_settings.max_peer_connections, _PEERS_SHARE
+            frame_listener.FrameListener(
+                self._spare_connections(
+                    node_settings.max_peer_connections, _PEERS_SHARE
+                )
             ),
         )
-        self.listeners: dict[str, server.Server] = {}
+        self.listeners: dict[
+            str, server.Server | frame_listener.FrameListener
+        ] = {"peers": self.peers.listener}
         self.memory = memory_account.MemoryAccount(node_settings.max_held_bytes)
         self.ports = make_ports(self)
         self.config = self.ports.config
@@ -520,7 +526,7 @@
         unread = self.caller_server.unread
         self.metrics.update_unread(unread.used, unread.cut_off)
         self.metrics.update_connections(self.caller_server)
-        self.metrics.update_listeners(self.listeners, self.peers)
+        self.metrics.update_listeners(self.listeners)
         trials = self.scheduler.view.rollouts.trials.values()
         self.metrics.update_rollouts(trials, now)
         if self.configuration is not None:
--- a/packages/baobabmux-node/src/baobabmux_node/peers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -1,28 +1,26 @@
-"""Transport of frames between nodes, over pynng sockets on curio's loop.
+"""Transport of frames between nodes.
 
-The module owns the sockets, the queues of outgoing messages and the record of
-frames that peers have not acknowledged.
+The module owns the sockets that send, over pynng, the queues of outgoing
+messages and the record of frames that peers have not acknowledged. What arrives
+is read by `frame_listener`.
 """
 
 import collections
+import functools
 import logging
 from collections.abc import Awaitable, Callable
 
 import curio
 import pynng
-from curio.traps import _read_wait
 from pynng import _nng
 
 from baobabmux_core import ids, messages, revisions
-from baobabmux_node import clock, wall_clock
+from baobabmux_node import clock, frame_listener, wall_clock
 
-MAX_CONNECTIONS = 512
 _LOG = logging.getLogger(__name__)
 # Failures of a kind that are logged one by one; event 904 counts all.
 _MAX_LOGGED = 20
 _SEND_BUFFER_FRAMES = 64
-_RECEIVE_BUFFER_FRAMES = 1024
-_MAX_FRAME_BYTES = 4_000_000
 # Two heartbeat intervals in each direction; a working connection is
 # acknowledged sooner.
 _ACKNOWLEDGEMENT_TIMEOUT_SECONDS = 1.5
@@ -62,7 +60,7 @@
     Attributes:
         node: Name of this node.
         incarnation: Start time in Unix milliseconds.
-        address: Address that this node listens on, set by `start`.
+        listener: Receives the frames of other nodes.
         sent_bytes: Bytes sent.
         received_bytes: Bytes received.
         dropped_frames: Frames dropped for a full buffer or an unknown address.
@@ -71,8 +69,6 @@
         revisions: Revisions of the peers.
         unencodable: Numbers of messages that no frame can carry, by type.
         failed_frames: Frames whose handling ended with an unexpected error.
-        max_connections: Most connections of other nodes at a time.
-        refused_connections: Connections closed at once for that bound.
         reconnects: Connections closed because the peer acknowledged no frames;
             the next frame opens a new one.
     """
@@ -83,11 +79,11 @@
         secret: bytes,
         address_of: Callable[[ids.NodeId], str | None],
         stamp: Callable[[], int],
-        max_connections: int = MAX_CONNECTIONS,
+        listener: frame_listener.FrameListener | None = None,
     ):
         self.node = node
         self.incarnation = wall_clock.unix_ms()
-        self.address = ""
+        self.listener = listener or frame_listener.FrameListener()
         self.sent_bytes = 0
         self.received_bytes = 0
         self.dropped_frames = 0
@@ -100,9 +96,8 @@
         self._address_of = address_of
         self._stamp = stamp
         self._sequence = 0
-        self.max_connections = max_connections
-        self.refused_connections = 0
-        self._pull_socket = None
+        # Frames are handled one at a time.
+        self._turn = curio.Lock()
         self.reconnects = 0
         self._newest_frames: dict[ids.NodeId, tuple[int, int]] = {}
         self._unacknowledged: dict[ids.NodeId, _Unacknowledged] = {}
@@ -110,26 +105,14 @@
         self._outbox: dict[ids.NodeId, list[messages.AnyMessage]] = {}
         self._messages_queued = curio.Event()
 
-    def start(self, host: str, port: int) -> None:
-        """Listens for other nodes."""
-        self._pull_socket = pynng.Pull0(
-            recv_buffer_size=_RECEIVE_BUFFER_FRAMES,
-            recv_max_size=_MAX_FRAME_BYTES,
-        )
-        self._pull_socket.add_pre_pipe_connect_cb(self._limit_connections)
-        self._pull_socket.listen(f"tcp://{host}:{port}")
-        self.address = str(self._pull_socket.listeners[0].local_address)
-
     @property
-    def connections(self) -> int:
-        """Number of connections of other nodes."""
-        return 0 if self._pull_socket is None else len(self._pull_socket.pipes)
+    def address(self) -> str:
+        """Address that this node listens on, known after `start`."""
+        return self.listener.address
 
-    def _limit_connections(self, pipe: pynng.Pipe) -> None:
-        # nng calls this on a thread of its own, before the connection is used.
-        if self.connections > self.max_connections:
-            self.refused_connections += 1
-            pipe.close()
+    def start(self, host: str, port: int) -> None:
+        """Listens for other nodes."""
+        self.listener.start(host, port)
 
     def enqueue(self, to: ids.NodeId, message: messages.AnyMessage) -> None:
         """Queues a message for the next frame to a node."""
@@ -163,30 +146,33 @@
 
     async def receive_frames(self, receiver: Receiver) -> None:
         """Passes frames to a receiver until cancelled."""
-        while True:
-            await _read_wait(self._pull_socket.recv_fd)
-            while (data := self._receive()) is not None:
-                self.received_bytes += len(data)
-                try:
-                    received = messages.receive_frame(data, self._secret)
-                except messages.FrameError:
-                    self.rejected_frames += 1
-                    continue
-                frame = received.frame
-                self.unknown.record(frame.sender, received.unknown)
-                self._newest_frames[frame.sender] = (
-                    frame.sequence,
-                    frame.incarnation,
-                )
-                try:
-                    await receiver(frame)
-                except Exception:
-                    # One frame must not end the task that receives all.
-                    self.failed_frames += 1
-                    if self.failed_frames <= _MAX_LOGGED:
-                        _LOG.exception(
-                            "a frame of %s was not handled", frame.sender
-                        )
+        await self.listener.serve(functools.partial(self._receive, receiver))
+
+    async def _receive(self, receiver: Receiver, data: bytes) -> bool:
+        """Passes a frame to a receiver; returns whether it could be decoded."""
+        self.received_bytes += len(data)
+        try:
+            received = messages.receive_frame(data, self._secret)
+        except messages.FrameError:
+            self.rejected_frames += 1
+            return False
+        frame = received.frame
+        async with self._turn:
+            self.unknown.record(frame.sender, received.unknown)
+            self._newest_frames[frame.sender] = (
+                frame.sequence,
+                frame.incarnation,
+            )
+            try:
+                await receiver(frame)
+            except Exception:
+                # One frame must not end the task that reads its connection.
+                self.failed_frames += 1
+                if self.failed_frames <= _MAX_LOGGED:
+                    _LOG.exception(
+                        "a frame of %s was not handled", frame.sender
+                    )
+        return True
 
     def newest_frame_from(self, node: ids.NodeId) -> tuple[int, int]:
         """Returns number and incarnation of a node's newest frame, or -1s."""
@@ -251,17 +237,7 @@
         """Closes all sockets."""
         for node in list(self._push_sockets):
             self.forget(node)
-        if self._pull_socket is not None:
-            self._pull_socket.close()
-
-    def _receive(self) -> bytes | None:
-        try:
-            return self._pull_socket.recv(block=False)
-        except pynng.TryAgain:
-            return None
-        except RuntimeError:
-            # pynng cannot return a frame without bytes.
-            return b""
+        self.listener.close()
 
     def _send(
         self, to: ids.NodeId, queued: tuple[messages.AnyMessage, ...]
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import errno
 import http
 import itertools
 import logging
@@ -42,8 +41,6 @@
 _ACCEPT_PAUSE_SECONDS = 0.05
 # Idle connections that are closed at once if descriptors are lacking.
 _MAX_CLOSED_AT_ONCE = 16
-# `accept` reports these for a listener that cannot be used any more.
-_LISTENER_ERRORS = frozenset({errno.EBADF, errno.EINVAL, errno.ENOTSOCK})
 # RFC 9112, 6.3
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
@@ -311,7 +308,7 @@
                     client, _ = await self._socket.accept()
                     return client
                 except OSError as error:
-                    if error.errno in _LISTENER_ERRORS:
+                    if sockets.is_listener_error(error):
                         raise
                     self.accept_failures += 1
                     if not sockets.is_exhaustion(error):
--- a/packages/baobabmux-node/src/baobabmux_node/sockets.py
+++ b/packages/baobabmux-node/src/baobabmux_node/sockets.py
@@ -16,6 +16,7 @@
         errno.EADDRNOTAVAIL,  # `connect` found no free port.
     }
 )
+_LISTENER_ERRORS = frozenset({errno.EBADF, errno.EINVAL, errno.ENOTSOCK})
 # First byte of TCP_INFO on Linux.
 _TCP_ESTABLISHED = 1
 
@@ -25,6 +26,11 @@
     return error.errno in _EXHAUSTION
 
 
+def is_listener_error(error: OSError) -> bool:
+    """Returns whether `accept` failed as its listener cannot be used."""
+    return error.errno in _LISTENER_ERRORS
+
+
 def set_reset_on_close(connection, enabled: bool) -> None:
     """Chooses whether a connection is reset when it is closed.
 
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -253,29 +253,15 @@
             )
 
     def _check_listeners(self) -> None:
-        peers = self._host.peers
-        counts = {
-            name: (
-                listener.waits,
-                listener.connections,
-                listener.max_connections,
-            )
-            for name, listener in self._host.listeners.items()
-        }
-        counts["peers"] = (
-            peers.refused_connections,
-            peers.connections,
-            peers.max_connections,
-        )
-        for name, (waits, connections, limit) in counts.items():
-            increase = self._increase(f"waits at {name}", waits)
+        for name, listener in self._host.listeners.items():
+            increase = self._increase(f"waits at {name}", listener.waits)
             if increase:
                 self._host.events.record(
                     Kind.LISTENER_FULL,
                     listener=name,
                     count=increase,
-                    open=connections,
-                    limit=limit,
+                    open=listener.connections,
+                    limit=listener.max_connections,
                 )
 
     def _increase(self, name: str, total: int) -> int:
