Bound memory and time of frames that other nodes do not finish

A frame that does not arrive in one piece is held in the account of bodies now, so that frames of more than 64 KiB together with bodies stay within `limits.max_held_bytes`. Without room for a second it is given up with its connection, and so is one that does not end within `limits.receive_timeout_seconds`. Nodes open the connection anew and repeat what needs an answer.

New: event 908, three metrics, tests in frame_listener_test.py.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -265,6 +265,11 @@
         "The listener for {listener} has no room for connections: {count} times"
         " one had to wait or was refused; {open} are open, {limit} may be.",
     )
+    FRAMES_GIVEN_UP = (
+        908,
+        "Connections of nodes were closed: {refused} without room in memory for"
+        " their frame, {unfinished} whose frame did not end in time.",
+    )
     UNKNOWN_RECEIVED = (
         903,
         "Node {peer}, of revision {revision} at least, sent what this build"
--- a/packages/baobabmux-node/src/baobabmux_node/frame_listener.py
+++ b/packages/baobabmux-node/src/baobabmux_node/frame_listener.py
@@ -17,7 +17,7 @@
 import curio
 import curio.io
 
-from baobabmux_node import sockets
+from baobabmux_node import clock, memory_account, sockets
 
 MAX_CONNECTIONS = 512
 _MAX_FRAME_BYTES = 4_000_000
@@ -28,6 +28,7 @@
 _LENGTH = struct.Struct(">Q")
 # Time after which a listener without descriptors tries to accept again.
 _ACCEPT_PAUSE_SECONDS = 0.05
+_FRAME_TIMEOUT_SECONDS = 10.0
 
 # Handles a frame; returns whether it was one.
 FrameHandler = Callable[[bytes], Awaitable[bool]]
@@ -39,13 +40,31 @@
     Attributes:
         address: "HOST:PORT" on which it listens, set by `start`.
         max_connections: Most connections that are open at a time.
+        frame_timeout_seconds: Longest time for a frame to arrive.
+        memory: Account of the bodies and frames of the node.
         waits: Connections that were closed at once, as there was no room.
+        unfinished: Connections that were closed as a frame did not end in time.
     """
 
-    def __init__(self, max_connections: int = MAX_CONNECTIONS):
+    def __init__(
+        self,
+        max_connections: int = MAX_CONNECTIONS,
+        frame_timeout_seconds: float = _FRAME_TIMEOUT_SECONDS,
+        memory: memory_account.MemoryAccount | None = None,
+    ):
+        """Creates a listener that does not listen yet.
+
+        Args:
+            max_connections: Most connections that are open at a time.
+            frame_timeout_seconds: Longest time for a frame to arrive.
+            memory: Account of the node's memory, or None for one of its own.
+        """
         self.address = ""
         self.max_connections = max_connections
+        self.frame_timeout_seconds = frame_timeout_seconds
+        self.memory = memory or memory_account.MemoryAccount()
         self.waits = 0
+        self.unfinished = 0
         self._open: set[_Connection] = set()
         self._socket: curio.io.Socket | None = None
 
@@ -75,7 +94,7 @@
                     self.waits += 1
                     await client.close()
                     continue
-                connection = _Connection(client)
+                connection = _Connection(client, self.memory)
                 self._open.add(connection)
                 await curio.spawn(self._serve, connection, handle, daemon=True)
                 # A crowd of connections must not hold up those that are open.
@@ -86,6 +105,21 @@
         for connection in self._open:
             connection.close()
 
+    def close_unfinished(self, now: float) -> None:
+        """Closes the connections whose frames do not end in time.
+
+        Args:
+            now: Time on the node's clock in seconds.
+        """
+        for connection in self._open:
+            began_at = connection.frame_began_at
+            if (
+                began_at is not None
+                and now - began_at > self.frame_timeout_seconds
+            ):
+                self.unfinished += 1
+                connection.close()
+
     async def _accept(self) -> curio.io.Socket:
         while True:
             try:
@@ -103,9 +137,10 @@
         try:
             async with connection.client:
                 await connection.run(handle)
-        except (OSError, EOFError):
+        except (OSError, EOFError, memory_account.NoRoomError):
             pass
         finally:
+            connection.holding.release()
             self._open.discard(connection)
 
 
@@ -114,14 +149,22 @@
 
     Attributes:
         client: Its socket.
+        holding: What is held of a frame that did not arrive in one piece.
+        frame_began_at: Time in seconds at which a frame was first found to be
+            incomplete, or None between frames.
     """
 
-    def __init__(self, client: curio.io.Socket):
+    def __init__(
+        self, client: curio.io.Socket, memory: memory_account.MemoryAccount
+    ):
         self.client = client
+        self.holding = memory_account.Holding(memory, memory_account.Use.FRAME)
+        self.frame_began_at: float | None = None
         self._received = bytearray()
 
     def close(self) -> None:
         """Ends the connection; a frame that is complete is still handled."""
+        self.frame_began_at = None
         with contextlib.suppress(OSError):
             self.client._socket.shutdown(socket.SHUT_RDWR)
 
@@ -130,21 +173,33 @@
 
         Raises:
             EOFError: The peer closed the connection.
+            NoRoomError: There was no room for a frame.
             OSError: The connection was reset.
         """
         await self.client.sendall(_PULL_PREAMBLE)
         if await self._take(len(_PUSH_PREAMBLE)) != _PUSH_PREAMBLE:
             return
+        self.frame_began_at = None
         while True:
             (size,) = _LENGTH.unpack(await self._take(_LENGTH.size))
             if size > _MAX_FRAME_BYTES:
                 return
-            await handle(await self._take(size))
+            frame = await self._take(size, begun=True)
+            self.frame_began_at = None
+            await handle(frame)
+            self.holding.release()
+
+    async def _take(self, size: int, begun: bool = False) -> bytes:
+        """Removes and returns bytes, once so many have arrived.
 
-    async def _take(self, size: int) -> bytes:
-        """Removes and returns bytes, once so many have arrived."""
+        Args:
+            size: Number of the bytes.
+            begun: Whether others, which belong to them, have been taken.
+        """
         received = self._received
         while len(received) < size:
+            if received or begun:
+                await self._hold(len(received))
             data = await self.client.recv(_READ_BYTES)
             if not data:
                 raise EOFError
@@ -155,3 +210,9 @@
         taken = bytes(received[:size])
         del received[:size]
         return taken
+
+    async def _hold(self, size: int) -> None:
+        """Counts the bytes of a frame that is incomplete."""
+        if self.frame_began_at is None:
+            self.frame_began_at = clock.now()
+        await self.holding.extend(size)
--- a/packages/baobabmux-node/src/baobabmux_node/memory_account.py
+++ b/packages/baobabmux-node/src/baobabmux_node/memory_account.py
@@ -1,9 +1,11 @@
-"""One account of the bodies that a node holds for its callers.
+"""One account of the bodies and frames that a node holds.
 
 The bodies of requests are held until the requests are answered, because an
 attempt may have to be repeated. The bodies of answers that are passed on as a
 whole are held until their callers, or the buffers for them, have taken them.
-What finds no room waits for a moment, unread, and is then given up.
+Frames of other nodes are held from the moment at which they do not arrive in
+one piece until they are handled. What finds no room waits for a moment, unread,
+and is then given up.
 """
 
 import collections
@@ -23,24 +25,29 @@
 
     REQUEST = "request"
     ANSWER = "answer"
+    FRAME = "frame"
 
 
-# Part of a body that is read whatever the others hold, so that bodies of usual
-# size are served beside oversized ones.
-_ASSURED_BYTES = {Use.REQUEST: 16_384, Use.ANSWER: 65_536}
+# Part of a body or frame that is read whatever the others hold, so that those
+# of usual size are served beside oversized ones.
+_ASSURED_BYTES = {
+    Use.REQUEST: 16_384,
+    Use.ANSWER: 65_536,
+    Use.FRAME: 65_536,
+}
 
 
 class NoRoomError(Exception):
-    """The bodies that are held leave no room for another one."""
+    """The bodies and frames that are held leave no room for another one."""
 
 
 class MemoryAccount:
-    """Bytes of the bodies that a node holds.
+    """Bytes of the bodies and frames that a node holds.
 
     Attributes:
         max_bytes: Bound on all bytes together, beyond the assured ones.
         used: Bytes that are held now, by use.
-        refused: Number of bodies that found no room, by use.
+        refused: Number of bodies and frames that found no room, by use.
     """
 
     def __init__(self, max_bytes: int = MAX_HELD_BYTES):
@@ -54,7 +61,7 @@
 
 
 class Holding:
-    """What is held of one body.
+    """What is held of one body or frame.
 
     Args:
         account: Account of the node.
@@ -70,10 +77,10 @@
         self._use = use
 
     async def extend(self, size: int) -> None:
-        """Takes room for a body, or for more of it.
+        """Takes room for a body or frame, or for more of it.
 
         Args:
-            size: Bytes of the body, as far as they are known.
+            size: Its bytes, as far as they are known.
 
         Raises:
             NoRoomError: There was none for a while.
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -265,6 +265,16 @@
         self.refused_answers = self._counter(
             "refused_answers", "Answers given up as they found no room"
         )
+        self.frame_bytes = self._gauge(
+            "frame_bytes",
+            "Bytes of other nodes' frames that did not arrive in one piece",
+        )
+        self.refused_frames = self._counter(
+            "refused_frames", "Frames given up as they found no room"
+        )
+        self.unfinished_frames = self._counter(
+            "unfinished_frames", "Frames given up as they did not end in time"
+        )
         self.caller_connections = self._gauge(
             "caller_connections", "Connections of callers that are open"
         )
@@ -392,6 +402,13 @@
             self.listener_connections.labels(name).set(listener.connections)
             self._set_total(self.listener_waits.labels(name), listener.waits)
 
+    def update_frames(self, peers) -> None:
+        """Copies the counts of the `frame_listener.FrameListener`."""
+        frame = memory_account.Use.FRAME
+        self.frame_bytes.set(peers.memory.used[frame])
+        self._set_total(self.refused_frames, peers.memory.refused[frame])
+        self._set_total(self.unfinished_frames, peers.unfinished)
+
     def update_misdirected(self, asks: int) -> None:
         """Copies the count of asks for groups that are not owned here."""
         self._set_total(self.misdirected_asks, asks)
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -61,6 +61,7 @@
 # their calls.
 _TIMERS_AHEAD_SECONDS = 0.01
 _METRICS_INTERVAL_SECONDS = 1.0
+_FRAME_CHECK_SECONDS = 1.0
 _LEAVE_GRACE_SECONDS = 0.3
 _CONFIG_ASK_INTERVAL_SECONDS = 0.5
 _MAX_MEMBERSHIP_WAIT_SECONDS = 5.0
@@ -138,6 +139,7 @@
         self.scheduler.set_hedging_owners(self._knows_hedges)
         self.scheduler.serves_while_leaving = node_settings.serve_while_draining
         self.cell = cell
+        self.memory = memory_account.MemoryAccount(node_settings.max_held_bytes)
         self.peers = peers.PeerTransport(
             node_settings.node,
             node_settings.secret,
@@ -146,13 +148,14 @@
             frame_listener.FrameListener(
                 self._spare_connections(
                     node_settings.max_peer_connections, _PEERS_SHARE
-                )
+                ),
+                node_settings.receive_timeout_seconds,
+                self.memory,
             ),
         )
         self.listeners: dict[
             str, server.Server | frame_listener.FrameListener
         ] = {"peers": self.peers.listener}
-        self.memory = memory_account.MemoryAccount(node_settings.max_held_bytes)
         self.ports = make_ports(self)
         self.config = self.ports.config
         self.answers = answers.AnswerService(self)
@@ -527,6 +530,7 @@
         self.metrics.update_unread(unread.used, unread.cut_off)
         self.metrics.update_connections(self.caller_server)
         self.metrics.update_listeners(self.listeners)
+        self.metrics.update_frames(self.peers.listener)
         trials = self.scheduler.view.rollouts.trials.values()
         self.metrics.update_rollouts(trials, now)
         if self.configuration is not None:
@@ -567,6 +571,9 @@
         self.timers.once(now + _TICK_SECONDS, self._tick_scheduler)
         self.timers.every(_MEMBERSHIP_TICK_SECONDS, now, self._tick_membership)
         self.timers.every(_METRICS_INTERVAL_SECONDS, now, self._update_gauges)
+        self.timers.every(
+            _FRAME_CHECK_SECONDS, now, self.peers.listener.close_unfinished
+        )
         self.timers.every(
             _CONFIG_ASK_INTERVAL_SECONDS, now, self._ask_for_configuration
         )
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from baobabmux_core import catalogue, end_counts, ids, request_limits
-from baobabmux_node import clock, status
+from baobabmux_node import clock, memory_account, status
 
 if TYPE_CHECKING:
     from baobabmux_node import node
@@ -231,6 +231,17 @@
         )
         if failed:
             self._host.events.record(Kind.MESSAGE_FAILED, count=failed)
+        refused = self._increase(
+            "refused frames",
+            self._host.memory.refused[memory_account.Use.FRAME],
+        )
+        unfinished = self._increase(
+            "unfinished frames", transport.listener.unfinished
+        )
+        if refused or unfinished:
+            self._host.events.record(
+                Kind.FRAMES_GIVEN_UP, refused=refused, unfinished=unfinished
+            )
 
     def _check_connections(self) -> None:
         callers = self._host.caller_server
--- a/packages/baobabmux-node/tests/frame_listener_test.py
+++ b/packages/baobabmux-node/tests/frame_listener_test.py
@@ -6,7 +6,7 @@
 import pynng
 import pytest
 
-from baobabmux_node import frame_listener
+from baobabmux_node import clock, frame_listener
 
 _PREAMBLE = b"\x00SP\x00\x00\x50\x00\x00"
 _ANSWER = b"\x00SP\x00\x00\x51\x00\x00"
@@ -165,3 +165,69 @@
         await listening.wait_for_frames(b"sound", b"sound")
 
     _run(scenario)
+
+
+def test_memory_of_unfinished_frames_is_bounded():
+    """Guards against clients that take the memory of a node (LOST)."""
+
+    async def scenario(listening):
+        listening.listener.memory.max_bytes = 1_000_000
+        part = _framed(b"x" * 900_000)[:-1]
+        peers = [await listening.connect(part) for _ in range(2)]
+        async with curio.timeout_after(10.0):
+            while listening.listener.connections > 1:
+                used = listening.listener.memory.used.total()
+                assert used <= listening.listener.memory.max_bytes
+                await curio.sleep(0.01)
+        assert listening.listener.memory.refused.total() == 1
+        for peer in peers:
+            await peer.close()
+
+    _run(scenario)
+
+
+def test_room_of_a_frame_is_returned():
+    """Guards against an account that fills with frames that were handled."""
+    frame = b"sound" + b"x" * 600_000
+
+    async def scenario(listening):
+        listening.listener.memory.max_bytes = 1_000_000
+        peer = await listening.connect()
+        for _ in range(5):
+            await peer.sendall(_framed(frame))
+        await listening.wait_for_frames(*5 * [frame])
+        await peer.close()
+        async with curio.timeout_after(10.0):
+            while listening.listener.connections:
+                await curio.sleep(0.01)
+        assert listening.listener.memory.used.total() == 0
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        pytest.param(_framed(b"sound")[:-1], id="frame"),
+        pytest.param(_framed(b"sound")[:3], id="length"),
+        pytest.param(_framed(b"sound")[:8], id="first byte"),
+    ],
+)
+def test_frame_that_never_ends_is_given_up(part):
+    """Guards against memory that is held for a frame for ever."""
+
+    async def scenario(listening):
+        listener = listening.listener
+        peer = await listening.connect(_framed(b"sound") + part)
+        idle = await listening.connect(_framed(b"sound"))
+        await listening.wait_for_frames(b"sound", b"sound")
+        now = clock.now()
+        listener.close_unfinished(now)
+        assert listener.unfinished == 0
+        listener.close_unfinished(now + 2 * listener.frame_timeout_seconds)
+        await _wait_closed(peer)
+        assert listener.unfinished == 1
+        await idle.sendall(_framed(b"sound again"))
+        await listening.wait_for_frames(b"sound", b"sound", b"sound again")
+
+    _run(scenario)
