Let a new connection replace one that is of no node

A connection counts as one of a node from its first valid frame on. If all places are taken, a new connection takes that of the oldest one that is none, or of one that has been silent for a minute. A first frame that is invalid ends its connection, so that a flood of them does not occupy the loop.

--- a/packages/baobabmux-node/src/baobabmux_node/frame_listener.py
+++ b/packages/baobabmux-node/src/baobabmux_node/frame_listener.py
@@ -29,6 +29,9 @@
 # Time after which a listener without descriptors tries to accept again.
 _ACCEPT_PAUSE_SECONDS = 0.05
 _FRAME_TIMEOUT_SECONDS = 10.0
+# Silence after which a connection of a node may be replaced. It exceeds the
+# interval between heartbeats at any size of the fleet.
+_MAX_SILENCE_SECONDS = 60.0
 
 # Handles a frame; returns whether it was one.
 FrameHandler = Callable[[bytes], Awaitable[bool]]
@@ -37,12 +40,16 @@
 class FrameListener:
     """Listener for other nodes.
 
+    If all places are taken, a new connection replaces the oldest one on which
+    no frame of a node has arrived. Clients that are no nodes thus cannot keep
+    out a node that starts.
+
     Attributes:
         address: "HOST:PORT" on which it listens, set by `start`.
         max_connections: Most connections that are open at a time.
         frame_timeout_seconds: Longest time for a frame to arrive.
         memory: Account of the bodies and frames of the node.
-        waits: Connections that were closed at once, as there was no room.
+        waits: Connections that were closed as there was no room for all.
         unfinished: Connections that were closed as a frame did not end in time.
     """
 
@@ -65,7 +72,8 @@
         self.memory = memory or memory_account.MemoryAccount()
         self.waits = 0
         self.unfinished = 0
-        self._open: set[_Connection] = set()
+        # The oldest one first.
+        self._open: dict[_Connection, None] = {}
         self._socket: curio.io.Socket | None = None
 
     @property
@@ -90,13 +98,14 @@
         async with self._socket:
             while True:
                 client = await self._accept()
-                if self.connections >= self.max_connections:
-                    self.waits += 1
+                if await self._make_room():
+                    connection = _Connection(client, self.memory)
+                    self._open[connection] = None
+                    connection.task = await curio.spawn(
+                        self._serve, connection, handle, daemon=True
+                    )
+                else:
                     await client.close()
-                    continue
-                connection = _Connection(client, self.memory)
-                self._open.add(connection)
-                await curio.spawn(self._serve, connection, handle, daemon=True)
                 # A crowd of connections must not hold up those that are open.
                 await curio.sleep(0)
 
@@ -131,6 +140,18 @@
                 if sockets.is_exhaustion(error):
                     await curio.sleep(_ACCEPT_PAUSE_SECONDS)
 
+    async def _make_room(self) -> bool:
+        """Returns whether there is a place for a new connection."""
+        if self.connections < self.max_connections:
+            return True
+        self.waits += 1
+        now = clock.now()
+        replaced = next((c for c in self._open if c.may_be_replaced(now)), None)
+        if replaced is None:
+            return False
+        await replaced.task.cancel()
+        return True
+
     async def _serve(
         self, connection: "_Connection", handle: FrameHandler
     ) -> None:
@@ -141,7 +162,7 @@
             pass
         finally:
             connection.holding.release()
-            self._open.discard(connection)
+            self._open.pop(connection, None)
 
 
 class _Connection:
@@ -149,9 +170,12 @@
 
     Attributes:
         client: Its socket.
+        task: The task that serves it.
         holding: What is held of a frame that did not arrive in one piece.
         frame_began_at: Time in seconds at which a frame was first found to be
             incomplete, or None between frames.
+        heard_at: Time in seconds of the newest frame of a node, or None before
+            the first.
     """
 
     def __init__(
@@ -159,7 +183,10 @@
     ):
         self.client = client
         self.holding = memory_account.Holding(memory, memory_account.Use.FRAME)
+        self.task: curio.Task | None = None
         self.frame_began_at: float | None = None
+        self.heard_at: float | None = None
+        self._is_handling = False
         self._received = bytearray()
 
     def close(self) -> None:
@@ -168,6 +195,18 @@
         with contextlib.suppress(OSError):
             self.client._socket.shutdown(socket.SHUT_RDWR)
 
+    def may_be_replaced(self, now: float) -> bool:
+        """Returns whether a new connection may take its place.
+
+        Args:
+            now: Time on the node's clock in seconds.
+        """
+        if self._is_handling:
+            return False
+        return (
+            self.heard_at is None or now - self.heard_at > _MAX_SILENCE_SECONDS
+        )
+
     async def run(self, handle: FrameHandler) -> None:
         """Reads frames until the connection ends.
 
@@ -186,9 +225,22 @@
                 return
             frame = await self._take(size, begun=True)
             self.frame_began_at = None
-            await handle(frame)
+            if not await self._handle(handle, frame):
+                return
             self.holding.release()
 
+    async def _handle(self, handle: FrameHandler, frame: bytes) -> bool:
+        """Handles a frame; returns whether the connection may go on."""
+        self._is_handling = True
+        try:
+            is_frame = await handle(frame)
+        finally:
+            self._is_handling = False
+        if is_frame:
+            self.heard_at = clock.now()
+        # A node of another build may send single frames that are none here.
+        return self.heard_at is not None
+
     async def _take(self, size: int, begun: bool = False) -> bytes:
         """Removes and returns bytes, once so many have arrived.
 
--- a/packages/baobabmux-node/tests/frame_listener_test.py
+++ b/packages/baobabmux-node/tests/frame_listener_test.py
@@ -88,7 +88,7 @@
 
 
 def test_frames_of_a_push_socket_arrive_in_order():
-    """Guards against a reader that understands other frames than nng sends."""
+    """Guards against a reader that does not understand what nng sends."""
     sent = [b"sound 1", b"", b"x" * 300_000, b"sound 2"]
 
     async def scenario(listening):
@@ -231,3 +231,66 @@
         await listening.wait_for_frames(b"sound", b"sound", b"sound again")
 
     _run(scenario)
+
+
+def test_connection_that_sends_no_frames_gives_way():
+    """Guards against clients that keep out a node that starts (LOST)."""
+
+    async def scenario(listening):
+        node = await listening.connect(_framed(b"sound"))
+        await listening.wait_for_frames(b"sound")
+        silent = await listening.connect()
+        late = await listening.connect(_framed(b"sound late"))
+        await listening.wait_for_frames(b"sound", b"sound late")
+        await _wait_closed(silent)
+        assert listening.listener.connections == _MAX_CONNECTIONS
+        await node.sendall(_framed(b"sound 2"))
+        await late.sendall(_framed(b"sound 3"))
+        async with curio.timeout_after(10.0):
+            while len(listening.frames) < 4:
+                await curio.sleep(0.01)
+
+    _run(scenario)
+
+
+def test_silent_connection_of_a_node_gives_way(monkeypatch):
+    """Guards against places that connections of dead VMs keep for ever."""
+
+    async def scenario(listening):
+        silent = await listening.connect(_framed(b"sound"))
+        await listening.wait_for_frames(b"sound")
+        node = await listening.connect(_framed(b"sound 2"))
+        await listening.wait_for_frames(b"sound", b"sound 2")
+        monkeypatch.setattr(frame_listener, "_MAX_SILENCE_SECONDS", 0.0)
+        late = await listening.connect(_framed(b"sound 3"))
+        await listening.wait_for_frames(b"sound", b"sound 2", b"sound 3")
+        await _wait_closed(silent)
+        await node.sendall(_framed(b"sound 4"))
+        await late.close()
+        async with curio.timeout_after(10.0):
+            while len(listening.frames) < 4:
+                await curio.sleep(0.01)
+
+    _run(scenario)
+
+
+def test_connection_that_only_sends_other_bytes_is_closed():
+    """Guards against clients that occupy a node with frames that are none."""
+
+    async def scenario(listening):
+        peer = await listening.connect(_framed(b"none") * 2)
+        await _wait_closed(peer)
+        assert listening.frames == [b"none"]
+
+    _run(scenario)
+
+
+def test_frame_of_a_node_that_is_unknown_here_ends_nothing():
+    """Guards against connections that break off beside newer builds."""
+
+    async def scenario(listening):
+        sent = [b"sound", b"none", b"sound 2"]
+        await listening.connect(b"".join(_framed(frame) for frame in sent))
+        await listening.wait_for_frames(*sent)
+
+    _run(scenario)
