Drop the names of nodes whose tunnels have ended

The carrier of tunnels counted open ones by the name that the other side gives itself, and kept each name with a count of 0. Whoever reaches the port for tunnels could thus let a node grow by up to a header section a request.

A name is dropped with its last tunnel. tunnels_test.py:: test_names_of_nodes_are_not_kept fails before (the first of two names is still there).

--- a/packages/baobabmux-node/src/baobabmux_node/tunnels.py
+++ b/packages/baobabmux-node/src/baobabmux_node/tunnels.py
@@ -106,6 +106,8 @@
                 failure, carried = await self._carry(exchange, endpoint)
             finally:
                 self.carried[peer] -= 1
+                if not self.carried[peer]:
+                    del self.carried[peer]
         else:
             failure = Failure.UNSUITABLE
         if failure is not None:
--- a/packages/baobabmux-node/tests/tunnels_test.py
+++ b/packages/baobabmux-node/tests/tunnels_test.py
@@ -266,6 +266,23 @@
     _play(scenario, _Endpoint(end="silent"))
 
 
+def test_names_of_nodes_are_not_kept():
+    """Guards against records that grow with what clients call themselves."""
+
+    async def scenario(n1, n2, endpoint, call):
+        for number in range(3):
+            n1.settings.node = f"n1-{number}"
+            connection = await n1.paths.open(call, 0.3, None)
+            assert list(n2.carrier.carried) == [n1.settings.node]
+            await connection.close()
+            async with curio.timeout_after(10.0):
+                while n2.carrier.carried.total():
+                    await curio.sleep(0.01)
+        assert not n2.carrier.carried
+
+    _play(scenario)
+
+
 def test_tunnel_goes_over_one_hop():
     """Guards against nodes without links that pass connections in circles."""
 
