Drop what is known of a node's frames when it has gone

The number of the newest frame was kept for every node that had ever sent one, although VMs are replaced under new names. It goes with the node now, as its socket and its revision do. peers_test.py:: test_node_that_has_gone_leaves_nothing_behind asks a new method for it, so it has no counterpart before.

--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -431,8 +431,7 @@
                 previous=change.previous.value,
             )
             if change.state is states.MemberState.GONE:
-                self.peers.forget(change.node)
-                self.peers.revisions.forget(change.node)
+                self.peers.node_gone(change.node)
                 self.paths.tunnels.announced(change.node, 0)
             if change.restarted or change.state is states.MemberState.GONE:
                 self.answers.holder_gone(change.node)
--- a/packages/baobabmux-node/src/baobabmux_node/peers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/peers.py
@@ -233,6 +233,12 @@
         if entry is not None:
             entry[1].close()
 
+    def node_gone(self, node: ids.NodeId) -> None:
+        """Drops all that is known of a node which has left for good."""
+        self.forget(node)
+        self.revisions.forget(node)
+        self._newest_frames.pop(node, None)
+
     def close(self) -> None:
         """Closes all sockets."""
         for node in list(self._push_sockets):
--- a/packages/baobabmux-node/tests/peers_test.py
+++ b/packages/baobabmux-node/tests/peers_test.py
@@ -112,3 +112,16 @@
         receiver.close()
 
     curio.run(run)
+
+
+def test_node_that_has_gone_leaves_nothing_behind():
+    """Guards against records that grow with the nodes that have ever run."""
+    receive = _Receiver()
+    sender, receiver = curio.run(_exchange, [_SOUND], receive)
+    assert receiver.newest_frame_from("n1") == (
+        sender._sequence,
+        sender.incarnation,
+    )
+    receiver.node_gone("n1")
+    assert receiver.newest_frame_from("n1") == (-1, -1)
+    assert not receiver._newest_frames
