--- a/packages/baobabmux-node/src/baobabmux_node/frame_listener.py
+++ b/packages/baobabmux-node/src/baobabmux_node/frame_listener.py
@@ -29,8 +29,8 @@
 # Time after which a listener without descriptors tries to accept again.
 _ACCEPT_PAUSE_SECONDS = 0.05
 _FRAME_TIMEOUT_SECONDS = 10.0
-# Silence after which a connection of a node may be replaced. It exceeds the
-# interval between heartbeats at any size of the fleet.
+# Silence after which a connection of a node may be replaced. A node that still
+# runs opens it anew.
 _MAX_SILENCE_SECONDS = 60.0
 
 # Handles a frame; returns whether it was one.
--- a/packages/baobabmux-node/src/baobabmux_node/settings.py
+++ b/packages/baobabmux-node/src/baobabmux_node/settings.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from baobabmux_core import abilities, claims, ids
-from baobabmux_node import memory_account
+from baobabmux_node import frame_listener, memory_account
 
 _DEFAULT_RETENTION_SECONDS = 86_400.0
 _DEFAULT_CLAIM_WINDOW_SECONDS = 3600.0
@@ -99,7 +99,7 @@
     max_caller_connections: int | None = None
     max_admin_connections: int = 64
     max_tunnel_connections: int = 320
-    max_peer_connections: int = 512
+    max_peer_connections: int = frame_listener.MAX_CONNECTIONS
     descriptors: int | None = None
     max_held_bytes: int = memory_account.MAX_HELD_BYTES
     max_ahead_bytes: int = 16_384
