--- a/review/7/case.py
+++ b/review/7/case.py
@@ -102,6 +102,15 @@
             f" after the removal, from {site.node_of(run)}",
             run["at"],
         )
+    # Not part of the rule: what its exit costs.
+    running = {run["request"] for run in late if run["done"] is None}
+    for sent in site.calls:
+        if sent["request"] in running:
+            site.record.add(
+                f"request {sent['request']} {sent['path']} is cut by the exit:"
+                f" answered {sent['status']}",
+                sent["answered"],
+            )
     return len(late)
 
 
--- a/review/rig/platform.py
+++ b/review/rig/platform.py
@@ -18,21 +18,55 @@
     Attributes:
         topics: Records (key, value) by topic; keys are empty in plain topics.
         on_call: Called with the operation and the topic of each call.
+        era: Value of `Store-Era`.
+        is_away: Whether it resets all connections.
     """
 
     def __init__(self):
         super().__init__()
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.on_call = lambda operation, topic: None
+        self.era = 1
+        self.is_away = False
+        # Times of the records on the monotonic clock.
+        self._times: dict[str, list[float]] = {}
         self._appended = asyncio.Condition()
 
     async def put(self, topic: str, key: str, value: bytes) -> float:
         """Writes a record of a keyed topic; returns the time on the clock."""
         async with self._appended:
-            self.topics.setdefault(topic, []).append((key, value))
+            self._add(topic, key, value)
             self._appended.notify_all()
         return time.monotonic()
 
+    def _add(self, topic: str, key: str, value: bytes) -> None:
+        self.topics.setdefault(topic, []).append((key, value))
+        self._times.setdefault(topic, []).append(time.monotonic())
+
+    async def leave(self) -> None:
+        """Goes away: resets all connections until `come_back`."""
+        self.is_away = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def come_back(self, copied_at: float) -> dict[str, int]:
+        """Comes back from a copy.
+
+        Args:
+            copied_at: Time of the copy on the monotonic clock.
+
+        Returns:
+            The number of records that are gone, by topic.
+        """
+        gone = {}
+        for topic, times in self._times.items():
+            kept = sum(at <= copied_at for at in times)
+            gone[topic] = len(times) - kept
+            del self.topics[topic][kept:], times[kept:]
+        self.era += 1
+        self.is_away = False
+        return gone
+
     async def handle(self, request, reader, writer) -> None:
         """Answers appends, reads and queries for the newest records."""
         path, _, text = request.target.partition("?")
@@ -41,6 +75,9 @@
         operation = path.removeprefix("/-/")
         self.on_call(operation, topic)
         await asyncio.sleep(_STORE_SECONDS)
+        if self.is_away:
+            writer.transport.abort()
+            return
         if operation == "log-append":
             data = await self._append(topic, query, request.body)
         elif operation == "log-read":
@@ -49,10 +86,15 @@
             data = self._newest(topic, query.get("after", ""))
         else:
             data = web.answer(404)
-        writer.write(data)
+        if self.is_away:
+            writer.transport.abort()
+            return
+        head, _, rest = data.partition(b"\r\n")
+        writer.write(b"%b\r\nStore-Era: %d\r\n%b" % (head, self.era, rest))
 
     async def _append(self, topic: str, query: dict, body: bytes) -> bytes:
         records = self.topics.setdefault(topic, [])
+        self._times.setdefault(topic, [])
         first = len(records)
         if query.get("at") not in (None, str(first)):
             return _json({"endOffset": first}, 412)
@@ -67,7 +109,7 @@
                 if topic.startswith("keyed."):
                     key = content[1 : 1 + content[0]].decode()
                     value = content[1 + content[0] :]
-                records.append((key, value))
+                self._add(topic, key, value)
             self._appended.notify_all()
         return _json({"offset": first, "endOffset": len(records)})
 
--- a/review/rig/site.py
+++ b/review/rig/site.py
@@ -271,10 +271,13 @@
                     raise CaseError(f"{node.name} is not ready")
                 await asyncio.sleep(0.05)
 
-    async def add_replica(self, name: str, service: str) -> platform.Replica:
+    async def add_replica(
+        self, name: str, service: str, version: str = "v1"
+    ) -> platform.Replica:
         """Starts a replica and lists it as ready."""
         slots = 10 if service == "lm-pool" else 6
         replica = platform.Replica(name, service, slots)
+        replica.version = version
         await replica.start(_free_host())
         self.replicas[name] = replica
         await self.store.put("keyed.servers", name, replica.entry())
@@ -318,6 +321,55 @@
         )
         return sent
 
+    async def stream(
+        self, node: Node, first: str = "", last_event: int = 0
+    ) -> dict:
+        """Sends a draft, or takes one up, and records what arrives.
+
+        Args:
+            node: Node that gets the request.
+            first: Request that brought the first event of a stream that is
+                taken up, or "".
+            last_event: Number of the last event that has arrived.
+        """
+        request = f"{random.getrandbits(40):010x}{next(self._numbers):06x}"
+        self._node_by_request[request] = node.name
+        fields = {
+            "Host": "desk.example",
+            "X-Request-Id": request,
+            "X-Deadline-Ms": "15000",
+            "Authorization": "Bearer key-a",
+            "X-Model": "m",
+            "X-Token-Count": "628,384",
+            "X-Prompt-Prefix": f"5c1e07a2:60,{request[:8]}:568",
+        }
+        if first:
+            fields |= {"Resumes": first, "Last-Event-Id": str(last_event)}
+        found = {
+            "request": request,
+            "node": node.name,
+            "path": "/draft/1",
+            "at": time.monotonic(),
+            "first": first or request,
+            "last": last_event,
+            "versions": [],
+        }
+        self.calls.append(found)
+        status, retry_after, lines, is_whole = await web.stream(
+            node.address, "/draft/1", fields, 16.0
+        )
+        found["answered"] = time.monotonic()
+        found["status"] = status
+        found["stamp"] = "whole" if is_whole else "broken off"
+        found["retry_after"] = retry_after
+        found["is_whole"] = is_whole
+        for line in lines:
+            if line.startswith("id: "):
+                found["last"] = int(line.removeprefix("id: "))
+            elif line.startswith("data: "):
+                found["versions"].append(line.split(" ")[1])
+        return found
+
     def load(
         self,
         per_second: float,
--- a/review/rig/web.py
+++ b/review/rig/web.py
@@ -169,3 +169,38 @@
     finally:
         if writer is not None:
             writer.close()
+
+
+async def stream(
+    address: str, target: str, fields: Fields, seconds: float
+) -> tuple[int, float, list[str], bool]:
+    """Makes one request whose answer is a stream of events.
+
+    Returns:
+        The status (0 without one), `Retry-After` in seconds, the lines of the
+        complete events that have arrived, and whether the stream has ended.
+    """
+    host, _, port = address.rpartition(":")
+    status, retry_after, text, is_whole = 0, 0.0, "", False
+    writer = None
+    try:
+        async with asyncio.timeout(seconds):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(encode(f"POST {target} HTTP/1.1", fields, b"{}"))
+            head = await read_head(reader)
+            if head is not None:
+                status = head.status
+                retry_after = float(head.fields.get("retry-after", 0))
+                while size := int(
+                    (await reader.readline()).strip() or b"0", 16
+                ):
+                    text += (await reader.readexactly(size)).decode()
+                    await reader.readline()
+                is_whole = status == 200
+    except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+        pass
+    finally:
+        if writer is not None:
+            writer.close()
+    events = text.rpartition("\n\n")[0] if status == 200 else ""
+    return status, retry_after, events.split("\n"), is_whole
