--- a/review/rig/site.py
+++ b/review/rig/site.py
@@ -515,8 +515,8 @@
     site = Site(case)
     try:
         count = await run(site)
-    except CaseError as error:
-        site.write_record(f"the case could not run: {error}")
+    except Exception as error:  # Exit code 1 would say that a rule was broken.
+        site.write_record(f"the case could not run: {error!r}")
         return 2
     finally:
         await site.end()
