--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""A replica spoils one answer with interim answers; its node stops answering.
+"""A replica sends one answer without end; its node stops answering its clients.
 
 Exits with 1 if CONFIG was broken, with 0 if it held, with 2 if the case could
 not run.
@@ -22,7 +22,8 @@
 # One of three replicas spoils one of its answers in a window of 5 s, in which
 # it gets about 50 requests: 0.02 of its answers, or less.
 _TROUBLE = {
-    "kind": "interim",
+    "kind": "flood",
+    "bytes": "chunks",
     "every": 40,
     "from": 0.0,
     "until": 60.0,
--- a/review/rig-3/replica.py
+++ b/review/rig-3/replica.py
@@ -14,8 +14,12 @@
 import wire
 
 _HEARTBEAT_SECONDS = 1.2
-_INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n"
-_FLOOD_BLOCK_BYTES = 64_000
+# Part that is repeated, by what the bytes look like.
+_FLOODS = {
+    "interim": b"HTTP/1.1 103 Early Hints\r\n\r\n",
+    "chunks": b"1\r\nx\r\n",
+}
+_FLOOD_BLOCK_BYTES = 12_000
 _FLOOD_PAUSE_SECONDS = 0.002
 
 
@@ -118,8 +122,8 @@
         if "x-token-count" in headers:
             return await self._stream(request, echo, writer)
         await asyncio.sleep(self._settings.get("work_seconds", 0.03))
-        if kind == "interim":
-            await self._flood(writer)
+        if kind == "flood":
+            await self._flood(writer, echo)
             return False
         if kind == "status":
             status = self._trouble["status"]
@@ -142,9 +146,14 @@
         self._troubled += 1
         return self._troubled <= trouble.get("count", 1_000_000)
 
-    async def _flood(self, writer) -> None:
-        """Sends bytes that are no answer for some seconds."""
-        block = _INTERIM * (_FLOOD_BLOCK_BYTES // len(_INTERIM))
+    async def _flood(self, writer, echo) -> None:
+        """Sends bytes that do not end an answer for some seconds."""
+        part = _FLOODS[self._trouble["bytes"]]
+        block = part * (_FLOOD_BLOCK_BYTES // len(part))
+        if self._trouble["bytes"] == "chunks":
+            lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+            lines += [f"{name}: {value}" for name, value in echo.items()]
+            writer.write("\r\n".join([*lines, "", ""]).encode())
         started = time.monotonic()
         sent = 0
         while (elapsed := time.monotonic() - started) < self._trouble[
