--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,15 +1,12 @@
-"""A stream with high event numbers is taken up after a node was killed.
+"""A grey replica runs a request and answers 503; the node promises "not run".
 
-Exits with 1 if ORDER was broken, with 0 if it held, with 2 if the case could
+Exits with 1 if REFUSED was broken, with 0 if it held, with 2 if the case could
 not run.
 """
 
 import asyncio
 import pathlib
-import re
-import signal
 import sys
-import time
 
 _HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(_HERE.parent / "rig-3"))
@@ -17,109 +14,75 @@
 import rig  # noqa: E402
 
 _NODES = ("n1", "n2", "n3")
-_REPLICAS = ("p1", "p2", "p3")
-_STREAMS = 9
-_EVENTS = 40
-# The replicas number their events on from the Unix millisecond of a start.
-_FIRST_EVENT = 1_796_656_244_000
-_KILL_AFTER_SECONDS = 2.0
-# Nodes that have run for less time refuse streams that are taken up.
-_SETTLE_SECONDS = 33.0
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+_REPLICAS = ("d1", "d2", "d3", "d4", "d5", "d6", "d7")
+_REQUESTS = 400
+_PER_SECOND = 40
+_PROMISES = frozenset({408, 421, 429, 503})
+# One of seven replicas fails one in three of its requests for 5 s.
+_TROUBLE = {
+    "kind": "status",
+    "status": 503,
+    "every": 3,
+    "from": 6.0,
+    "until": 11.0,
+}
 
 
-async def _draft(site: rig.Rig, number: int) -> dict:
-    """Reads a stream, and goes on at another node if it breaks off."""
-    pieces: list[str] = []
-    last = None
-    complete = False
+async def _notice(site: rig.Rig, number: int) -> list[rig.Answer]:
+    """Sends a request, and once more with a new id after a promise."""
     answers = []
     for attempt in range(2):
         node = _NODES[(number + attempt) % len(_NODES)]
-        name = f"draft-{number}-{attempt}"
-        more = {
-            "X_Model": "m",
-            "X_Token_Count": "100,240",
-            "X_Prompt_Prefix": f"5c1e07a2:60,{number + 1:x}:40",
-        }
-        if last is not None:
-            more["Last_Event_Id"] = last
+        name = f"notice-{number}-{attempt}"
         answer = await rig.call(
             site.nodes[node],
             "POST",
-            f"/draft/{number}",
-            rig.fields(name, 12_000, **more),
+            f"/notice/{number}",
+            rig.fields(name),
             b"{}",
             name,
-            12.0,
+            2.5,
         )
-        answers.append({"node": node, "after": last, **answer.to_record()})
-        for event in _EVENT.finditer(answer.body):
-            last = event[1].decode()
-            pieces.append(event[2].decode())
-        complete = answer.complete and answer.status == 200
-        if complete:
+        answers.append(answer)
+        if answer.status not in _PROMISES:
             break
-        await asyncio.sleep(0.3)
-    return {"pieces": pieces, "complete": complete, "answers": answers}
+    return answers
 
 
-async def _read_all(site: rig.Rig, is_troubled: bool) -> list[dict]:
-    tasks = [
-        asyncio.create_task(_draft(site, number)) for number in range(_STREAMS)
-    ]
-    await asyncio.sleep(_KILL_AFTER_SECONDS)
-    if is_troubled:
-        site.note("killed", node="n1")
-        site.signal("n1", signal.SIGKILL)
-    return [await task for task in tasks]
+async def _send_all(site: rig.Rig) -> list[rig.Answer]:
+    tasks = []
+    for number in range(_REQUESTS):
+        tasks.append(asyncio.create_task(_notice(site, number)))
+        await asyncio.sleep(1 / _PER_SECOND)
+    return [answer for task in tasks for answer in await task]
 
 
 def _play(site: rig.Rig, is_troubled: bool) -> bool:
-    site.configure(
-        3,
-        [
-            rig.route(
-                "draft",
-                "stream",
-                "pool",
-                engine=True,
-                timeoutMs=15_000,
-                targetLatencyMs=800,
-                gapTargetMs=400,
-                maxAttempts=2,
-                streamResume=True,
-                sessionAffinity=True,
-            )
-        ],
-    )
-    for name in _REPLICAS:
-        site.add_replica(
-            name,
-            "pool",
-            slots=10,
-            events=_EVENTS,
-            event_seconds=0.1,
-            first_event=_FIRST_EVENT,
-        )
+    site.configure(3, [rig.route("notice", "unsafe", "desk")])
     for name in _NODES:
         site.add_node(name)
+    for name in _REPLICAS:
+        trouble = _TROUBLE if is_troubled and name == "d1" else {}
+        site.add_replica(name, "desk", trouble=trouble)
     site.wait_ready()
-    time.sleep(_SETTLE_SECONDS)
-    streams = asyncio.run(_read_all(site, is_troubled))
-    expected = [f"piece-{number}" for number in range(_EVENTS)]
-    wrong = []
-    for number, stream in enumerate(streams):
-        pieces = stream["pieces"]
-        twice = len(pieces) != len(set(pieces))
-        lacks = stream["complete"] and set(pieces) != set(expected)
-        if twice or lacks:
-            wrong.append(number)
-        site.note("stream", number=number, twice=twice, lacks=lacks, **stream)
-    for run in site.runs(*_REPLICAS):
+    answers = asyncio.run(_send_all(site))
+    runs = site.runs(*_REPLICAS)
+    for answer in answers:
+        site.note("answer", **answer.to_record())
+    for run in runs:
         site.note("run", **run)
-    site.note("counted", streams=len(streams), wrong=wrong)
-    return bool(wrong)
+    ran = {run["run"] for run in runs}
+    refused = [
+        answer
+        for answer in answers
+        if answer.status in _PROMISES and answer.request in ran
+    ]
+    site.note(
+        "counted",
+        requests=len(answers),
+        refused_though_run=[answer.request for answer in refused],
+    )
+    return bool(refused)
 
 
 if __name__ == "__main__":
--- a/review/rig-3/replica.py
+++ b/review/rig-3/replica.py
@@ -1,12 +1,13 @@
 """Stand-in of a replica: `python replica.py SETTINGS`, a JSON text.
 
 It registers itself in the store, writes there every 1.2 s, and answers as
-PROTOCOL.md says. Each run is a line of JSON on standard output. What it does
+PROTOCOL.md says. After SIGUSR1 its entry is removed and it serves on. Each run is a line of JSON on standard output. What it does
 wrong stands in the settings under `trouble`.
 """
 
 import asyncio
 import json
+import signal
 import struct
 import sys
 import time
@@ -35,15 +36,16 @@
         self._trouble = settings.get("trouble", {})
         self._started = time.monotonic()
         self._slots = asyncio.Semaphore(settings.get("slots", 6))
+        self.leaving = asyncio.Event()
         self._requests = 0
         self._troubled = 0
 
     # Registration.
 
     async def register(self) -> None:
-        """Writes the replica's entry until cancelled."""
+        """Writes the replica's entry until it leaves."""
         sequence = 0
-        while True:
+        while not self.leaving.is_set():
             sequence += 1
             entry = {
                 "service": self._settings["service"],
@@ -55,10 +57,20 @@
                 "warmupLeftMs": 0,
                 "sequence": sequence,
             }
-            key = self._settings["name"].encode()
-            record = bytes([len(key)]) + key + json.dumps(entry).encode()
-            await self._append(struct.pack(">I", len(record)) + record)
-            await asyncio.sleep(_HEARTBEAT_SECONDS)
+            await self._write(json.dumps(entry).encode())
+            try:
+                async with asyncio.timeout(_HEARTBEAT_SECONDS):
+                    await self.leaving.wait()
+            except TimeoutError:
+                continue
+        # The platform removes the entry of a replica that leaves unannounced.
+        await self._write(b"")
+        print(json.dumps({"at": time.time(), "removed": True}), flush=True)
+
+    async def _write(self, value: bytes) -> None:
+        key = self._settings["name"].encode()
+        record = bytes([len(key)]) + key + value
+        await self._append(struct.pack(">I", len(record)) + record)
 
     async def _append(self, body: bytes) -> None:
         host, _, port = self._settings["store"].rpartition(":")
@@ -189,6 +201,8 @@
 
 async def _main(settings: dict) -> None:
     replica = Replica(settings)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, replica.leaving.set)
     host, _, port = settings["address"].rpartition(":")
     server = await asyncio.start_server(replica.serve, host, int(port))
     async with server:
