--- a/review/rig-3/replica.py
+++ b/review/rig-3/replica.py
@@ -1,8 +1,9 @@
 """Stand-in of a replica: `python replica.py SETTINGS`, a JSON text.
 
 It registers itself in the store, writes there every 1.2 s, and answers as
-PROTOCOL.md says. After SIGUSR1 its entry is removed and it serves on. Each run is a line of JSON on standard output. What it does
-wrong stands in the settings under `trouble`.
+PROTOCOL.md says. After SIGUSR1 its entry is removed and it serves on. Each run
+is a line of JSON on standard output. What it does wrong stands in the settings
+under `trouble`.
 """
 
 import asyncio
