Keep the event that a client goes on after as it was named

An event number is a name. The same class: leading zeros were dropped, and a text that is no number began the stream anew.

Change: ids.EventId is the text of an event's number, checked in event_ids for what replicas and clients send alike (20 digits) and passed on as it was received. What is no number gets 400 before anything is sent. Routes without streams forward the field unread.

--- a/packages/baobabmux-core/src/baobabmux_core/ids.py
+++ b/packages/baobabmux-core/src/baobabmux_core/ids.py
@@ -36,6 +36,10 @@
 """64-bit hash of the workspace and the identifier of the caller's request that
 began a stream."""
 
+EventId = NewType("EventId", str)
+"""Identifier of an event of a stream, a decimal number as its sender wrote it;
+see `event_ids`."""
+
 PartDigest = NewType("PartDigest", int)
 """32-bit hash of one part of a prompt, without the parts before it."""
 
--- a/packages/baobabmux-core/src/baobabmux_core/wire_numbers.py
+++ b/packages/baobabmux-core/src/baobabmux_core/wire_numbers.py
@@ -1,14 +1,13 @@
-"""Decimal numbers that callers and endpoints send.
+"""Amounts that callers and endpoints send as decimal numbers.
 
-They have any length on the wire, and messages between nodes carry 64 bits.
+They have any length on the wire, and messages between nodes carry 64 bits. A
+number that identifies something is no amount: it must not be bounded (see
+`event_ids`).
 """
 
 MAX_NUMBER = 2**31 - 1
 """Highest number that is told from those above it."""
 
-MAX_EVENT_ID_DIGITS = 18
-"""Most digits of the number of an event."""
-
 _MAX_DIGITS = len(str(MAX_NUMBER))
 
 
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -230,11 +230,11 @@
 
     Attributes:
         tokens: Output tokens so far.
-        last_event: Number of the last event received, or None.
+        last_event: The last event received, or None.
     """
 
     tokens: int
-    last_event: int | None
+    last_event: ids.EventId | None
 
     @abc.abstractmethod
     async def head(self, status: int, headers: dict[str, str]) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/engines.py
+++ b/packages/baobabmux-node/src/baobabmux_node/engines.py
@@ -5,7 +5,7 @@
 import curio
 import msgspec
 
-from baobabmux_core import states, wire_numbers
+from baobabmux_core import event_ids, ids, states
 from baobabmux_node import adapters, client
 
 _MAX_EVENT_BYTES = 1_000_000
@@ -19,16 +19,20 @@
     """One server-sent event.
 
     Attributes:
-        number: Number from the event's `id` field, or None.
+        event_id: Content of the event's `id` field, or None.
         data: Content of the event's `data` fields.
     """
 
-    number: int | None
+    event_id: ids.EventId | None
     data: bytes
 
     def encode(self) -> bytes:
         """Returns the event in the format of server-sent events."""
-        prefix = b"" if self.number is None else b"id: %d\n" % self.number
+        prefix = (
+            b""
+            if self.event_id is None
+            else b"id: %b\n" % self.event_id.encode("ascii")
+        )
         return prefix + b"data: " + self.data + b"\n\n"
 
 
@@ -53,7 +57,7 @@
 
     def __init__(self):
         self.stream_id = ""
-        self.last_event: int | None = None
+        self.last_event: ids.EventId | None = None
         self.tokens = 0
         self.usage: _Usage | None = None
         self.ended = False
@@ -141,7 +145,7 @@
                 await connection.request(
                     "GET",
                     f"/v1/streams/{stream.stream_id}",
-                    {"last-event-id": str(stream.last_event or 0)},
+                    {"last-event-id": stream.last_event or "0"},
                     b"",
                 )
                 head = await connection.head()
@@ -166,10 +170,10 @@
                 stream.ended = True
                 await sink.data(event.encode())
                 return
-            if event.number is not None:
-                if not _is_next(event.number, stream.last_event):
+            if event.event_id is not None:
+                if not _is_next(event.event_id, stream.last_event):
                     continue
-                stream.last_event = event.number
+                stream.last_event = event.event_id
             self._count_tokens(event, stream, sink)
             await sink.data(event.encode())
         raise client.BrokenError("the stream ended without a [DONE] event")
@@ -200,17 +204,18 @@
         await adapters.report_limit(call, head)
 
 
-def _is_next(number: int, last: int | None) -> bool:
+def _is_next(event: ids.EventId, last: ids.EventId | None) -> bool:
     """Returns whether an event is new and not one that was relayed before.
 
     Raises:
         ProtocolError: An event between the last one and this one is missing.
     """
-    if last is None or number == last + 1:
+    if last is None:
         return True
-    if number > last:
-        raise client.ProtocolError(f"event {number} follows event {last}")
-    return False
+    step = event_ids.position(event) - event_ids.position(last)
+    if step > 1:
+        raise client.ProtocolError(f"event {event} follows event {last}")
+    return step == 1
 
 
 async def cancel_stream(address: str, stream_id: str) -> None:
@@ -258,25 +263,21 @@
 
 
 def _parse_event(block: bytes) -> StreamEvent | None:
-    number = None
+    event_id = None
     data = []
     for line in block.split(b"\n"):
         field, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
         if field == b"id":
-            if (
-                not value.isdigit()
-                or len(value) > wire_numbers.MAX_EVENT_ID_DIGITS
-            ):
-                raise client.ProtocolError(
-                    "the id field of an event is not a number"
-                )
-            number = int(value)
+            try:
+                event_id = event_ids.parse(value.decode("latin-1"))
+            except ValueError as error:
+                raise client.ProtocolError(str(error)) from error
         elif field == b"data":
             data.append(value)
         elif field not in (b"", b"event", b"retry"):
             raise client.ProtocolError("a line is not a field of an event")
-    return StreamEvent(number, b"\n".join(data)) if data else None
+    return StreamEvent(event_id, b"\n".join(data)) if data else None
 
 
 def _completed(stream: _StreamState) -> adapters.Result:
--- a/packages/baobabmux-node/src/baobabmux_node/held.py
+++ b/packages/baobabmux-node/src/baobabmux_node/held.py
@@ -28,8 +28,7 @@
         raw_headers: Header fields for the endpoint in their original order and
             spelling; protocols that forward them unchanged use these instead
             of `headers`.
-        last_event: Number of the event after which the caller resumes a
-            stream, or None.
+        last_event: Event after which the caller resumes a stream, or None.
         http_version: Version of HTTP that the caller speaks, such as "1.1".
     """
 
@@ -48,7 +47,7 @@
     work: effects.Work
     arrived: float
     raw_headers: tuple[tuple[bytes, bytes], ...] = ()
-    last_event: int | None = None
+    last_event: ids.EventId | None = None
     http_version: str = "1.1"
 
 
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -15,7 +15,7 @@
 import curio
 import msgspec
 
-from baobabmux_core import declarations, ids, states, wire_numbers
+from baobabmux_core import declarations, event_ids, ids, states
 from baobabmux_node import (
     adapters,
     client,
@@ -69,14 +69,13 @@
 
     @abc.abstractmethod
     def request_fields(
-        self, call: adapters.Call, last_event: int | None
+        self, call: adapters.Call, last_event: ids.EventId | None
     ) -> client.Fields:
         """Returns the header fields of a request.
 
         Args:
             call: The call.
-            last_event: Number of the event after which a stream resumes, or
-                None.
+            last_event: Event after which a stream resumes, or None.
         """
 
     @abc.abstractmethod
@@ -469,23 +468,28 @@
 
     Args:
         events: Complete events.
-        sink: Receiver of the events. Its `last_event` is set to the number of
-            the last one.
+        sink: Receiver of the events. Its `last_event` is set to the last one.
 
     Returns:
         The new events and their count.
 
     Raises:
-        ProtocolError: The event numbers do not increase, or are too high.
+        ProtocolError: The event numbers do not increase, or are too long.
     """
-    texts = _EVENT_ID.findall(events)
-    if any(len(text) > wire_numbers.MAX_EVENT_ID_DIGITS for text in texts):
-        raise client.ProtocolError("the number of an event is too high")
-    numbers = [int(text) for text in texts]
-    if not numbers:
+    try:
+        names = [
+            event_ids.parse(text.decode("ascii"))
+            for text in _EVENT_ID.findall(events)
+        ]
+    except ValueError as error:
+        raise client.ProtocolError(str(error)) from error
+    if not names:
         return events, len(event_streams.split(events))
-    last = sink.last_event
-    if last is not None and numbers[0] <= last:
+    numbers = [event_ids.position(name) for name in names]
+    last = (
+        -1 if sink.last_event is None else event_ids.position(sink.last_event)
+    )
+    if numbers[0] <= last:
         events = b"".join(
             event
             for event in event_streams.split(events)
@@ -495,5 +499,5 @@
     if any(a >= b for a, b in itertools.pairwise(numbers)):
         raise client.ProtocolError("events are out of order")
     if numbers:
-        sink.last_event = numbers[-1]
+        sink.last_event = names[-1]
     return events, len(numbers)
--- a/packages/baobabmux-node/src/baobabmux_node/sinks.py
+++ b/packages/baobabmux-node/src/baobabmux_node/sinks.py
@@ -45,7 +45,7 @@
         started: Whether the answer's status was sent to the caller.
         status_headers: Returns the header fields with the run status and the
             identifier of the request.
-        last_event: Number of the last event received, or None.
+        last_event: The last event received, or None.
     """
 
     def __init__(
@@ -102,8 +102,8 @@
     """Passes the answer of one attempt on to the caller's sink.
 
     Attributes:
-        last_event: Number of the last event that this attempt or one before it
-            has received, or None.
+        last_event: The last event that this attempt or one before it has
+            received, or None.
     """
 
     def __init__(
--- a/packages/baobabmux-node/tests/caller_orders_test.py
+++ b/packages/baobabmux-node/tests/caller_orders_test.py
@@ -141,7 +141,7 @@
         if not run.call.permit():
             return adapters.Result(states.Outcome.NOT_SENT)
         run.permitted = True
-        run.next_event = (run.sink.last_event or 0) + 1
+        run.next_event = int(run.sink.last_event or 0) + 1
         while True:
             step = await run.steps.get()
             if isinstance(step, states.Outcome):
@@ -164,7 +164,7 @@
                 return adapters.Result(states.Outcome.COMPLETED, status=200)
             number = run.next_event
             run.next_event += 1
-            run.sink.last_event = number
+            run.sink.last_event = str(number)
             await run.sink.head(200, {})
             await _yield_often(self._generator)
             await run.sink.data(_events(number, number))
@@ -270,7 +270,7 @@
         self.streaming = self.generator.random() < 0.7
         self.last_event = None
         if self.streaming and self.generator.random() < 0.2:
-            self.last_event = 1
+            self.last_event = "1"
         self.route = _route(self.streaming, self.generator.choice([2, 3]))
         self.adapter = _Adapter(self.generator)
         self.exchange = _Exchange(self.generator)
@@ -400,7 +400,7 @@
         return [int(n) for n in _EVENT_ID.findall(self.exchange.body)]
 
     def is_whole(self):
-        first = 1 if self.last_event is None else self.last_event + 1
+        first = 1 if self.last_event is None else int(self.last_event) + 1
         return (
             self.exchange.status == 200
             and self.exchange.complete
@@ -408,7 +408,7 @@
         )
 
     def check_order(self):
-        first = 1 if self.last_event is None else self.last_event + 1
+        first = 1 if self.last_event is None else int(self.last_event) + 1
         events = self.events()
         assert events == list(range(first, first + len(events)))
         if self.exchange.complete and self.exchange.status == 200:
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -35,7 +35,7 @@
     def request_fields(self, call, last_event):
         fields = [("Host", "x"), ("request", call.endpoint)]
         if last_event is not None:
-            fields.append(("last-event-id", str(last_event)))
+            fields.append(("last-event-id", last_event))
         if call.body:
             fields.append(("content-length", str(len(call.body))))
         return fields
@@ -275,7 +275,7 @@
     results, sink = _run(endpoint, "r")
     assert results[0].outcome is states.Outcome.BROKEN
     assert sink.body == first
-    assert sink.last_event == 2
+    assert sink.last_event == "2"
     assert results[0].output_tokens == 12
 
 
@@ -309,7 +309,7 @@
     results, sink = _run(endpoint, "r")
     assert results[0].outcome is states.Outcome.BROKEN
     assert sink.body == whole
-    assert sink.last_event == 2
+    assert sink.last_event == "2"
 
 
 @pytest.mark.parametrize(
@@ -361,7 +361,7 @@
     results, sink = _run(endpoint, "r")
     assert results[0].outcome is states.Outcome.BROKEN
     assert sink.body == first + second
-    assert sink.last_event == 2
+    assert sink.last_event == "2"
 
 
 def test_stream_of_cr_lf_events_without_length_is_whole():
@@ -377,7 +377,7 @@
     """Guards against sending an event to the caller twice."""
     whole = b"".join(_CR_LF_EVENT % number for number in (1, 2, 3))
     endpoint = _Endpoint([_OPEN_STREAM + whole, None])
-    results, sink = _run(endpoint, "r", sink=_Sink(last_event=2))
+    results, sink = _run(endpoint, "r", sink=_Sink(last_event="2"))
     assert results[0].outcome is states.Outcome.COMPLETED
     assert sink.body == _CR_LF_EVENT % 3
 
@@ -408,7 +408,7 @@
     Nothing shows that the stream had ended with the caller's last event.
     """
     results, sink = _run(
-        _Endpoint([_OPEN_STREAM, None]), "r", sink=_Sink(last_event=4)
+        _Endpoint([_OPEN_STREAM, None]), "r", sink=_Sink(last_event="4")
     )
     assert results[0].outcome is states.Outcome.BROKEN
     assert sink.status is None
@@ -434,7 +434,7 @@
     results, sink = _run(endpoint, "r")
     assert results[0].outcome is states.Outcome.BROKEN
     assert sink.body == whole
-    assert sink.last_event == 2
+    assert sink.last_event == "2"
 
 
 @pytest.mark.parametrize("whole", [b"", b"id: 1\ndata: x\n\n"])
@@ -452,7 +452,7 @@
     """Guards against sending an event to the caller twice."""
     parts = [_chunk(_event(2) + _event(3)), _chunk(_event(4)), b"0\r\n\r\n"]
     endpoint = _Endpoint([_STREAM % b"r", *parts])
-    results, sink = _run(endpoint, "r", sink=_Sink(last_event=2))
+    results, sink = _run(endpoint, "r", sink=_Sink(last_event="2"))
     assert results[0].outcome is states.Outcome.COMPLETED
     assert sink.body == _event(3) + _event(4)
     assert b"last-event-id: 2" in endpoint.requests[0].lower()
@@ -467,6 +467,24 @@
     assert sink.body == _event(5)
 
 
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [("0008", "0009"), ("9", "10"), (str(2**64 - 2), str(2**64 - 1))],
+)
+def test_resumed_stream_names_the_event_as_the_endpoint_did(first, second):
+    """Guards against an endpoint that goes on after another event (ORDER)."""
+    events = [b"id: %b\ndata: x\n\n" % e.encode() for e in (first, second)]
+    endpoint = _Endpoint(
+        [_STREAM % b"r", _chunk(events[0]), None],
+        [_STREAM % b"r", _chunk(events[0] + events[1]), b"0\r\n\r\n"],
+    )
+    results, sink = _run(endpoint, "r", "r", sink=_Sink())
+    assert results[1].outcome is states.Outcome.COMPLETED
+    assert b"last-event-id: %b\r\n" % first.encode() in endpoint.requests[1]
+    assert sink.last_event == second
+    assert sink.body == events[0] + events[1]
+
+
 def test_event_number_that_no_message_can_carry_ends_the_attempt():
     """Guards against an endpoint that ends the node that relays its answer."""
     endpoint = _Endpoint(
@@ -483,7 +501,7 @@
     results, sink = _run(endpoint, "r")
     assert results[0].outcome is states.Outcome.BROKEN
     assert results[0].detail == "the endpoint sent no data in time"
-    assert sink.last_event == 1
+    assert sink.last_event == "1"
 
 
 _STREAM_WITHOUT_LENGTH = _HEAD + b"content-type: text/event-stream\r\n\r\n"
@@ -612,7 +630,7 @@
     )
     result, sink, reports = _run_watched(endpoint, _SlowSink())
     assert result.outcome is states.Outcome.COMPLETED
-    assert (sink.last_event, reports) == (2, [])
+    assert (sink.last_event, reports) == ("2", [])
 
 
 @pytest.mark.parametrize("end", [b"", b"content-length: 20\r\n", _CHUNKED])
@@ -699,7 +717,7 @@
             endpoint = _Endpoint([_STREAM % b"r", *parts, b"0\r\n\r\n"])
             results, sink = _run(endpoint, "r")
         assert results[0].outcome is states.Outcome.COMPLETED
-        assert sink.last_event == events
+        assert sink.last_event == str(events)
         return calls
 
     few, many = counts(5), counts(100)
