--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -27,6 +27,11 @@
         106,
         "{count} routine events of a busy second were counted, not written.",
     )
+    LOOP_HELD = (
+        107,
+        "Task {task} kept all others of the node from running, {count} times,"
+        " for {longest_ms} ms at the longest.",
+    )
     PAUSE_NOTICED = (104, "The process was paused for {seconds} s.")
 
     REQUEST_RECEIVED = (
--- a/packages/baobabmux-node/src/baobabmux_node/main.py
+++ b/packages/baobabmux-node/src/baobabmux_node/main.py
@@ -39,7 +39,7 @@
     peers.limit_threads()
     new_node = node.Node(loaded.ok)
     new_node.line_writer = logs.start()
-    curio.run(new_node.run)
+    curio.run(new_node.run, activations=[new_node.loop_watch])
     return 0
 
 
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -94,6 +94,12 @@
             ["tier"],
             (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10),
         )
+        self.loop_steps = self._histogram(
+            "baobabmux_loop_step_seconds",
+            "Time for which a task kept all others from running, from 0.02 s",
+            ["task"],
+            (0.05, 0.1, 0.2, 0.5, 1, 2, 5),
+        )
         self.attempts = self._counter(
             "attempts", "Attempts at endpoints", ["service", "outcome"]
         )
--- a/packages/baobabmux-node/src/baobabmux_node/node.py
+++ b/packages/baobabmux-node/src/baobabmux_node/node.py
@@ -36,6 +36,7 @@
     events,
     frame_listener,
     logs,
+    loop_watch,
     memory_account,
     metrics,
     packed_records,
@@ -102,6 +103,7 @@
         memory: Account of the bodies that the node holds.
         listeners: Listeners that are not for callers, by their names in events
             and metrics.
+        loop_watch: Measures how long tasks hold the loop.
         endpoint_ends: Detects the ends of endpoints.
     """
 
@@ -115,6 +117,8 @@
         self.configuration: declarations.Configuration | None = None
         self.line_writer: logs.LineWriter | None = None
         self.metrics = metrics.Metrics()
+        self.loop_watch = loop_watch.LoopWatch()
+        self.loop_watch.on_long_step = self._count_long_step
         self.timers = timers.TimerService()
         self.events = events.EventRecorder(
             node_settings.node, node_settings.timeline_events
@@ -598,6 +602,9 @@
             if pause > _MIN_PAUSE_SECONDS:
                 self.events.record(Kind.PAUSE_NOTICED, seconds=round(pause, 1))
 
+    def _count_long_step(self, task: str, seconds: float) -> None:
+        self.metrics.loop_steps.labels(task).observe(seconds)
+
     # Start and stop.
 
     async def run(self) -> None:
--- a/packages/baobabmux-node/src/baobabmux_node/watch.py
+++ b/packages/baobabmux-node/src/baobabmux_node/watch.py
@@ -16,6 +16,7 @@
 _MAX_UNKNOWN_LINES = 20
 _MAX_GROUP_LINES = 20
 _MIN_RECORDED_PART_ENDS = 2
+_MAX_TASK_LINES = 5
 
 Kind = catalogue.EventKind
 
@@ -71,6 +72,7 @@
         self._check_connections()
         self._check_listeners()
         self._check_unknown()
+        self._check_loop()
 
     def _check_ownership(self, owned: set[ids.GroupId]) -> None:
         record = self._host.events.record
@@ -275,6 +277,21 @@
                     limit=listener.max_connections,
                 )
 
+    def _check_loop(self) -> None:
+        """Records the tasks that held the loop for the longest times."""
+        steps = sorted(
+            self._host.loop_watch.take().items(),
+            key=lambda item: item[1].longest_seconds,
+            reverse=True,
+        )
+        for task, held in steps[:_MAX_TASK_LINES]:
+            self._host.events.record(
+                Kind.LOOP_HELD,
+                task=task,
+                count=held.count,
+                longest_ms=round(held.longest_seconds * 1000),
+            )
+
     def _increase(self, name: str, total: int) -> int:
         """Returns by how much a total has grown since the last check."""
         increase = total - self._totals[name]
