Read all sockets in one place that gives other tasks their turn

Cause: recv of curio returns at once while there is data, and parsing what was read gives no turn either.

Change: SocketReader reads all sockets and counts steps, a read or a parsed part; after 32 steps without a wait the others get a turn. Parsing counts its steps too: answers, callers' bodies, frames, events of engines.

--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -14,7 +14,7 @@
 import h11
 import msgspec
 
-from baobabmux_node import clock, sockets
+from baobabmux_node import clock, socket_reader, sockets
 
 _READ_BYTES = 65_536
 _MAX_HEADER_BYTES = 65_536
@@ -124,7 +124,8 @@
         self.received_at = 0.0
         self.interrupted = False
         self.on_close: Callable[[], None] | None = None
-        self._socket = None
+        self._socket: curio.io.Socket | None = None
+        self._reader: socket_reader.SocketReader | None = None
 
     async def connect(self, timeout: float) -> None:
         """Opens the connection.
@@ -138,8 +139,8 @@
         host, _, port = self.address.rpartition(":")
         try:
             async with curio.timeout_after(timeout):
-                self._socket = await curio.open_connection(
-                    host.strip("[]"), int(port)
+                self._use(
+                    await curio.open_connection(host.strip("[]"), int(port))
                 )
         except curio.TaskTimeout as error:
             raise ConnectError(
@@ -240,12 +241,9 @@
     def is_reusable(self) -> bool:
         """Returns whether an idle connection is open without unread bytes."""
         try:
-            self._socket._socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
+            return self._reader.has_data() is False
         except OSError:
             return False
-        return False
 
     def interrupt(self) -> None:
         """Shuts the socket down, which ends a pending read in another task.
@@ -312,6 +310,10 @@
             return None
         raise BrokenError(f"{self.address}: the answer ended early")
 
+    async def step(self) -> None:
+        """Counts a step of work on the answer; see `SocketReader`."""
+        await self._reader.step()
+
     async def read(self, max_bytes: int) -> bytes:
         """Reads the complete body of the answer.
 
@@ -343,11 +345,16 @@
 
     def attach(self, connected: curio.io.Socket, via: str) -> None:
         """Takes over a socket that is connected through another node."""
-        self._socket = connected
+        self._use(connected)
         self.via = via
 
+    def _use(self, connected: curio.io.Socket) -> None:
+        self._socket = connected
+        self._reader = socket_reader.SocketReader(connected)
+
     async def _next_event(self):
         while True:
+            await self._reader.step()
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -387,9 +394,9 @@
     async def _receive(self) -> bytes:
         try:
             if self.stall_seconds is None:
-                return await self._socket.recv(_READ_BYTES)
+                return await self._reader.receive(_READ_BYTES)
             async with curio.timeout_after(self.stall_seconds):
-                return await self._socket.recv(_READ_BYTES)
+                return await self._reader.receive(_READ_BYTES)
         except curio.TaskTimeout as error:
             raise StalledError(self.address) from error
         except OSError as error:
--- a/packages/baobabmux-node/src/baobabmux_node/engines.py
+++ b/packages/baobabmux-node/src/baobabmux_node/engines.py
@@ -235,7 +235,8 @@
     def __init__(self, connection: client.ClientConnection):
         self._connection = connection
         self._buffer = b""
-        self._ready: collections.deque[StreamEvent] = collections.deque()
+        # Events that have arrived whole and are not parsed.
+        self._blocks: collections.deque[bytes] = collections.deque()
 
     async def next_event(self) -> StreamEvent | None:
         """Reads the next event; returns None at the end of the answer.
@@ -244,22 +245,23 @@
             ProtocolError: An event is too long or malformed.
             ClientError: The answer ended early.
         """
-        while not self._ready:
+        while True:
+            while self._blocks:
+                await self._connection.step()
+                event = _parse_event(self._blocks.popleft())
+                if event is not None:
+                    return event
             part = await self._connection.next_part()
             if part is None:
                 return None
             self._add_bytes(part)
-        return self._ready.popleft()
 
     def _add_bytes(self, part: bytes) -> None:
         blocks = (self._buffer + part).replace(b"\r\n", b"\n").split(b"\n\n")
         self._buffer = blocks.pop()
         if len(self._buffer) > _MAX_EVENT_BYTES:
             raise client.ProtocolError("an event is too long")
-        for block in blocks:
-            event = _parse_event(block)
-            if event is not None:
-                self._ready.append(event)
+        self._blocks.extend(blocks)
 
 
 def _parse_event(block: bytes) -> StreamEvent | None:
--- a/packages/baobabmux-node/src/baobabmux_node/frame_listener.py
+++ b/packages/baobabmux-node/src/baobabmux_node/frame_listener.py
@@ -17,7 +17,7 @@
 import curio
 import curio.io
 
-from baobabmux_node import clock, memory_account, sockets
+from baobabmux_node import clock, memory_account, socket_reader, sockets
 
 MAX_CONNECTIONS = 512
 _MAX_FRAME_BYTES = 4_000_000
@@ -187,6 +187,7 @@
         self.frame_began_at: float | None = None
         self.heard_at: float | None = None
         self._is_handling = False
+        self._reader = socket_reader.SocketReader(client)
         self._received = bytearray()
 
     def close(self) -> None:
@@ -223,6 +224,7 @@
             (size,) = _LENGTH.unpack(await self._take(_LENGTH.size))
             if size > _MAX_FRAME_BYTES:
                 return
+            await self._reader.step()
             frame = await self._take(size, begun=True)
             self.frame_began_at = None
             if not await self._handle(handle, frame):
@@ -252,13 +254,10 @@
         while len(received) < size:
             if received or begun:
                 await self._hold(len(received))
-            data = await self.client.recv(_READ_BYTES)
+            data = await self._reader.receive(_READ_BYTES)
             if not data:
                 raise EOFError
             received += data
-            if len(data) == _READ_BYTES:
-                # `recv` does not give other tasks a turn if more has arrived.
-                await curio.sleep(0)
         taken = bytes(received[:size])
         del received[:size]
         return taken
--- a/packages/baobabmux-node/src/baobabmux_node/receive_buffers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/receive_buffers.py
@@ -9,7 +9,7 @@
 
 import curio
 
-from baobabmux_node import sockets
+from baobabmux_node import socket_reader, sockets
 
 _CLOSE_CHECK_SECONDS = 1.0
 
@@ -24,6 +24,7 @@
     Attributes:
         data: Bytes that no request has taken.
         ended: Whether the caller has ended its side of the connection.
+        reader: Reads the socket.
     """
 
     def __init__(
@@ -31,6 +32,7 @@
     ):
         self.data = bytearray()
         self.ended = False
+        self.reader = socket_reader.SocketReader(client)
         self._client = client
         self._report_bound = report_bound
 
@@ -42,7 +44,7 @@
         Raises:
             OSError: The connection was reset.
         """
-        data = await self._client.recv(max_bytes)
+        data = await self.reader.receive(max_bytes)
         self.data += data
         self.ended = not data
         return bool(data)
--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -25,14 +25,12 @@
     receive_buffers,
     responses,
     send_buffers,
+    socket_reader,
     sockets,
 )
 
 _READ_BYTES = 65_536
 _CLOSE_CHECK_SECONDS = 1.0
-# Parts of a body after which other tasks get their turn. A caller may send a
-# chunk for each byte.
-_STEPS_PER_TURN = 100
 # Longest body that is sent with its head in one write.
 _MAX_JOINED_BYTES = 65_536
 # Requests of one connection after which other tasks get their turn.
@@ -393,7 +391,7 @@
         if self.received.data:
             return True
         try:
-            return bool(self.client._socket.recv(1, socket.MSG_PEEK))
+            return bool(self.received.reader.has_data())
         except OSError:
             return False
 
@@ -536,11 +534,8 @@
             )
         body = bytearray()
         deadline = await curio.clock() + self.limits.receive_timeout_seconds
-        steps = 0
         while True:
-            steps += 1
-            if steps % _STEPS_PER_TURN == 0:
-                await curio.sleep(0)
+            await self.received.reader.step()
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
@@ -681,7 +676,9 @@
             Whether the request has been received to its end. Otherwise its
             connection cannot be used again.
         """
-        while self.http.their_state is h11.SEND_BODY:
+        for _ in range(socket_reader.STEPS_PER_TURN):
+            if self.http.their_state is not h11.SEND_BODY:
+                return True
             try:
                 if (
                     self.http.next_event() is h11.NEED_DATA
@@ -690,7 +687,7 @@
                     return False
             except h11.RemoteProtocolError:
                 return False
-        return True
+        return False
 
     def _ends_with_close(self, head: h11.Response) -> bool:
         """Returns whether only a close shows the peer the end of an answer.
@@ -744,7 +741,7 @@
             async with curio.timeout_after(1.0):
                 await self.buffer.drain()
                 await self.client.shutdown(1)
-                while await self.client.recv(_READ_BYTES):
+                while await self.received.reader.receive(_READ_BYTES):
                     pass
         except (curio.TaskTimeout, OSError):
             pass
--- a/packages/baobabmux-node/src/baobabmux_node/tunnels.py
+++ b/packages/baobabmux-node/src/baobabmux_node/tunnels.py
@@ -26,6 +26,7 @@
     clock,
     responses,
     server,
+    socket_reader,
     sockets,
     wall_clock,
 )
@@ -220,8 +221,9 @@
         return copied.total()
 
     async def _copy_request(self, downstream, endpoint, copied) -> None:
+        reader = socket_reader.SocketReader(downstream)
         try:
-            while data := await downstream.recv(_READ_BYTES):
+            while data := await reader.receive(_READ_BYTES):
                 copied.request_bytes += len(data)
                 await endpoint.sendall(data)
             copied.is_request_ended = True
@@ -272,11 +274,12 @@
 
 
 async def _copy_answer(endpoint, downstream, copied, report) -> None:
-    reader = answer_heads.HeadReader()
+    heads = answer_heads.HeadReader()
+    reader = socket_reader.SocketReader(endpoint)
     try:
-        while data := await endpoint.recv(_READ_BYTES):
+        while data := await reader.receive(_READ_BYTES):
             copied.answer_bytes += len(data)
-            if (head := reader.add(data)) is not None:
+            if (head := heads.add(data)) is not None:
                 await report(head)
             await downstream.sendall(data)
     except OSError:
