Pass on no status of an endpoint that would promise "not run"

Cause: statuses of endpoints went to callers unweighed. 408, 421, 429 and 503 are statements of the node to its caller; of a replica only X-Not-Executed, or 421, states that a request was not run.

Change: the protocol of the callers names the statuses that promise something, and the sink of an answer takes none of them from an endpoint. The relay asks before it reads the body. The caller gets 502 endpoint_failed, without the stamp and without Retry-After. Event 214 and baobabmux_withheld_statuses_total tell operators. An error that leaves it open whether a request ran keeps its kind after an earlier attempt.

Other failures are passed on as before.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -77,6 +77,13 @@
         " than usual; another endpoint is asked for as {backup}.",
     )
 
+    STATUS_WITHHELD = (
+        214,
+        "{endpoint} answered {status}, which would tell the caller that the"
+        " request was not run, but did not say so itself; the caller is not"
+        " told the status.",
+    )
+
     QUOTA_CHARGED = (
         212,
         "The owner is silent; node {deputy}, which stands in for it, charged"
--- a/packages/baobabmux-core/src/baobabmux_core/errors.py
+++ b/packages/baobabmux-core/src/baobabmux_core/errors.py
@@ -38,6 +38,7 @@
     TIMED_OUT = "timed_out"
     ENDPOINT_BROKE = "endpoint_broke"
     ENDPOINT_GARBAGE = "endpoint_garbage"
+    ENDPOINT_FAILED = "endpoint_failed"
     CALLER_GONE = "caller_gone"
     INTERNAL = "internal"
 
@@ -167,6 +168,9 @@
     ErrorKind.ENDPOINT_GARBAGE: Answer(
         502, _UNKNOWN, "The endpoint's answer violated its protocol."
     ),
+    ErrorKind.ENDPOINT_FAILED: Answer(
+        502, _UNKNOWN, "The endpoint failed and may have run the request."
+    ),
     ErrorKind.CALLER_GONE: Answer(
         499, _UNKNOWN, "The caller closed the connection."
     ),
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -53,6 +53,18 @@
     """Another endpoint answers the request of a call."""
 
 
+class UnfoundedPromiseError(Exception):
+    """An answer would tell the caller that its request was not run.
+
+    Attributes:
+        status: Its status.
+    """
+
+    def __init__(self, status: int):
+        super().__init__(f"the endpoint failed: status {status}")
+        self.status = status
+
+
 class Connector(abc.ABC):
     """Opens connections to endpoints."""
 
@@ -157,8 +169,8 @@
         slow_seconds: Returns the time after which the answer counts as slow if
             it has not begun, or None.
         report_slow: Called once with that time if it is slow.
-        may_answer_failure: Returns whether a failure of the endpoint may be
-            the caller's answer.
+        may_answer_failure: Returns whether a failure of the endpoint with a
+            status may be the caller's answer.
         connector: Opens the connections of the call.
         started_at: Time on the node's clock at which the attempt began, in
             seconds.
@@ -182,7 +194,7 @@
     report_progress: Callable[[], Awaitable[None]] = _ignore_notice
     slow_seconds: Callable[[], float | None] = lambda: None
     report_slow: Callable[[float], Awaitable[None]] = _ignore_pause
-    may_answer_failure: Callable[[], bool] = lambda: True
+    may_answer_failure: Callable[[int], bool] = lambda status: True
     connector: Connector = DirectConnector()
     started_at: float = 0.0
 
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -26,6 +26,7 @@
 _ERROR_KIND_BY_OUTCOME = {
     states.Outcome.GARBAGE: errors.ErrorKind.ENDPOINT_GARBAGE,
     states.Outcome.REJECTED: errors.ErrorKind.OVERLOADED,
+    states.Outcome.FAILED: errors.ErrorKind.ENDPOINT_FAILED,
 }
 # Decisions about one grant of a request.
 _ATTEMPT_DECISIONS = (
@@ -125,6 +126,16 @@
     ) -> bool:
         """Returns whether the scheduler will try another endpoint."""
 
+    def status_withheld(  # noqa: B027 - a hook
+        self, request: held.HeldRequest, status: int
+    ) -> None:
+        """Records that an endpoint's status is not passed on.
+
+        Args:
+            request: The request.
+            status: Status that would tell its caller that it was not run.
+        """
+
     def hedge_delay(self, request: held.HeldRequest) -> float | None:
         """Returns the seconds after which a request is slow, or None."""
         del request
@@ -350,7 +361,9 @@
             report_progress=lambda: self._record_progress(attempt),
             slow_seconds=lambda: self.host.hedge_delay(attempt.request),
             report_slow=lambda seconds: self._record_slow(attempt, seconds),
-            may_answer_failure=lambda: self._may_answer_failure(attempt),
+            may_answer_failure=lambda status: self._may_answer_failure(
+                attempt, status
+            ),
             connector=self.host.connector,
             started_at=now,
         )
@@ -364,6 +377,11 @@
                 await self._sink.end()
         except sinks.AnswerTooLargeError as error:
             result = adapters.Result(states.Outcome.GARBAGE, str(error))
+        except adapters.UnfoundedPromiseError as error:
+            self.host.status_withheld(request, error.status)
+            result = adapters.Result(
+                states.Outcome.FAILED, str(error), status=error.status
+            )
         except adapters.SupersededError:
             return
         except Exception:
@@ -384,10 +402,15 @@
         request.dispatched = self.host.begin_dispatch(request)
         return request.dispatched
 
-    def _may_answer_failure(self, attempt: _Attempt) -> bool:
+    def _may_answer_failure(self, attempt: _Attempt, status: int) -> bool:
         # A silent endpoint may still succeed, and a failure must not follow
         # events that the caller has.
-        return attempt is self._attempt and not self._sink.started
+        if attempt is not self._attempt or self._sink.started:
+            return False
+        if status in self._sink.promises:
+            self.host.status_withheld(attempt.request, status)
+            return False
+        return True
 
     async def _begin_answer(self, attempt: _Attempt) -> None:
         """Makes the first attempt that goes on the one that answers.
@@ -547,6 +570,7 @@
             self.exchange,
             lambda tokens: self.host.progress(self.request, tokens),
         )
+        new_sink.promises = self.host.protocol.promises
         new_sink.status_headers = lambda status: (
             self.host.protocol.status_headers(parsed.public_id, status)
         )
@@ -582,7 +606,9 @@
         kind = _ERROR_KIND_BY_OUTCOME.get(
             result.outcome, errors.ErrorKind.ENDPOINT_BROKE
         )
-        if self.request.may_have_run:
+        if self.request.may_have_run and (
+            errors.ANSWERS[kind].run_status is states.RunStatus.NOT_RUN
+        ):
             kind = errors.ErrorKind.ENDPOINT_BROKE
         self.host.record_refusal(self.request, kind)
         if not sink.caller_gone:
--- a/packages/baobabmux-node/src/baobabmux_node/metrics.py
+++ b/packages/baobabmux-node/src/baobabmux_node/metrics.py
@@ -125,6 +125,11 @@
             "Slow requests for which a second endpoint was asked for, or not",
             ["outcome"],
         )
+        self.withheld_statuses = self._counter(
+            "withheld_statuses",
+            "Answers whose status would promise that a request was not run",
+            ["status"],
+        )
         self.takeovers = self._counter(
             "takeovers",
             "Answers that another endpoint took over from a silent one",
--- a/packages/baobabmux-node/src/baobabmux_node/protocols.py
+++ b/packages/baobabmux-node/src/baobabmux_node/protocols.py
@@ -19,7 +19,15 @@
 
 
 class CallerProtocol(abc.ABC):
-    """Translates between a protocol on the wire and the node's types."""
+    """Translates between a protocol on the wire and the node's types.
+
+    Attributes:
+        promises: Statuses that tell callers that a request was not run and
+            will not be. An endpoint's answer with one of them is not passed
+            on: the endpoint may have run the request.
+    """
+
+    promises: frozenset[int] = frozenset()
 
     @abc.abstractmethod
     async def accept(
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -359,12 +359,13 @@
                 f"the endpoint did not run the request: status {head.status}",
             )
         if verdict is Verdict.FAILED and (
-            call.repeatable or not call.may_answer_failure()
+            call.repeatable or not call.may_answer_failure(head.status)
         ):
             await self._discard_body(call, connection, head)
             return adapters.Result(
                 states.Outcome.FAILED,
                 f"the endpoint failed: status {head.status}",
+                status=head.status,
             )
         streams = event_streams.is_event_stream(head)
         if streams and verdict is Verdict.ANSWER:
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -184,6 +184,16 @@
             request_id, tokens, now
         )
 
+    def status_withheld(self, request: held.HeldRequest, status: int) -> None:
+        """Records that an endpoint's status is not passed on."""
+        self._host.metrics.withheld_statuses.labels(str(status)).inc()
+        self._host.events.record(
+            Kind.STATUS_WITHHELD,
+            request.parsed.request,
+            request.endpoint or "",
+            status=status,
+        )
+
     def hedge_delay(self, request: held.HeldRequest) -> float | None:
         """Returns when a request is slow; see the base class."""
         if request.parsed.key is not None:
--- a/packages/baobabmux-node/src/baobabmux_node/sinks.py
+++ b/packages/baobabmux-node/src/baobabmux_node/sinks.py
@@ -46,6 +46,8 @@
         status_headers: Returns the header fields with the run status and the
             identifier of the request.
         last_event: The last event received, or None.
+        promises: Statuses that tell the caller that its request was not run;
+            see `protocols.CallerProtocol`.
     """
 
     def __init__(
@@ -65,6 +67,21 @@
             self._default_status_headers
         )
         self.last_event = request.parsed.last_event
+        self.promises: frozenset[int] = frozenset()
+
+    async def head(self, status: int, headers: dict[str, str]) -> None:
+        """Receives the status and the headers; see the base class.
+
+        Raises:
+            UnfoundedPromiseError: The status would promise something that the
+                endpoint has not.
+        """
+        if status in self.promises:
+            raise adapters.UnfoundedPromiseError(status)
+        await self._take_head(status, headers)
+
+    async def _take_head(self, status: int, headers: dict[str, str]) -> None:
+        raise NotImplementedError
 
     def progress(self, tokens: int) -> None:
         """Receives the number of output tokens so far."""
@@ -156,7 +173,7 @@
             bytearray() if request.parsed.key is not None else None
         )
 
-    async def head(self, status: int, headers: dict[str, str]) -> None:
+    async def _take_head(self, status: int, headers: dict[str, str]) -> None:
         """Starts the answer; the head of a resumed stream is ignored."""
         if self.started:
             return
@@ -200,7 +217,7 @@
         self._parts: list[bytes] = []
         self._length = 0
 
-    async def head(self, status: int, headers: dict[str, str]) -> None:
+    async def _take_head(self, status: int, headers: dict[str, str]) -> None:
         """Stores the status and the headers and empties the buffer."""
         self._parts.clear()
         self._length = 0
--- a/packages/baobabmux-node/tests/caller_orders_test.py
+++ b/packages/baobabmux-node/tests/caller_orders_test.py
@@ -146,7 +146,7 @@
             step = await run.steps.get()
             if isinstance(step, states.Outcome):
                 if step is states.Outcome.FAILED and not (
-                    run.call.repeatable or not run.call.may_answer_failure()
+                    run.call.repeatable or not run.call.may_answer_failure(500)
                 ):
                     return await self._pass_failure_on(run)
                 return adapters.Result(step, output_tokens=run.sink.tokens)
@@ -200,6 +200,8 @@
 class _Protocol:
     """Protocol without headers whose streams cannot report a failure."""
 
+    promises = frozenset()
+
     def __init__(self, adapter):
         self._adapter = adapter
 
--- a/packages/baobabmux-node/tests/callers_test.py
+++ b/packages/baobabmux-node/tests/callers_test.py
@@ -16,6 +16,8 @@
 class _Protocol:
     """Protocol whose adapter fails in a way that it does not report."""
 
+    promises = frozenset({408, 421, 429, 503})
+
     def __init__(self, host):
         self.host = host
 
@@ -52,6 +54,10 @@
         self.requests = []
         self.exchanges = []
         self.waits_for_release = False
+        self.withheld = []
+
+    def status_withheld(self, request, status):
+        self.withheld.append(status)
 
     async def admit(self, request):
         dispatch = effects.Dispatch(request.parsed.request, "e", False)
@@ -108,25 +114,25 @@
         self.refusals.append(kind)
 
 
-def _parsed(timeout):
+def _parsed(timeout, streaming):
     route = declarations.Route(
-        "/a", "s", "t0", streaming=True, timeout_seconds=timeout
+        "/a", "s", "t0", streaming=streaming, timeout_seconds=timeout
     )
     work = effects.Work(
         request="r", route="a", service="s", tier=0, workspace="w",
         deadline=None, prompt_tokens=1, output_tokens=1, content=1,
     )  # fmt: skip
     return held.ParsedRequest(
-        "r", "r", "a", route, "w", "GET", "/a", {}, b"", True, None, 0, work,
-        clock.now(),
+        "r", "r", "a", route, "w", "GET", "/a", {}, b"", streaming, None, 0,
+        work, clock.now(),
     )  # fmt: skip
 
 
-def _serve(host, timeout=_TIMEOUT_SECONDS):
+def _serve(host, timeout=_TIMEOUT_SECONDS, streaming=True):
     """Returns what a caller receives before the timeout of its route."""
 
     async def handle(exchange):
-        request = held.HeldRequest(_parsed(timeout))
+        request = held.HeldRequest(_parsed(timeout, streaming))
         host.requests.append(weakref.ref(request))
         host.exchanges.append(weakref.ref(exchange))
         await callers.RequestHandler(host, exchange, request).run()
@@ -313,6 +319,42 @@
     assert host.outcomes == [outcome, states.Outcome.COMPLETED]
 
 
+class _Failing(_Protocol):
+    """Adapter of an endpoint that answers with a status."""
+
+    def __init__(self, host, status):
+        super().__init__(host)
+        self.status = status
+
+    async def run(self, call, sink):
+        assert call.permit()
+        fields = {"retry-after": "1", "content-length": "2"}
+        await sink.head(self.status, fields)
+        await sink.data(b"{}")
+        return adapters.Result(states.Outcome.COMPLETED, status=self.status)
+
+
+@pytest.mark.parametrize("streaming", [True, False])
+@pytest.mark.parametrize("status", [404, 408, 421, 429, 500, 503, 504])
+def test_status_of_an_endpoint_is_no_promise_of_the_node(status, streaming):
+    """Guards against "not run" for a request that an endpoint ran (REFUSED).
+
+    The sinks check it, so that no adapter can pass such a status on.
+    """
+    host = _Host("")
+    host.protocol = _Failing(host, status)
+    answer = _serve(host, streaming=streaming)
+    if status not in host.protocol.promises:
+        assert answer.startswith(b"HTTP/1.1 %d" % status)
+        assert host.outcomes == [states.Outcome.COMPLETED]
+        return
+    assert answer.startswith(b"HTTP/1.1 502")
+    assert b"endpoint_failed" in answer
+    assert b"retry-after" not in answer.lower()
+    assert host.outcomes == [states.Outcome.FAILED]
+    assert host.withheld == [status]
+
+
 class _Result(_Protocol):
     """Adapter whose attempts have a given outcome."""
 
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -664,7 +664,7 @@
         _Endpoint([failure]),
         "r",
         repeatable=False,
-        may_answer_failure=lambda: may_answer,
+        may_answer_failure=lambda status: may_answer,
     )
     expected = (
         ("completed", 500, b"bad") if may_answer else ("failed", None, b"")
