Count blank lines before a request as bytes of its header section

Cause: blank lines were removed before the header section was measured, two bytes at a time, and each read began the idle timeout anew.

Change: they are removed in one step, count towards max_header_bytes (431) and do not prolong the idle timeout.

--- a/packages/baobabmux-node/src/baobabmux_node/server.py
+++ b/packages/baobabmux-node/src/baobabmux_node/server.py
@@ -8,6 +8,7 @@
 import http
 import itertools
 import logging
+import re
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -41,6 +42,7 @@
 _MAX_CLOSED_AT_ONCE = 16
 # RFC 9112, 6.3
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
+_BLANK_LINES = re.compile(rb"(?:\r\n)*")
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 _LOG = logging.getLogger(__name__)
 
@@ -486,16 +488,19 @@
             connection or sent nothing within the idle timeout.
         """
         deadline: float | None = None
+        idle_until = await curio.clock() + self.limits.idle_timeout_seconds
         limit = self.limits.max_header_bytes
+        blank_bytes = 0
         received = self.received.data
         while True:
             # Empty lines before a request line are allowed (RFC 9112, 2.2).
-            while received.startswith(b"\r\n"):
-                del received[:2]
+            if end := _BLANK_LINES.match(received).end():
+                del received[:end]
+                blank_bytes += end
             end = received.find(b"\r\n\r\n")
             if end >= 0 and end + 4 <= limit:
                 return self.received.take(end + 4)
-            if len(received) > limit:
+            if blank_bytes + len(received) > limit:
                 raise RequestError(
                     errors.ErrorKind.HEADERS_TOO_LARGE,
                     f"the header section exceeds {limit} bytes",
@@ -506,11 +511,8 @@
             # The first byte starts the timeout for the complete header section.
             if deadline is None and received:
                 deadline = now + self.limits.receive_timeout_seconds
-            timeout = (
-                self.limits.idle_timeout_seconds
-                if deadline is None
-                else max(deadline - now, 0.001)
-            )
+            ends_at = idle_until if deadline is None else deadline
+            timeout = max(ends_at - now, 0.001)
             arrived = await self._receive(limit + 1 - len(received), timeout)
             if arrived is False:
                 return None
--- a/packages/baobabmux-node/tests/fair_reads_test.py
+++ b/packages/baobabmux-node/tests/fair_reads_test.py
@@ -187,6 +187,59 @@
     assert 0 < steps.most <= _MAX_STEPS
 
 
+@pytest.mark.parametrize("count", [1, 20])
+def test_blank_lines_end_a_connection(count):
+    """Guards against callers without a key that take a node's time (CONFIG)."""
+    limits = server.Limits()
+
+    async def handle(exchange):
+        raise AssertionError("there is no request")
+
+    async def send(port):
+        peer = await curio.open_connection("127.0.0.1", port)
+        async with peer:
+            with contextlib.suppress(OSError):
+                for _ in range(1_000):
+                    await peer.sendall(limits.max_header_bytes // 2 * b"\r\n")
+            return await peer.recv(100)
+
+    async def serve():
+        callers = server.Server("127.0.0.1", 0, handle, limits)
+        callers.start()
+        await curio.spawn(callers.serve, daemon=True)
+        tasks = [await curio.spawn(send, callers.port) for _ in range(count)]
+        for task in tasks:
+            await task.wait()
+        while callers.connections:
+            await curio.sleep(0.01)
+
+    async def run():
+        async with curio.timeout_after(_TIMEOUT_SECONDS):
+            await serve()
+
+    curio.run(run)
+
+
+def test_blank_lines_before_a_request_are_skipped():
+    """Guards against a caller that ends each body with an empty line."""
+
+    async def handle(exchange):
+        await exchange.respond(200, {}, b"")
+
+    async def run():
+        callers = server.Server("127.0.0.1", 0, handle, server.Limits())
+        callers.start()
+        await curio.spawn(callers.serve, daemon=True)
+        peer = await curio.open_connection("127.0.0.1", callers.port)
+        request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+        async with peer:
+            for _ in range(10):
+                await peer.sendall(b"\r\n" * 1_000 + request)
+                assert (await peer.recv(1_000)).startswith(b"HTTP/1.1 200")
+
+    curio.run(run)
+
+
 _UPLOAD = b"POST / HTTP/1.1\r\nHost: x\r\n"
 _REQUESTS = {
     "blank lines": (b"", b"\r\n"),
