Give up answers that cost more than they bring

Interim answers had no bound. The engines' adapter joined and searched an unfinished event anew for each part.

Change: an answer, and each event of a stream, may have 16,384 parts and one more for each 4 bytes; a request may have 100 interim answers. Beyond that the answer is garbage: the attempt ends, the breaker is fed, the connection closes. A stream may have any number of events. EventReader splits events with EventSplitter, as the relay does.

The fake connection of that test counts steps and parts as the real one does.

--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -307,8 +307,8 @@
             splitter = event_streams.EventSplitter()
             streams = event_streams.is_event_stream(head)
             while (part := await connection.next_part()) is not None:
-                if streams:
-                    splitter.add(part)
+                if streams and splitter.add(part):
+                    connection.answer_budget.restart()
                 await sink.data(part)
             if streams:
                 splitter.check_end(connection.framing)
--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -14,7 +14,7 @@
 import h11
 import msgspec
 
-from baobabmux_node import clock, socket_reader, sockets
+from baobabmux_node import clock, part_budget, socket_reader, sockets
 
 _READ_BYTES = 65_536
 _MAX_HEADER_BYTES = 65_536
@@ -109,6 +109,7 @@
         received_at: Time of the latest data on the node's clock in seconds.
         interrupted: Whether `interrupt` ended the connection.
         on_close: Called when the connection is closed.
+        answer_budget: Parts of the answer that is being read, or of its event.
     """
 
     def __init__(self, address: str, stall_seconds: float | None = 30.0):
@@ -124,6 +125,7 @@
         self.received_at = 0.0
         self.interrupted = False
         self.on_close: Callable[[], None] | None = None
+        self.answer_budget = part_budget.PartBudget()
         self._socket: curio.io.Socket | None = None
         self._reader: socket_reader.SocketReader | None = None
 
@@ -188,7 +190,7 @@
         self._request_head = head
         self._body_bytes = len(body)
         self.kept = False
-        self.awaits_head = True
+        self.begin_answer()
         self.framing = None
         data = self._http.send(head)
         if body:
@@ -205,6 +207,11 @@
         except OSError as error:
             raise BrokenError(f"{self.address}: {error}") from error
 
+    def begin_answer(self) -> None:
+        """Prepares to read the head of an answer."""
+        self.awaits_head = True
+        self.answer_budget.restart()
+
     def skip_answer(self) -> None:
         """Prepares to read the next answer to the same request.
 
@@ -212,7 +219,7 @@
         """
         left, closed = self._http.trailing_data
         self._http = new_http()
-        self.awaits_head = True
+        self.begin_answer()
         # Only the method matters for reading an answer; the body that the head
         # announces was sent before.
         method = self._request_head.method
@@ -274,7 +281,7 @@
             ProtocolError: The server violated HTTP.
             StalledError: The server sent no data within the timeout.
         """
-        while True:
+        for _ in range(part_budget.MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self.awaits_head = False
@@ -290,6 +297,7 @@
                 raise BrokenError(
                     f"{self.address}: the connection ended before an answer"
                 )
+        raise ProtocolError(f"{self.address}: too many interim answers")
 
     def _has_body(self, status: int) -> bool:
         is_head = self._request_head.method == b"HEAD"
@@ -298,13 +306,21 @@
     async def next_part(self) -> bytes | None:
         """Reads the next part of the body; returns None at its end.
 
+        A reader of events restarts `answer_budget` with each event.
+
         Raises:
             BrokenError: The body ended early.
-            ProtocolError: The server violated HTTP.
+            ProtocolError: The server violated HTTP, or the parts of the body
+                are too many and too small.
             StalledError: The server sent no data within the timeout.
         """
         event = await self._next_event()
         if isinstance(event, h11.Data):
+            if not self.answer_budget.add(len(event.data)):
+                raise ProtocolError(
+                    f"{self.address}: {self.answer_budget.parts} parts for"
+                    f" {self.answer_budget.size} bytes"
+                )
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
--- a/packages/baobabmux-node/src/baobabmux_node/engines.py
+++ b/packages/baobabmux-node/src/baobabmux_node/engines.py
@@ -6,9 +6,8 @@
 import msgspec
 
 from baobabmux_core import event_ids, ids, states
-from baobabmux_node import adapters, client
+from baobabmux_node import adapters, client, event_streams
 
-_MAX_EVENT_BYTES = 1_000_000
 _MAX_RESUME_ATTEMPTS = 3
 _RESUME_DELAY_SECONDS = 0.2
 _STALL_TIMEOUT_SECONDS = 15.0
@@ -234,7 +233,7 @@
 
     def __init__(self, connection: client.ClientConnection):
         self._connection = connection
-        self._buffer = b""
+        self._splitter = event_streams.EventSplitter()
         # Events that have arrived whole and are not parsed.
         self._blocks: collections.deque[bytes] = collections.deque()
 
@@ -249,6 +248,7 @@
             while self._blocks:
                 await self._connection.step()
                 event = _parse_event(self._blocks.popleft())
+                self._connection.answer_budget.restart()
                 if event is not None:
                     return event
             part = await self._connection.next_part()
@@ -257,11 +257,10 @@
             self._add_bytes(part)
 
     def _add_bytes(self, part: bytes) -> None:
-        blocks = (self._buffer + part).replace(b"\r\n", b"\n").split(b"\n\n")
-        self._buffer = blocks.pop()
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise client.ProtocolError("an event is too long")
-        self._blocks.extend(blocks)
+        events = self._splitter.add(part)
+        if events:
+            blocks = events.replace(b"\r\n", b"\n").split(b"\n\n")
+            self._blocks.extend(blocks)
 
 
 def _parse_event(block: bytes) -> StreamEvent | None:
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -439,6 +439,7 @@
         while (part := await connection.next_part()) is not None:
             if not (events := splitter.add(part)):
                 continue
+            connection.answer_budget.restart()
             await _record_progress(call, watch)
             events, count = _new_events(events, sink)
             if events:
--- a/packages/baobabmux-node/tests/endless_answers_test.py
+++ b/packages/baobabmux-node/tests/endless_answers_test.py
@@ -11,8 +11,10 @@
     adapters,
     client,
     clock,
+    engines,
     event_streams,
     memory_account,
+    part_budget,
     relay,
     whole_answers,
 )
@@ -222,12 +224,32 @@
 
     def __init__(self, parts, part):
         self.parts = [_CountedBytes(b"\n\n"), *[part] * parts]
+        self.answer_budget = part_budget.PartBudget()
+
+    async def step(self):
+        return
 
     async def next_part(self):
         return self.parts.pop() if self.parts else None
 
 
-def test_event_in_small_parts_costs_no_more_than_its_length(monkeypatch):
+async def _relay_events(connection):
+    adapter = relay.RelayAdapter(_Dialect())
+    splitter = event_streams.EventSplitter()
+    await adapter._relay_events(
+        None, _Sink(), connection, None, client.Head(200, {}), splitter
+    )
+    assert splitter.has_events
+
+
+async def _read_events(connection):
+    reader = engines.EventReader(connection)
+    with pytest.raises(client.ProtocolError, match="not a field"):
+        await reader.next_event()
+
+
+@pytest.mark.parametrize("read", [_relay_events, _read_events])
+def test_event_in_small_parts_costs_no_more_than_its_length(read, monkeypatch):
     """Guards against a loop that is busy with one endpoint's event.
 
     Each part is joined to all before it, and all are searched again.
@@ -237,11 +259,5 @@
     )
     monkeypatch.setattr(_Counter, "touched", 0)
     connection = _Connection(20_000, _CountedBytes(b"xxxx"))
-    adapter = relay.RelayAdapter(_Dialect())
-    head = client.Head(200, {})
-    splitter = event_streams.EventSplitter()
-    curio.run(
-        adapter._relay_events, None, _Sink(), connection, None, head, splitter
-    )
-    assert splitter.has_events
+    curio.run(read, connection)
     assert _Counter.touched <= 10 * 20_000 * 4
