Do not begin a stream without event numbers anew at another endpoint

The node remembers the number of the last event. An event without one left it as it was, so that a position which is not known looked like a stream of which nothing has been sent.

Change: once an event with data but no number has been passed on, the holder lets no other endpoint go on with the stream; its answer breaks off instead. Event 215 says so. new_events moves to a module of its own.

--- a/packages/baobabmux-core/src/baobabmux_core/catalogue.py
+++ b/packages/baobabmux-core/src/baobabmux_core/catalogue.py
@@ -84,6 +84,12 @@
         " told the status.",
     )
 
+    POSITION_LOST = (
+        215,
+        "{endpoint} sent an event without a number, so that no other endpoint"
+        " can go on with the stream.",
+    )
+
     QUOTA_CHARGED = (
         212,
         "The owner is silent; node {deputy}, which stands in for it, charged"
--- a/packages/baobabmux-core/src/baobabmux_core/held_requests.py
+++ b/packages/baobabmux-core/src/baobabmux_core/held_requests.py
@@ -58,6 +58,8 @@
         lease_end: End of the grant's lease in seconds.
         failures: Number of dispatches that were not sent.
         dispatched_at: Time of the latest dispatch in seconds.
+        position_lost: Whether the caller has an event of the stream that no
+            endpoint can go on after.
         first_token_at: Time of the first token of this attempt in seconds, or
             None.
         tokens: Output tokens of this attempt so far.
@@ -110,6 +112,7 @@
         "own_share",
         "owner",
         "owner_has_ask",
+        "position_lost",
         "progressed_at",
         "repeat_seconds",
         "returns_home",
@@ -145,6 +148,7 @@
         self.failures = 0
         self.dispatched_at = 0.0
         self.first_token_at: float | None = None
+        self.position_lost = False
         self.tokens = 0
         self.progressed_at = 0.0
         self.attempt = 1
--- a/packages/baobabmux-core/src/baobabmux_core/holders.py
+++ b/packages/baobabmux-core/src/baobabmux_core/holders.py
@@ -247,6 +247,18 @@
                 held.version = ""
         return []
 
+    def position_lost(self, request: ids.RequestId) -> bool:
+        """Records that no other endpoint can go on with a stream.
+
+        Returns:
+            Whether another one could have until now.
+        """
+        held = self.held.get(request)
+        if held is None or held.position_lost or not held.work.resumable:
+            return False
+        held.position_lost = True
+        return True
+
     def progress(
         self, request: ids.RequestId, tokens: int, now: float
     ) -> list[effects.Effect]:
@@ -345,7 +357,9 @@
             return False
         if outcome is states.Outcome.REJECTED:
             return True
-        if held.first_token_at is not None and not work.resumable:
+        if held.position_lost or (
+            held.first_token_at is not None and not work.resumable
+        ):
             # The caller already has part of the answer.
             return False
         if not work.idempotent or outcome not in (
--- a/packages/baobabmux-core/src/baobabmux_core/scheduler.py
+++ b/packages/baobabmux-core/src/baobabmux_core/scheduler.py
@@ -285,6 +285,14 @@
             emitted += self._report_streams(now)
         return emitted
 
+    def position_lost(self, request: ids.RequestId) -> bool:
+        """Records that no other endpoint can go on with a stream.
+
+        Returns:
+            Whether another one could have until now.
+        """
+        return self._holder.position_lost(request)
+
     def _report_streams(self, now: float) -> list[effects.Effect]:
         return self._origins.reports(self.view.members.reachable(), now)
 
--- a/packages/baobabmux-core/tests/attempts_test.py
+++ b/packages/baobabmux-core/tests/attempts_test.py
@@ -497,6 +497,23 @@
     assert granted == ["r"]
 
 
+def test_stream_whose_position_is_lost_does_not_go_on_elsewhere(holder):
+    """Guards against a stream that begins anew within an answer (ORDER)."""
+    holder.submit(_work(resumable=True), _GROUP, 160.0, 100.0)
+    holder.granted(messages.Grant("r", "e1", 3000), "n2", 100.0)
+    holder.start_dispatch("r", 100.0)
+    assert holder.may_repeat("r", states.Outcome.BROKEN)
+    assert holder.position_lost("r")
+    assert not holder.position_lost("r")
+    holder.first_token("r", 100.5)
+    assert holder.ask_backup("r", "r+1", 101.0) == []
+    for outcome in (states.Outcome.BROKEN, states.Outcome.GARBAGE):
+        assert not holder.may_repeat("r", outcome)
+    (release,) = holder.finished("r", states.Outcome.BROKEN, 103.0, -1, 50)
+    assert isinstance(release.message, messages.Release)
+    assert "r" not in holder.held
+
+
 def test_unreachable_endpoint_is_left_out_of_the_own_share():
     """Guards against repeated dispatches to endpoints beyond a partition.
 
--- a/packages/baobabmux-node/src/baobabmux_node/adapters.py
+++ b/packages/baobabmux-node/src/baobabmux_node/adapters.py
@@ -256,6 +256,12 @@
     async def data(self, data: bytes) -> None:
         """Receives a part of the body."""
 
+    def position_lost(self) -> None:  # noqa: B027 - a hook
+        """Receives that the stream cannot go on at another endpoint.
+
+        It has brought an event that no endpoint could go on after.
+        """
+
     @abc.abstractmethod
     def progress(self, tokens: int) -> None:
         """Receives the number of output tokens so far.
--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -136,6 +136,11 @@
             status: Status that would tell its caller that it was not run.
         """
 
+    def position_lost(  # noqa: B027 - a hook
+        self, request: held.HeldRequest
+    ) -> None:
+        """Reports that no other endpoint can go on with a stream."""
+
     def hedge_delay(self, request: held.HeldRequest) -> float | None:
         """Returns the seconds after which a request is slow, or None."""
         del request
@@ -571,6 +576,9 @@
             lambda tokens: self.host.progress(self.request, tokens),
         )
         new_sink.promises = self.host.protocol.promises
+        new_sink.on_position_lost = lambda: self.host.position_lost(
+            self.request
+        )
         new_sink.status_headers = lambda status: (
             self.host.protocol.status_headers(parsed.public_id, status)
         )
--- a/packages/baobabmux-node/src/baobabmux_node/relay.py
+++ b/packages/baobabmux-node/src/baobabmux_node/relay.py
@@ -9,17 +9,17 @@
 import contextlib
 import enum
 import functools
-import itertools
 import re
 
 import curio
 import msgspec
 
-from baobabmux_core import declarations, event_ids, ids, states
+from baobabmux_core import declarations, ids, states
 from baobabmux_node import (
     adapters,
     client,
     clock,
+    event_order,
     event_streams,
     memory_account,
     silence,
@@ -37,8 +37,6 @@
 # the endpoint measures the timeout with its own clock.
 _IDLE_MARGIN_SECONDS = 0.5
 
-_EVENT_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
-
 
 class Verdict(enum.Enum):
     """Classification of a call by the head of an answer."""
@@ -441,7 +439,7 @@
                 continue
             connection.answer_budget.restart()
             await _record_progress(call, watch)
-            events, count = _new_events(events, sink)
+            events, count = event_order.new_events(events, sink)
             if events:
                 if not has_sent_head:
                     has_sent_head = True
@@ -463,43 +461,3 @@
     """Stops the watch while data is passed on to the caller."""
     if watch is not None and watch.progressed(clock.now()):
         await call.report_progress()
-
-
-def _new_events(events: bytes, sink) -> tuple[bytes, int]:
-    """Drops events that were sent to the sink before.
-
-    Args:
-        events: Complete events.
-        sink: Receiver of the events. Its `last_event` is set to the last one.
-
-    Returns:
-        The new events and their count.
-
-    Raises:
-        ProtocolError: The event numbers do not increase, or are too long.
-    """
-    try:
-        names = [
-            event_ids.parse(text.decode("ascii"))
-            for text in _EVENT_ID.findall(events)
-        ]
-    except ValueError as error:
-        raise client.ProtocolError(str(error)) from error
-    if not names:
-        return events, len(event_streams.split(events))
-    numbers = [event_ids.position(name) for name in names]
-    last = (
-        -1 if sink.last_event is None else event_ids.position(sink.last_event)
-    )
-    if numbers[0] <= last:
-        events = b"".join(
-            event
-            for event in event_streams.split(events)
-            if (id_match := _EVENT_ID.search(event)) and int(id_match[1]) > last
-        )
-        numbers = [number for number in numbers if number > last]
-    if any(a >= b for a, b in itertools.pairwise(numbers)):
-        raise client.ProtocolError("events are out of order")
-    if numbers:
-        sink.last_event = names[-1]
-    return events, len(numbers)
--- a/packages/baobabmux-node/src/baobabmux_node/serving.py
+++ b/packages/baobabmux-node/src/baobabmux_node/serving.py
@@ -194,6 +194,15 @@
             status=status,
         )
 
+    def position_lost(self, request: held.HeldRequest) -> None:
+        """Reports that no other endpoint can go on with a stream."""
+        if self._host.scheduler.position_lost(request.parsed.request):
+            self._host.events.record(
+                Kind.POSITION_LOST,
+                request.parsed.request,
+                request.endpoint or "",
+            )
+
     def hedge_delay(self, request: held.HeldRequest) -> float | None:
         """Returns when a request is slow; see the base class."""
         if request.parsed.key is not None:
--- a/packages/baobabmux-node/src/baobabmux_node/sinks.py
+++ b/packages/baobabmux-node/src/baobabmux_node/sinks.py
@@ -48,6 +48,7 @@
         last_event: The last event received, or None.
         promises: Statuses that tell the caller that its request was not run;
             see `protocols.CallerProtocol`.
+        on_position_lost: Called when the stream cannot go on elsewhere.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         )
         self.last_event = request.parsed.last_event
         self.promises: frozenset[int] = frozenset()
+        self.on_position_lost: Callable[[], None] = lambda: None
 
     async def head(self, status: int, headers: dict[str, str]) -> None:
         """Receives the status and the headers; see the base class.
@@ -88,6 +90,10 @@
         self.tokens = tokens
         self._on_progress(tokens)
 
+    def position_lost(self) -> None:
+        """Receives that the stream cannot go on at another endpoint."""
+        self.on_position_lost()
+
     async def end(self) -> None:
         """Ends the answer after the endpoint completed it."""
         raise NotImplementedError
@@ -153,6 +159,10 @@
         self._caller_sink.last_event = self.last_event
         await self._caller_sink.data(data)
 
+    def position_lost(self) -> None:
+        """Passes on that the stream cannot go on at another endpoint."""
+        self._caller_sink.position_lost()
+
     def progress(self, tokens: int) -> None:
         """Passes on the number of output tokens."""
         self._caller_sink.progress(tokens)
--- a/packages/baobabmux-node/tests/relay_test.py
+++ b/packages/baobabmux-node/tests/relay_test.py
@@ -67,6 +67,10 @@
         self.last_event = last_event
         self.status = None
         self.body = b""
+        self.has_lost_position = False
+
+    def position_lost(self):
+        self.has_lost_position = True
 
     async def head(self, status, headers):
         self.status = status
@@ -485,6 +489,27 @@
     assert sink.body == events[0] + events[1]
 
 
+@pytest.mark.parametrize(
+    ("event", "is_lost"),
+    [
+        (b"data: y\n\n", True),
+        (b"id: part-2\ndata: y\n\n", True),
+        (b"id: \ndata: y\r\n\r\n", True),
+        (b": still there\n\n", False),
+        (b"retry: 10\n\n", False),
+        (b"id: 2\r\ndata: y\r\n\r\n", False),
+    ],
+)
+def test_event_that_no_endpoint_can_go_on_after_is_reported(event, is_lost):
+    """Guards against a stream that begins anew within an answer (ORDER)."""
+    whole = _event(1) + event + _event(3)
+    endpoint = _Endpoint([_STREAM % b"r", _chunk(whole), b"0\r\n\r\n"])
+    results, sink = _run(endpoint, "r")
+    assert results[0].outcome is states.Outcome.COMPLETED
+    assert sink.body == whole
+    assert sink.has_lost_position is is_lost
+
+
 def test_event_number_that_no_message_can_carry_ends_the_attempt():
     """Guards against an endpoint that ends the node that relays its answer."""
     endpoint = _Endpoint(
