Do not send endpoint_failed to nodes of older builds

recorded_messages_test.py failed in 14 of its cases since: a node of an older build would reject a refusal of the new kind, and with it the frame. No owner sends the kind, but whoever does gets the substitute now.

--- a/packages/baobabmux-core/src/baobabmux_core/messages.py
+++ b/packages/baobabmux-core/src/baobabmux_core/messages.py
@@ -31,6 +31,7 @@
 _ERROR_KINDS_SINCE = {
     errors.ErrorKind.VERSION_GONE.value: 3,
     errors.ErrorKind.STREAM_UNKNOWN.value: 3,
+    errors.ErrorKind.ENDPOINT_FAILED.value: 8,
 }
 _VERSIONS_SINCE = 3
 _UNREACHED_SINCE = 5
