Take no removed endpoint from the list of a peer that was cut off

Change: a list without an age is not what its sender has read. What a node has removed, and what was not written again since, it does not take from such a list, for 60 s.

Evidence: three of the four new tests of directory_test.py failed before; the fourth keeps what expired for all in an outage.

--- a/packages/baobabmux-core/src/baobabmux_core/directory.py
+++ b/packages/baobabmux-core/src/baobabmux_core/directory.py
@@ -17,6 +17,8 @@
 # lacks is written again within some seconds.
 _COPY_SECONDS = 15.0
 _REWRITE_SECONDS = 10.0
+# Time for which a removal holds against lists of peers that were cut off.
+_REMOVAL_SECONDS = 60.0
 
 
 class _Ending(msgspec.Struct, frozen=True):
@@ -196,7 +198,7 @@
         self._removed = {
             other: (born_ms, at)
             for other, (born_ms, at) in self._removed.items()
-            if now - at <= _COPY_SECONDS
+            if now - at <= _REMOVAL_SECONDS
         }
         self._removed[name] = (entry.born_ms, now)
 
@@ -269,6 +271,8 @@
             self.version = version.number
             return False
         listed = self._without_ended(sent, now)
+        if state.age_ms < 0:
+            listed = self._without_removed(listed)
         for name in self.entries.keys() - listed.keys():
             self._remove(name, now)
         for name in listed:
@@ -283,6 +287,23 @@
         self.confirm(self.version, state.age_ms, now)
         return True
 
+    def _without_removed(
+        self, entries: dict[str, messages.DirectoryEntry]
+    ) -> dict[str, messages.DirectoryEntry]:
+        """Returns the list of a peer without the entries that it only keeps.
+
+        A list without an age is not what its peer has read: after an outage it
+        keeps missing entries for a while. An entry that is gone here, and was
+        not written again, is one of them. A sound endpoint writes its entry
+        again within a heartbeat.
+        """
+        return {
+            name: entry
+            for name, entry in entries.items()
+            if name not in self._removed
+            or self._removed[name][0] != entry.born_ms
+        }
+
     def _has_read_on_from(self, version: positions.Version) -> bool:
         """Returns whether this node knows the source beyond a peer's list.
 
--- a/packages/baobabmux-core/tests/directory_test.py
+++ b/packages/baobabmux-core/tests/directory_test.py
@@ -274,6 +274,70 @@
     assert endpoints.version == _version(12)
 
 
+def _list_of_a_cut_off_peer(*, written=()):
+    """Returns the list of a node that was cut off while entries expired.
+
+    It keeps the entry of b, and may have read others that were written.
+    """
+    peer = _listed("a", "b")
+    changes = {"b": None, **{name: _entry(name) for name in written}}
+    peer.update({**changes, "c": _entry("c")}, _at(9), 105.0)
+    assert "b" in peer.entries
+    return peer.state(105.0)
+
+
+def test_endpoint_that_a_cut_off_peer_keeps_does_not_come_back():
+    """Guards against requests to an endpoint that has left (DRAIN).
+
+    Its entry expired while the peer was cut off. The endpoint then left without
+    a report, so that no later record removes it.
+    """
+    endpoints = _listed("a", "b")
+    endpoints.update({"b": None}, _at(7), 101.0)
+    assert endpoints.adopt(_list_of_a_cut_off_peer(), 105.1)
+    assert set(endpoints.entries) == {"a", "c"}
+    # Other nodes, the peer among them, adopt the list without it.
+    other = _listed("a", "b")
+    assert other.adopt(endpoints.state(105.2), 105.2)
+    assert set(other.entries) == {"a", "c"}
+    assert other.version > _version(9)
+    assert not other.adopt(_list_of_a_cut_off_peer(), 105.3)
+
+
+def test_endpoint_whose_removal_a_peer_has_told_does_not_come_back():
+    """Guards against a node that reads nothing itself (DRAIN)."""
+    reader = _listed("a", "b")
+    reader.update({"b": None}, _at(7), 101.0)
+    endpoints = _listed("a", "b")
+    assert endpoints.adopt(reader.state(101.1), 101.1)
+    assert endpoints.adopt(_list_of_a_cut_off_peer(), 105.1)
+    assert set(endpoints.entries) == {"a", "c"}
+
+
+def test_endpoint_that_is_written_again_comes_back():
+    """Guards against a sound endpoint that is left out for good."""
+    endpoints = _listed("a", "b")
+    endpoints.update({"b": None}, _at(7), 101.0)
+    endpoints.adopt(_list_of_a_cut_off_peer(), 105.1)
+    assert endpoints.update({"b": _entry("b")}, _at(10), 105.5)
+    assert set(endpoints.entries) == {"a", "b", "c"}
+    # The next start has the same name and another time of birth.
+    endpoints.update({"b": None}, _at(11), 106.0)
+    started = _entry("b", born=2)
+    peer = _listed("a")
+    peer.update({"a": None, "b": started}, _at(12), 106.5)
+    assert peer.state(106.5).age_ms < 0
+    assert endpoints.adopt(peer.state(106.5), 106.6)
+    assert endpoints.entries["b"] == started
+
+
+def test_entries_that_expired_for_all_are_kept_by_all():
+    """Guards against refusals after an outage of the directory (RECOVER)."""
+    endpoints = _listed("a", "b")
+    assert endpoints.adopt(_list_of_a_cut_off_peer(), 105.1)
+    assert set(endpoints.entries) == {"a", "b", "c"}
+
+
 def test_change_that_an_older_build_counted_is_adopted():
     """Guards against a removal that nodes of two builds undo in turn."""
     endpoints = _listed("a", "b")
