Reset connections whose request has not arrived when they are closed

Change: a connection whose request has not arrived is reset when it is closed, so that the host drops it. It is not read in the background either. A node that carries a connection for another one does the same. What has arrived is closed as before.

--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -345,9 +345,20 @@
                 )
         return bytes(body)
 
+    def has_arrived(self) -> bool:
+        """Returns whether the server's host has received what was sent."""
+        return self._socket is None or not sockets.has_lost_output(self._socket)
+
     async def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection.
+
+        What was sent of a request and has not arrived is dropped. Otherwise the
+        host would go on sending it: after a link was lost it would arrive
+        seconds later, at a server that may have left meanwhile.
+        """
         if self._socket is not None:
+            if self.awaits_head and not self.has_arrived():
+                self.reset_on_close()
             await self._socket.close()
             self._socket = None
         if self.on_close is not None:
--- a/packages/baobabmux-node/src/baobabmux_node/paths.py
+++ b/packages/baobabmux-node/src/baobabmux_node/paths.py
@@ -117,11 +117,12 @@
     ) -> None:
         """Closes the connection of a call; see the base class.
 
-        If its answer has not begun, the connection is read in the background.
+        If its answer has not begun, the connection is read in the background,
+        unless the request has not arrived.
         """
         if connection.kept:
             return
-        if not connection.awaits_head:
+        if not connection.awaits_head or not connection.has_arrived():
             await connection.close()
             return
 
--- a/packages/baobabmux-node/tests/client_test.py
+++ b/packages/baobabmux-node/tests/client_test.py
@@ -141,3 +141,55 @@
         )
 
     assert _ask(answer, b"") == b"x"
+
+
+def test_request_that_has_not_arrived_is_dropped_with_its_connection():
+    """Guards against a request that arrives long after it was given up (DRAIN).
+
+    The endpoint takes no bytes, as if its link were lost, until the connection
+    has been closed.
+    """
+
+    async def run():
+        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        port = listener.getsockname()[1]
+        connection = client.ClientConnection(f"127.0.0.1:{port}", None)
+        await connection.connect(1.0)
+        endpoint, _ = await listener.accept()
+        size = 50_000_000
+        fields = [("Host", "x"), ("Content-Length", str(size))]
+        sending = await curio.spawn(
+            connection.send_request, "POST", "/", fields, size * b"x"
+        )
+        while connection.has_arrived():
+            await curio.sleep(0.01)
+        await sending.cancel()
+        await connection.close()
+        async with endpoint, listener:
+            while await endpoint.recv(1_000_000):
+                pass
+
+    with pytest.raises(ConnectionResetError):
+        curio.run(run)
+
+
+def test_request_that_has_arrived_is_not_reset_with_its_connection():
+    """Guards against a reset of each connection whose answer is not awaited."""
+
+    async def run():
+        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        port = listener.getsockname()[1]
+        connection = client.ClientConnection(f"127.0.0.1:{port}", None)
+        await connection.connect(1.0)
+        endpoint, _ = await listener.accept()
+        await connection.send_request("GET", "/", [("Host", "x")], b"")
+        while not connection.has_arrived():
+            await curio.sleep(0.01)
+        await connection.close()
+        async with endpoint, listener:
+            received = b""
+            while part := await endpoint.recv(1_000):
+                received += part
+        return received
+
+    assert curio.run(run).startswith(b"GET / HTTP/1.1")
