--- a/packages/baobabmux-node/tests/fair_reads_test.py
+++ b/packages/baobabmux-node/tests/fair_reads_test.py
@@ -56,15 +56,16 @@
 
 
 class _Steps(kernel.Activation):
-    """Counts the reads and parsed parts of each step of a task.
+    """Counts reads and parsed parts, from one wait of a task to the next.
 
     Attributes:
-        most: Most of them in one step.
+        count: Number of them since the last wait.
+        most: Highest of these numbers.
     """
 
     def __init__(self, monkeypatch):
         self.most = 0
-        self._count = 0
+        self.count = 0
         self._patch(monkeypatch, h11.Connection, "next_event")
         self._patch(monkeypatch, socket.socket, "recv")
         self._patch(monkeypatch, engines, "_parse_event")
@@ -73,18 +74,18 @@
         original = getattr(owner, name)
 
         def counted(*arguments):
-            self._count += 1
+            self.count += 1
             return original(*arguments)
 
         monkeypatch.setattr(owner, name, counted)
 
     def running(self, task):
         """Begins to count; the kernel of curio calls it."""
-        self._count = 0
+        self.count = 0
 
     def suspended(self, task, trap):
         """Ends to count; the kernel of curio calls it."""
-        self.most = max(self.most, self._count)
+        self.most = max(self.most, self.count)
 
 
 @contextlib.contextmanager
@@ -289,7 +290,7 @@
     steps = _Steps(monkeypatch)
 
     async def handle(frame):
-        steps._count += 1
+        steps.count += 1
         return True
 
     async def serve():
