Drop what has not arrived, and weigh statuses, in one piece of code each

A connection to an endpoint and a carried one had the same check before their close, now sockets.drop_lost_output_on_close. The handler and the sink each compared a status with the promises, now CallerSink.may_pass_on. What a sink does with a checked head is an abstract method. A read that is interrupted needs no care (PEP 475).

--- a/packages/baobabmux-node/src/baobabmux_node/callers.py
+++ b/packages/baobabmux-node/src/baobabmux_node/callers.py
@@ -412,7 +412,7 @@
         # events that the caller has.
         if attempt is not self._attempt or self._sink.started:
             return False
-        if status in self._sink.promises:
+        if not self._sink.may_pass_on(status):
             self.host.status_withheld(attempt.request, status)
             return False
         return True
--- a/packages/baobabmux-node/src/baobabmux_node/client.py
+++ b/packages/baobabmux-node/src/baobabmux_node/client.py
@@ -352,13 +352,11 @@
     async def close(self) -> None:
         """Closes the connection.
 
-        What was sent of a request and has not arrived is dropped. Otherwise the
-        host would go on sending it: after a link was lost it would arrive
-        seconds later, at a server that may have left meanwhile.
+        What was sent of a request and has not arrived is dropped.
         """
         if self._socket is not None:
-            if self.awaits_head and not self.has_arrived():
-                self.reset_on_close()
+            if self.awaits_head:
+                sockets.drop_lost_output_on_close(self._socket)
             await self._socket.close()
             self._socket = None
         if self.on_close is not None:
--- a/packages/baobabmux-node/src/baobabmux_node/event_order.py
+++ b/packages/baobabmux-node/src/baobabmux_node/event_order.py
@@ -53,7 +53,7 @@
         events = b"".join(
             event
             for event in event_streams.split(events)
-            if (id_match := _EVENT_ID.search(event)) and int(id_match[1]) > last
+            if (name := _EVENT_ID.search(event)) and int(name[1]) > last
         )
         numbers = [number for number in numbers if number > last]
     if any(a >= b for a, b in itertools.pairwise(numbers)):
--- a/packages/baobabmux-node/src/baobabmux_node/sinks.py
+++ b/packages/baobabmux-node/src/baobabmux_node/sinks.py
@@ -4,6 +4,7 @@
 with the same idempotency key.
 """
 
+import abc
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -78,12 +79,17 @@
             UnfoundedPromiseError: The status would promise something that the
                 endpoint has not.
         """
-        if status in self.promises:
+        if not self.may_pass_on(status):
             raise adapters.UnfoundedPromiseError(status)
         await self._take_head(status, headers)
 
+    def may_pass_on(self, status: int) -> bool:
+        """Returns whether a status of an endpoint may reach the caller."""
+        return status not in self.promises
+
+    @abc.abstractmethod
     async def _take_head(self, status: int, headers: dict[str, str]) -> None:
-        raise NotImplementedError
+        """Receives the status and the headers once they were checked."""
 
     def progress(self, tokens: int) -> None:
         """Receives the number of output tokens so far."""
--- a/packages/baobabmux-node/src/baobabmux_node/socket_reader.py
+++ b/packages/baobabmux-node/src/baobabmux_node/socket_reader.py
@@ -47,7 +47,7 @@
                 # Nothing is awaited after the read, so that a task which is
                 # cancelled loses no bytes.
                 data = self._source._socket.recv(max_bytes)
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:
                 self.steps = 0
                 await _read_wait(self._source._fileno)
             else:
--- a/packages/baobabmux-node/src/baobabmux_node/sockets.py
+++ b/packages/baobabmux-node/src/baobabmux_node/sockets.py
@@ -93,6 +93,19 @@
     return any(unacknowledged)
 
 
+def drop_lost_output_on_close(connection) -> None:
+    """Has `close` drop what the peer has not received.
+
+    Otherwise the host goes on sending it: after a link was lost it would arrive
+    seconds later, at a peer that may have left meanwhile.
+
+    Args:
+        connection: Socket of curio or of the standard library.
+    """
+    if has_lost_output(connection):
+        set_reset_on_close(connection, True)
+
+
 async def is_reset_after_end(connection) -> bool:
     """Returns whether a reset follows the end of the peer's output at once.
 
--- a/packages/baobabmux-node/src/baobabmux_node/tunnels.py
+++ b/packages/baobabmux-node/src/baobabmux_node/tunnels.py
@@ -217,9 +217,7 @@
                     _copy_answer, endpoint, downstream, copied, report
                 )
         finally:
-            if sockets.has_lost_output(endpoint):
-                # Nobody awaits what would arrive later.
-                sockets.set_reset_on_close(endpoint, True)
+            sockets.drop_lost_output_on_close(endpoint)
             await endpoint.close()
         return copied.total()
 
